--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,919 @@
+//! All decisions of one gateway. The interface, its settings, events and actions, is `src/api.rs`.
+//! Slots follow the fuzzy delay controller of Wei et al.; quotas rest on leased units; see docs/design.md.
+
+use crate::api::*;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+
+// ---- Constants, each relative to aims, rates or the fleet
+
+const MS: Span = 1_000_000;
+const SECOND: f64 = 1e9;
+const TICK: Span = 20 * MS; // housekeeping: short against any aim worth holding, long against a batch
+const PERIOD: Span = 1_000 * MS; // the design's control period
+const SET_POINT: f64 = 0.05; // set point of the wait for a slot, as a share of the class's aim
+
+/// Corners of the five input terms, finer near zero as the paper asks, as shares of the clamp.
+const CORNERS: [f64; 5] = [-1.0, -0.4, 0.0, 0.4, 1.0];
+
+/// Output terms NH NB NM NS Z PS PM PB PH; the step they scale is `STEP` of all slots.
+const OUTPUTS: [f64; 9] = [-1.0, -0.6, -0.35, -0.15, 0.0, 0.15, 0.35, 0.6, 1.0];
+const STEP: f64 = 0.25; // the largest change of a reserve in one period, as a share of all slots
+
+/// Table 1 of the paper, rows E and columns dE from NB to PB, as indexes into `OUTPUTS`.
+const RULES: [[usize; 5]; 5] =
+    [[0, 1, 1, 2, 3], [1, 2, 3, 4, 5], [3, 4, 4, 4, 5], [3, 4, 5, 6, 7], [5, 6, 7, 7, 8]];
+const ENOUGH_WAITS: f64 = 5.0; // waits that make a mean; with fewer, the error counts in proportion
+const SLOTS_PER_SERVER: f64 = 4.0; // shared among gateways: well above ordinary use
+const SAVED: f64 = 2.0; // seconds for which a part below two slots is saved up
+const REST: f64 = 0.15; // share of the slots that is the least-worth class's own, so it never starves
+const EPOCH: Span = 50_000 * MS; // names of counts change this often: they are kept for 60 s at most
+const HORIZON: f64 = 1.5; // a block, in seconds of recent demand
+const UNIT_WAIT: f64 = 0.3; // share of the aim that a request may wait for the counter or for a cap
+const IDLE_SLOTS: f64 = 0.6; // let in beyond the quota only below this share of the slots
+const RATE_SPAN: f64 = 4.0; // seconds that the running rates look back
+const KEEP_BACK: f64 = 0.15; // part of a store kept for the class worth most a unit
+const THIN: f64 = 2.0; // units: an even part of the store below this is rationed, not leased
+const CALL_ODDS: (f64, f64) = (0.05, 0.6); // bounds of the share of rationed requests that ask the counter
+const SHADE: f64 = 2.0; // grants come at random: a ration below one is raised to this, to stay inside
+const CROWDED: f64 = 0.4; // a counter's answer that takes this share of the time-out: it has no room left
+const BEAT: Span = 5_000 * MS; // between a gateway's calls to the count that tells how long counts go back
+const ALL: CustomerId = CustomerId(u64::MAX >> 1); // whose count all gateways add the time they ran to
+const RETRY_COUNTER: Span = 500 * MS; // a silent counter is asked again after this
+const MEAN_BY_GEOMETRIC: f64 = 1.78; // of exponential times: makes a geometric mean read as a mean
+const HANGS: f64 = 8.0; // mean latencies without an answer: e^-8 by chance
+const DROWNING: f64 = 0.3; // share of a class's attempts that fail when it is not single servers
+const RISK: f64 = 1.0; // requests in hand that a sure failure weighs; four where it cannot be repeated
+const MEMORY: f64 = 10.0; // seconds over which what a server did fades
+const COLD_PART: f64 = 0.8; // of a warm server's requests, times present capacity, for a cold one
+const RETRY_PART: f64 = 0.15; // further attempts for each request, so that trouble is not multiplied
+
+// ---- Quota leases
+
+/// A customer's store as seen here. `level`: what the counter should have left (below zero: leased ahead of
+/// the refill); `held`: leased here and not yet spent (below zero: let in before the counter was told).
+#[derive(Default)]
+struct Account {
+    strict: bool, // a hard ceiling
+    thin: bool,   // too many gateways for blocks: what is asked for is counted, and rationed
+    blind: bool,  // the counter did not answer
+    rate: f64,
+    burst: f64,
+    spread: f64,
+    level: f64,
+    at: Time,
+    held: f64,
+    seen: Option<(u64, f64, Time, f64)>, // latest total: epoch, value, when it came, level then
+    local: f64,                          // the store for silent times, filled with a part of the rate
+    part: f64,
+    doubt: f64,        // units of calls that got no answer and may have counted
+    call: Option<f64>, // the amount of the call that is out
+    next_call: Time,
+    ration: Option<f64>, // share of what is asked for that the quota covers, once known
+    credit: f64,         // rationed units not yet let in
+    mine: f64,           // units a second let in here, and leased by others
+}
+
+impl Account {
+    fn new(now: Time, (rate, burst): (f64, f64), spread: u32, strict: bool, alone: bool) -> Self {
+        let spread = spread.max(1) as f64;
+        let thin = !strict && !alone && burst < THIN * spread;
+        // A ceiling lends nothing while its counter is in doubt; without any counter its even part is all.
+        let part = if strict && !alone { 0.0 } else { 1.0 / spread };
+        Account { strict, thin, rate, burst, spread, part, level: burst, at: now, ..Account::default() }
+    }
+
+    /// Lets the store fill; what is leased here and unspent is still in the customer's store.
+    fn refill(&mut self, now: Time) {
+        let gain = self.rate * seconds(self.at, now);
+        self.mine *= (-seconds(self.at, now) / RATE_SPAN).exp();
+        self.level = (self.level + gain).min(self.burst - self.held.max(0.0));
+        self.local = (self.local + gain * self.part).min(self.burst * self.part);
+        self.at = now;
+    }
+
+    /// Units that may be spent now: leased ones, less those the store has yet to fill.
+    fn ready(&self) -> f64 {
+        self.held + if self.blind && !self.strict { 0.0 } else { self.level.min(0.0) }
+    }
+
+    /// Whether units can be spent now; while the counter is silent the local store lends what lacks.
+    fn covers(&mut self, units: f64, back: f64, no_call: bool) -> bool {
+        let left = if self.blind { self.local / self.part.max(1e-9) } else { self.level };
+        if back > 0.0 && self.held.max(0.0) + left - units < back * self.burst {
+            return false;
+        }
+        let lacking = (units - self.held.max(0.0)).max(0.0);
+        if self.blind && no_call && self.local >= lacking {
+            self.local -= lacking;
+            return true;
+        }
+        self.ready() + 1e-6 >= units
+    }
+
+    /// No answer: go by what the others left when last seen, the even part at the least.
+    fn silent(&mut self, now: Time, unanswered: bool) {
+        self.refill(now);
+        self.doubt += self.call.take().filter(|_| unanswered).unwrap_or(0.0);
+        self.next_call = now + RETRY_COUNTER;
+        self.local = if self.blind { self.local } else { self.level.max(0.0) * self.part };
+        self.blind = true;
+    }
+
+    /// Whether a rationed request is let in: at those odds, spread evenly.
+    fn grant(&mut self, units: f64, odds: f64) -> bool {
+        self.credit = (self.credit + units * odds.clamp(0.0, 1.0)).min(2.0 * units);
+        let granted = self.credit + 1e-9 >= units;
+        self.credit -= if granted { units } else { 0.0 };
+        granted
+    }
+
+    /// Size of the next block: what waits, and recent demand over the horizon as far as there is room.
+    fn block(&self, wanted: f64, horizon: f64) -> f64 {
+        let need = (wanted - self.held).max(0.0);
+        let room = (self.level - need).max(0.0) * 2.0 / self.spread;
+        need + (self.mine * horizon).min(room)
+    }
+
+    /// A thin store: the count holds what all gateways were asked for, of which the quota covers a part.
+    fn rationed(&mut self, now: Time, epoch: (u64, Time), total: f64) -> f64 {
+        let amount = self.call.take().unwrap_or(0.0);
+        let (before, since, store) = match self.seen {
+            Some((e, t, at, level)) if e == epoch.0 && t <= total => (t, at, level),
+            _ => (0.0, epoch.1, self.burst),
+        };
+        let (asked, filled) = (total - before, store + self.rate * seconds(since, now));
+        let ration = (filled / asked.max(amount).max(1e-9)).clamp(0.0, 1.0);
+        self.seen = Some((epoch.0, total, now, (filled - asked).clamp(0.0, self.burst)));
+        self.ration = Some(ration);
+        ration
+    }
+
+    /// Takes in a total. One that went backwards is a counter that lost it: others then used nothing.
+    fn counted(&mut self, now: Time, epoch: (u64, Time), total: f64) {
+        self.refill(now);
+        let amount = self.call.take().unwrap_or(0.0);
+        let (before, since, level) = match self.seen {
+            Some((e, t, at, level)) => (if e == epoch.0 { t } else { 0.0 }, at, level),
+            None => (0.0, epoch.1, if self.strict { 0.0 } else { self.burst }),
+        };
+        let mut others = total - before - amount;
+        if self.doubt > 0.0 && others >= 0.9 * self.doubt {
+            // An unanswered add that shows in the total: it counted, so it is ours.
+            others -= self.doubt;
+            self.held += self.doubt;
+        }
+        (self.doubt, self.held) = (0.0, self.held + amount);
+        // What was sent beyond the quota took nothing from the store: no debt beyond a second's refill.
+        let filled = level + self.rate * seconds(since, now) - others.max(0.0) - amount;
+        self.level = filled.max(-self.rate - amount.abs()).min(self.burst - self.held.max(0.0));
+        self.seen = Some((epoch.0, total, now, self.level));
+        (self.blind, self.next_call) = (false, now);
+    }
+}
+
+// ---- Slot control
+
+#[derive(Default)]
+struct ClassState {
+    reserve: f64,
+    out: usize,
+    queue: VecDeque<RequestId>,
+    waits: f64,
+    wait_count: f64,
+    error: f64,
+    latency: f64, // usual latency in seconds: a geometric mean, which rare long answers hardly move
+    failing: f64, // share of its latest attempts that failed
+}
+
+fn seconds(from: Time, to: Time) -> f64 {
+    to.saturating_sub(from) as f64 / SECOND
+}
+
+/// Degrees of membership of the five triangular terms; they add up to one.
+fn degrees(x: f64) -> [f64; 5] {
+    let x = if x.is_finite() { x.clamp(-1.0, 1.0) } else { 0.0 };
+    let slope = |from: f64, to: f64| if from == to { 1.0 } else { ((x - from) / (to - from)).max(0.0) };
+    std::array::from_fn(|i| {
+        let (left, right) = (CORNERS[i.saturating_sub(1)], CORNERS[(i + 1).min(4)]);
+        slope(left, CORNERS[i]).min(slope(right, CORNERS[i])).min(1.0)
+    })
+}
+
+/// The 25 rules: error and its change, each as a share of its clamp, give a change from -1 to 1.
+pub fn fuzzy(e: f64, de: f64) -> f64 {
+    let (rows, columns) = (degrees(e), degrees(de));
+    let rule = |n: usize| rows[n / 5] * columns[n % 5] * OUTPUTS[RULES[n / 5][n % 5]];
+    (0..25).map(rule).sum()
+}
+
+impl Policy {
+    /// Each period: the table moves the reserve of every class but the least-worth one.
+    fn control(&mut self, now: Time) {
+        let (total, mut left) = (self.pace.total, self.pace.total * (1.0 - REST));
+        for &c in &self.by_worth[..self.by_worth.len().saturating_sub(1)] {
+            let set = (self.s.classes[c].aim as f64 / SECOND * SET_POINT).max(1e-3);
+            let held = self.classes[c].queue.iter().filter_map(|id| self.requests.get(id));
+            let (ages, n) = held.fold((0.0, 0.0), |(sum, n), r| (sum + seconds(r.queued, now), n + 1.0));
+            let k = &mut self.classes[c];
+            let count = k.wait_count + n;
+            let mean = if count > 0.0 { (k.waits + ages) / count } else { set };
+            let e = (mean - set).clamp(-set, set) * (count / ENOUGH_WAITS).min(1.0);
+            let de = (e - k.error).clamp(-1.25 * set, 1.25 * set);
+            k.reserve = (k.reserve + fuzzy(e / set, de / (1.25 * set)) * STEP * total).clamp(0.0, left);
+            left -= k.reserve;
+            (k.error, k.waits, k.wait_count) = (e, 0.0, 0.0);
+        }
+    }
+
+    /// Whose is the next free slot: below its reserve, the least-worth class's own part, then worth order.
+    fn next_class(&self) -> Option<usize> {
+        let waiting = |c: usize| !self.classes[c].queue.is_empty();
+        let under = |c: usize, slots: f64| waiting(c) && (self.classes[c].out as f64) < slots;
+        let (least, aimed) = self.by_worth.split_last()?;
+        let reserved = aimed.iter().find(|c| under(**c, self.classes[**c].reserve));
+        let kept = Some(least).filter(|c| under(**c, self.pace.total * REST));
+        reserved.or(kept).or_else(|| self.by_worth.iter().find(|c| waiting(**c))).copied()
+    }
+
+    fn out(&self) -> f64 {
+        self.classes.iter().map(|k| k.out).sum::<usize>() as f64
+    }
+
+    /// Slots now. A gateway whose part of the fleet is below two saves it up and takes two for a while.
+    fn slots(&self) -> f64 {
+        let saved = if self.pace.saved > 0.0 { 2.0 } else { 0.0 };
+        if self.pace.total < 2.0 {
+            saved
+        } else {
+            self.pace.total.floor()
+        }
+    }
+
+    /// Fills free slots with held requests; those that find no server now stay in front.
+    fn dispatch(&mut self, now: Time) {
+        let mut stuck = Vec::new();
+        while self.out() < self.slots() {
+            let Some(c) = self.next_class() else { break };
+            let Some(id) = self.classes[c].queue.pop_front() else { break };
+            let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Queued) else { continue };
+            let start_by = r.start_by(self.classes[c].latency);
+            match self.pick(now, id).filter(|_| now < start_by) {
+                Some(server) => self.send(now, id, server),
+                None => stuck.push((c, id)),
+            }
+        }
+        stuck.into_iter().rev().for_each(|(c, id)| self.classes[c].queue.push_front(id));
+    }
+}
+
+// ---- Server choice and health
+
+#[derive(Default)]
+struct Server {
+    entry: ServerEntry,
+    out: Vec<(RequestId, u32, Time)>,
+    slow: f64, // logarithm of its latency against the class's, smoothed
+    heard: Time,
+    told: Option<(Time, f64)>, // the load it reported last
+    cold: Option<Time>,        // when its ramp from cold began
+    tokens: f64,               // sends a cold server may get now, filled up to `fed`
+    fed: Time,
+    did: Vec<(f64, Time)>, // from 1 (failed) to -1 (served), for each class, and as a whole last
+}
+
+impl Server {
+    fn ready(&self) -> bool {
+        self.entry.state == ServerState::Ready
+    }
+
+    /// Cold since then. `tokens` is drawn from 0 to 1: so the first sends of all gateways are spread out.
+    fn chill(&mut self, now: Time, since: Time, tokens: f64) {
+        (self.cold, self.tokens, self.fed) = (Some(since), tokens, now);
+    }
+
+    /// What it did in one respect, fading with time.
+    fn lately(&self, grain: usize, now: Time) -> f64 {
+        self.did.get(grain).map_or(0.0, |(did, at)| did * (-seconds(*at, now) / MEMORY).exp())
+    }
+}
+
+impl Policy {
+    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>) {
+        match kind {
+            ListKind::Failed => self.pace.ask_at = now + self.s.must_ask_in / 8,
+            ListKind::Delta => {}
+            _ => self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone),
+        }
+        for entry in entries {
+            let s = self.servers.entry(entry.id).or_default();
+            if entry.started > s.entry.started && entry.started.saturating_add(self.s.cold) > now {
+                // Freshly started: cold, and what was known of it is void.
+                s.chill(now, entry.started, self.rng.random());
+                (s.slow, s.told) = (0.0, None);
+                s.did.clear();
+            }
+            (s.entry, s.fed) = (entry, now);
+        }
+        let all = self.servers.values().filter(|s| s.ready()).count().max(1) as f64;
+        self.pace.total = SLOTS_PER_SERVER * all / self.s.gateways.max(1) as f64;
+    }
+
+    /// Whether a request may go to this server, after what may already have run of it.
+    fn legal(&self, now: Time, r: &Held, entry: &ServerEntry) -> bool {
+        let Some(first) = r.ran() else { return true };
+        let there = self.servers.get(&first.server).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
+        match self.s.classes[r.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            // The send takes a moment to arrive: keep a tenth of the span clear.
+            Effect::Keyed(_, ttl) if now >= first.sent + (ttl - ttl / 10) => false,
+            Effect::Keyed(Scope::All, _) => true,
+            Effect::Keyed(Scope::Zone, _) => there.0 == entry.zone,
+            Effect::Keyed(Scope::Cell, _) => there == (entry.zone, entry.cell),
+        }
+    }
+
+    /// Feeds cold servers our part of what they can do now, so that all gateways together push none over.
+    fn warm_up(&mut self, now: Time) {
+        let warm = self.servers.values().filter(|s| s.ready() && s.cold.is_none()).count().max(1) as f64;
+        for s in self.servers.values_mut() {
+            let Some(since) = s.cold else { continue };
+            let age = seconds(since, now) * SECOND / self.s.cold.max(1) as f64;
+            let ramp = self.s.cold_share + (1.0 - self.s.cold_share) * age;
+            s.tokens =
+                (s.tokens + COLD_PART * self.pace.send_rate / warm * ramp * seconds(s.fed, now)).min(1.0);
+            s.fed = now;
+            s.cold = s.cold.filter(|_| age < 1.0);
+        }
+    }
+
+    /// The server with the least expected wait among those that may take this request.
+    fn pick(&mut self, now: Time, id: RequestId) -> Option<ServerId> {
+        let r = self.requests.get(&id)?;
+        let (class, all) = (r.class, self.s.classes.len());
+        let usual = self.classes[r.class].failing;
+        let weight = RISK * if self.s.classes[r.class].effect == Effect::Safe { 1.0 } else { 4.0 };
+        let mut best: Option<(f64, ServerId)> = None;
+        for (sid, s) in &self.servers {
+            if (s.cold.is_some() && s.tokens < 1.0) || !s.ready() || !self.legal(now, r, &s.entry) {
+                continue;
+            }
+            // A stranger is taken to be as busy as the others say they are, not idle.
+            let told = s.told.map_or(0.0, |(at, load)| (load - self.pace.load) * (-seconds(at, now)).exp());
+            let load = 1.0 + s.out.len() as f64 + self.pace.load + told;
+            let mut cost = s.slow.exp() * load + self.rng.random::<f64>() * 0.05;
+            // Of a stranger to this class, what the class meets elsewhere is feared.
+            let own = s.lately(class, now);
+            let feared = if own < 0.0 { usual * (1.0 + own) } else { own.max(usual) };
+            cost += weight * feared.max(s.lately(all, now));
+            cost += if s.entry.zone != self.s.zone { 0.1 } else { 0.0 };
+            cost += if r.attempts.iter().any(|a| a.server == *sid) { 100.0 } else { 0.0 };
+            if best.is_none_or(|(b, _)| cost < b) {
+                best = Some((cost, *sid));
+            }
+        }
+        best.map(|(_, sid)| sid)
+    }
+
+    /// Remembers how a server did with a class; `whole`: it failed as a whole, until it answers.
+    fn remember(&mut self, now: Time, id: RequestId, sid: ServerId, failed: bool, whole: bool) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (class, all) = (r.class, self.s.classes.len());
+        let k = &mut self.classes[class];
+        k.failing += 0.05 * (f64::from(u8::from(failed)) - k.failing);
+        let Some(s) = self.servers.get_mut(&sid) else { return };
+        s.did.resize(all + 1, (0.0, now));
+        for grain in [class, all] {
+            let before = s.lately(grain, now);
+            let target = if failed { 1.0 } else { -1.0 };
+            let from = if failed { before.max(0.0) } else { before };
+            if grain != all || whole || !failed {
+                s.did[grain] = (from + 0.7 * (target - from), now);
+            }
+        }
+    }
+
+    /// An attempt long without an answer counts as failed; the server as a whole if it was silent to all.
+    fn watch(&mut self, now: Time) {
+        let mut hanging = Vec::new();
+        for (sid, s) in &self.servers {
+            for (id, attempt, sent) in &s.out {
+                let Some(r) = self.requests.get(id) else { continue };
+                let latency = self.classes[r.class].latency;
+                let aim = self.s.classes[r.class].aim as f64 / SECOND;
+                let usual = if latency > 0.0 { HANGS * latency * s.slow.max(0.0).exp() } else { aim };
+                let hangs = seconds(*sent, now) > usual.min(aim);
+                if hangs && r.attempts.get(*attempt as usize).is_some_and(|a| !a.hung) {
+                    hanging.push((*id, *attempt, *sid, s.heard < *sent));
+                }
+            }
+        }
+        for (id, attempt, sid, whole) in hanging {
+            self.remember(now, id, sid, true, whole);
+            self.move_away(now, id, attempt);
+        }
+    }
+
+    /// Learns from an answer how quick its server is against its peers.
+    fn learn(&mut self, class: usize, sid: ServerId, took: Span) {
+        let (t, k) = ((took as f64 / SECOND).max(1e-6), &mut self.classes[class]);
+        k.latency = if k.latency == 0.0 { t } else { k.latency };
+        k.latency *= (MEAN_BY_GEOMETRIC * t / k.latency).powf(0.05);
+        if let Some(s) = self.servers.get_mut(&sid) {
+            s.slow += 0.1 * ((MEAN_BY_GEOMETRIC * t / k.latency).clamp(0.1, 10.0).ln() - s.slow);
+        }
+    }
+}
+
+// ---- Attempts and final answers
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Units, // waits for units
+    Queued, // waits for a slot
+    Out,
+    Begun, // the answer streams: it is the client's now
+    Closed,
+}
+
+#[derive(Default)]
+struct Attempt {
+    server: ServerId,
+    sent: Time,
+    open: bool,
+    harmless: bool, // proven never to have run
+    slot: bool,     // counted among the slots in use; a hanging one is not
+    withdrawn: bool,
+    hung: bool,
+}
+
+#[derive(Default)]
+struct Held {
+    class: usize,
+    customer: CustomerId,
+    units: f64,
+    arrived: Time,
+    queued: Time,
+    aim_at: Time,
+    deadline: Time,
+    stage: Stage,
+    inside: bool,  // let in on leased units, which are spent by the first send
+    counted: bool, // its units are on the way to the counter: a rationed one waits for that answer
+    attempts: Vec<Attempt>,
+}
+
+impl Held {
+    /// Later than this an answer is not to be expected within the aim; a first attempt keeps half of it.
+    fn start_by(&self, latency: f64) -> Time {
+        let aim = (self.aim_at - self.arrived) as f64;
+        let least = if self.attempts.is_empty() { 0.5 * aim } else { 0.0 };
+        self.aim_at
+            - ((1.3 * latency * SECOND).clamp(least, 0.6 * aim) as Time).max(2 * TICK).min(self.aim_at)
+    }
+    /// The first attempt that may have run.
+    fn ran(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| !a.harmless)
+    }
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.open)
+    }
+}
+
+impl Policy {
+    fn send(&mut self, now: Time, id: RequestId, server: ServerId) {
+        let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        let (class, k) = (&self.s.classes[r.class], &mut self.classes[r.class]);
+        let until = if class.late_worth > 0.0 || class.stream { r.deadline } else { r.aim_at };
+        if r.attempts.is_empty() {
+            (k.waits, k.wait_count) = (k.waits + seconds(r.queued, now), k.wait_count + 1.0);
+        }
+        k.out += 1;
+        self.pace.sends += 1.0;
+        r.stage = Stage::Out;
+        s.out.push((id, r.attempts.len() as u32, now));
+        s.tokens -= 1.0;
+        r.attempts.push(Attempt { server, sent: now, open: true, slot: true, ..Attempt::default() });
+        self.actions.push(Action::Send { id, server, until });
+    }
+
+    /// Whether another attempt is worth it: in time, within the limit and the budget.
+    fn may_retry(&self, now: Time, r: &Held) -> bool {
+        let more = (r.attempts.len() as u32) < self.s.max_attempts.max(1) && self.pace.retries >= 1.0;
+        let legal = || self.servers.values().any(|s| s.ready() && self.legal(now, r, &s.entry));
+        more && now < r.start_by(self.classes[r.class].latency) && legal()
+    }
+
+    /// The attempt hangs: it leaves its slot and moves, but not where its class fails all around: they drown.
+    fn move_away(&mut self, now: Time, id: RequestId, attempt: u32) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(a) = r.attempts.get_mut(attempt as usize) else { return };
+        a.hung = true;
+        if self.classes[r.class].failing > DROWNING {
+            return;
+        }
+        self.classes[r.class].out -= usize::from(std::mem::take(&mut a.slot));
+        let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Out) else { return };
+        match self.s.classes[r.class].effect == Effect::Safe && self.may_retry(now, r) {
+            true if self.s.may_duplicate => self.requeue(now, id),
+            true => self.withdraw(id, attempt),
+            false => {}
+        }
+    }
+
+    fn withdraw(&mut self, id: RequestId, attempt: u32) {
+        let a = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(attempt as usize));
+        if let Some(a) = a.filter(|a| a.open && !a.withdrawn && self.s.may_cancel) {
+            a.withdrawn = true;
+            self.actions.push(Action::Withdraw { id, attempt });
+        }
+    }
+
+    fn requeue(&mut self, now: Time, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        (r.stage, r.queued) = (Stage::Queued, now);
+        self.classes[r.class].queue.push_front(id);
+        self.pace.retries -= 1.0;
+    }
+
+    /// Final answer without a success: refused where nothing can have run, else failed.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.stage != Stage::Closed) else { return };
+        if r.out() {
+            return r.stage = Stage::Out; // the attempt still out may answer
+        }
+        let again = matches!(self.s.classes[r.class].effect, Effect::Safe | Effect::Keyed(Scope::All, _));
+        let harmless = again || r.ran().is_none();
+        // Soon after, a try meets the same quota and the same queue: the longest advice keeps it off.
+        let refused = Action::Refuse { id, retry_after: self.s.max_retry_after };
+        self.actions.push(if harmless { refused } else { Action::Fail { id } });
+        self.close(id);
+    }
+
+    /// The request is over: unspent units go back to the lease, attempts still out are withdrawn.
+    fn close(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let before = std::mem::replace(&mut r.stage, Stage::Closed);
+        let (out, attempts) = (r.out(), r.attempts.len() as u32);
+        if let Some(c) = self.customers.get_mut(&r.customer).filter(|_| before != Stage::Closed) {
+            if r.inside && attempts == 0 {
+                c.stores.iter_mut().for_each(|a| a.held += r.units);
+            }
+            if before != Stage::Units {
+                c.open = c.open.saturating_sub(1);
+                self.freed.push(r.customer);
+            }
+        }
+        (0..attempts).filter(|_| before != Stage::Begun).for_each(|attempt| self.withdraw(id, attempt));
+        if !out {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn on_ended(&mut self, now: Time, end: Ended) {
+        self.on_report(now, end.server, end.outcome, end.report);
+        let Some(r) = self.requests.get_mut(&end.id) else { return };
+        let at = r.attempts.get_mut(end.attempt as usize);
+        let Some(a) = at.filter(|a| a.open && a.server == end.server) else { return };
+        use Outcome::*;
+        (a.open, a.harmless) = (false, matches!(end.outcome, Full | NoConnection | Moot));
+        let (class, unasked) = (r.class, end.outcome == Cancelled && !a.withdrawn);
+        self.classes[class].out -= usize::from(std::mem::take(&mut a.slot));
+        let over = |(id, n, _): &(RequestId, u32, Time)| (*id, *n) == (end.id, end.attempt);
+        self.servers.entry(end.server).and_modify(|s| s.out.retain(|out| !over(out)));
+        if !matches!(end.outcome, Cancelled | Moot | Timeout) {
+            let whole = matches!(end.outcome, NoConnection | Reset);
+            self.remember(now, end.id, end.server, end.outcome != Ok, whole);
+        }
+        if let Some(r) = self.requests.get(&end.id).filter(|_| end.outcome == Ok) {
+            // What was guessed is settled: the store of the quota, not the ceiling's.
+            let units = end.true_units.filter(|u| u.is_finite() && r.inside).unwrap_or(r.units);
+            if let Some(store) = self.customers.get_mut(&r.customer).and_then(|c| c.stores.first_mut()) {
+                store.held += if store.strict { 0.0 } else { r.units - units };
+            }
+            self.learn(class, end.server, end.took);
+        }
+        let Some(r) = self.requests.get(&end.id) else { return };
+        if end.closed || r.stage == Stage::Closed || end.outcome == Ok {
+            self.close(end.id);
+        } else if !r.out() && r.stage == Stage::Out {
+            match self.may_retry(now, r) && !unasked {
+                true => self.requeue(now, end.id),
+                false => self.give_up(end.id),
+            }
+        }
+    }
+}
+
+// ---- Event dispatch
+
+/// A customer: its stores (quota first, then ceiling, as its plan has them) and its open requests.
+#[derive(Default)]
+struct Customer {
+    plan: usize,
+    stores: Vec<Account>,
+    waiting: VecDeque<RequestId>,
+    open: u32,
+    asked: Time,
+}
+
+#[derive(Default)]
+struct Pace {
+    control_at: Time,
+    ask_at: Time,
+    counter_fails: u32,
+    counter_retry: Time,
+    sends: f64,
+    send_rate: f64,
+    saved: f64, // slots times seconds not used, where the part of the fleet is below two slots
+    load: f64,  // usual load that servers report
+    retries: f64,
+    total: f64,
+    call_odds: f64,
+    born: Time,         // since when the counter has kept its counts, as far as known
+    beat: (Time, Time), // up to when this gateway's time was added, and when that was tried last
+    top: f64,           // share of the worthiest class in the units asked for
+}
+
+/// The decisions of one gateway.
+pub struct Policy {
+    s: Settings,
+    rng: SmallRng,
+    by_worth: Vec<usize>,
+    classes: Vec<ClassState>,
+    servers: BTreeMap<ServerId, Server>,
+    requests: BTreeMap<RequestId, Held>,
+    customers: BTreeMap<CustomerId, Customer>,
+    names: BTreeMap<CountName, (CustomerId, usize, u64)>,
+    freed: Vec<CustomerId>,
+    actions: Vec<Action>,
+    pace: Pace,
+    rations: Vec<f64>, // of each plan: the usual ration of a customer met for the first time
+}
+
+impl Policy {
+    /// A gateway that has just started and knows nothing but its settings.
+    pub fn new(s: Settings, seed: u64) -> Self {
+        let mut by_worth: Vec<usize> = (0..s.classes.len()).collect();
+        by_worth.sort_by(|a, b| s.classes[*b].worth.total_cmp(&s.classes[*a].worth));
+        Policy {
+            rng: SmallRng::seed_from_u64(seed),
+            by_worth,
+            classes: s.classes.iter().map(|_| ClassState::default()).collect(),
+            servers: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            names: BTreeMap::new(),
+            freed: Vec::new(),
+            actions: Vec::new(),
+            pace: Pace { retries: 3.0, saved: 1.0, call_odds: CALL_ODDS.1, top: 0.5, ..Pace::default() },
+            rations: s.plans.iter().map(|_| 0.7).collect(),
+            s,
+        }
+    }
+
+    /// Takes in one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        if self.pace.control_at == 0 {
+            let pace = &mut self.pace;
+            (pace.control_at, pace.born, pace.beat.0) = (now + PERIOD, now, now);
+            self.actions.push(Action::Timer { after: TICK, token: 0 });
+        }
+        match event {
+            Event::Servers { kind, entries } => self.on_list(now, kind, entries),
+            Event::Request(request) => self.on_request(now, request),
+            Event::Started { id, .. } => drop(self.requests.entry(id).and_modify(|r| r.stage = Stage::Begun)),
+            Event::Ended(end) => self.on_ended(now, end),
+            Event::Left { id } => self.close(id),
+            Event::Timer { .. } => self.on_tick(now),
+            Event::Probed { server, outcome, report } => self.on_report(now, server, outcome, report),
+            Event::Counted { name, outcome, total, took } => self.on_counted(now, name, outcome, total, took),
+            Event::PeerMessage { .. } => {}
+        }
+        std::mem::take(&mut self.freed).into_iter().for_each(|customer| self.settle(now, customer));
+        self.dispatch(now);
+        actions.append(&mut self.actions);
+    }
+
+    /// Records held: requests, customers, servers and calls that are out.
+    pub fn size(&self) -> usize {
+        self.requests.len() + self.customers.len() + self.servers.len() + self.names.len()
+    }
+
+    fn on_report(&mut self, now: Time, server: ServerId, outcome: Outcome, report: Option<Report>) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if let Some(report) = report {
+            let load = report.queue.or(report.inflight).unwrap_or(0.0) + report.util.unwrap_or(0.0);
+            self.pace.load += 0.05 * (load - self.pace.load);
+            s.told = Some((now, load));
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            s.heard = now;
+        }
+    }
+
+    fn on_request(&mut self, now: Time, request: Request) {
+        let Request { id, class, plan, customer, patience, units, spread, .. } = request;
+        let (Some(c), Some(p)) = (self.s.classes.get(class), self.s.plans.get(plan)) else {
+            return self.actions.push(Action::Refuse { id, retry_after: None });
+        };
+        let units = if units.is_finite() { units.max(0.0) } else { 1.0 };
+        let deadline = now.saturating_add(patience);
+        let aim_at = now.saturating_add(c.aim).min(deadline);
+        let held = Held { class, customer, units, arrived: now, aim_at, deadline, ..Held::default() };
+        self.requests.insert(id, held);
+        self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
+        // No time for an answer, nor for a later look at it.
+        if aim_at <= now + 2 * TICK {
+            return self.give_up(id);
+        }
+        let entry = self.customers.entry(customer).or_insert_with(|| {
+            let both = [((p.rate, p.burst), false), ((p.ceiling_rate, p.ceiling_burst), true)];
+            let has = both.into_iter().filter(|(limit, _)| limit.0 > 0.0);
+            let mut stores = has
+                .map(|(limit, strict)| Account::new(now, limit, spread, strict, !self.s.counter))
+                .collect::<Vec<_>>();
+            for a in &mut stores {
+                a.thin &= p.ceiling_rate <= 0.0;
+                a.credit = units * self.rng.random::<f64>();
+            }
+            Customer { plan, stores, ..Customer::default() }
+        });
+        entry.waiting.push_back(id);
+        entry.asked = now;
+        self.settle(now, customer);
+    }
+
+    /// Goes through a customer's waiting requests: lets in, asks for a block, keeps waiting, or refuses.
+    fn settle(&mut self, now: Time, customer: CustomerId) {
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        for id in std::mem::take(&mut c.waiting) {
+            let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Units) else { continue };
+            let late = seconds(r.arrived, now) * SECOND > (r.aim_at - r.arrived) as f64 * UNIT_WAIT;
+            let thin = self.customers.get(&customer).is_some_and(|c| c.stores.iter().any(|a| a.thin));
+            let (inside, wait) = if thin { self.ration(now, id, late) } else { self.ask(now, customer, id) };
+            let Some(c) = self.customers.get_mut(&customer) else { return };
+            let Some(r) = self.requests.get_mut(&id) else { continue };
+            if wait && !late {
+                c.waiting.push_back(id);
+                continue;
+            }
+            // Beyond the quota: refused, but where that earns more than it costs idle slots take it.
+            let (plan, used) = (&self.s.plans[c.plan], |k: &ClassState| (k.out + k.queue.len()) as f64);
+            let earns = plan.extra_worth > plan.overrun_cost && plan.ceiling_rate == 0.0;
+            let idle = self.classes.iter().map(used).sum::<f64>() < IDLE_SLOTS * self.pace.total;
+            if inside || (earns && idle) {
+                (r.stage, r.queued, r.inside) = (Stage::Queued, now, inside);
+                c.open += 1;
+                self.classes[r.class].queue.push_back(id);
+            } else {
+                self.give_up(id);
+            }
+        }
+    }
+
+    /// Takes a request's units from every store of its customer, or from none: (did so, should wait).
+    fn ask(&mut self, now: Time, customer: CustomerId, id: RequestId) -> (bool, bool) {
+        let down = self.counter_down(now);
+        let Some(r) = self.requests.get(&id) else { return (false, false) };
+        let Some(c) = self.customers.get_mut(&customer) else { return (false, false) };
+        // A cap on requests open at once is held by this gateway's share of it, one at the least.
+        let (open, share) = (self.s.plans[c.plan].open, c.stores.first().map_or(1.0, |a| 1.0 / a.spread));
+        if open > 0 && c.open >= (open as f64 * share).round().max(1.0) as u32 {
+            return (false, true);
+        }
+        c.stores.iter_mut().filter(|a| down && !a.blind).for_each(|a| a.silent(now, false));
+        c.stores.iter_mut().for_each(|a| a.refill(now));
+        // Where the store is short, its last units are for the class worth most a unit.
+        let back = if self.by_worth.first() == Some(&r.class) { 0.0 } else { KEEP_BACK };
+        if c.stores.iter_mut().all(|a| a.covers(r.units, back, down || now < a.next_call)) {
+            for a in &mut c.stores {
+                a.mine += r.units / RATE_SPAN;
+                a.held -= r.units;
+            }
+            return (true, false);
+        }
+        let (units, mut calls) = (r.units, Vec::new());
+        for (i, a) in c.stores.iter().enumerate().filter(|(_, a)| a.ready() < units && a.call.is_none()) {
+            let enough = back == 0.0 || a.held + a.level - units >= back * a.burst;
+            let room = a.held < units && (a.blind || a.level >= 0.5 * units.min(a.burst) && enough);
+            if down || now < a.next_call || !room {
+                return (false, false);
+            }
+            calls.push((i, a.block(units, HORIZON)));
+        }
+        calls.into_iter().for_each(|(i, amount)| self.call(now, customer, i, amount));
+        (false, true)
+    }
+
+    /// A customer spread too thin for blocks: some requests ask the counter, each for several (the block);
+    /// the ration that comes back, or the one last known, decides: (let in, should wait).
+    fn ration(&mut self, now: Time, id: RequestId, late: bool) -> (bool, bool) {
+        let (down, lot, odds) = (self.counter_down(now), self.rng.random::<f64>(), self.pace.call_odds);
+        if now >= self.pace.beat.1 + BEAT && !down {
+            let name = count_name(ALL, false, now / EPOCH);
+            let from = self.pace.beat.0.max(now / EPOCH * EPOCH);
+            let amount = seconds(from, now) / self.s.gateways.max(1) as f64;
+            self.names.insert(name, (ALL, 0, now / EPOCH));
+            self.actions.push(Action::Count { name, amount, keep: EPOCH + EPOCH / 5 });
+            self.pace.beat.1 = now;
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return (false, false) };
+        let (worthiest, units, customer) = (self.by_worth.first() == Some(&r.class), r.units, r.customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return (false, false) };
+        let (calling, first) = (c.stores[0].call.is_some(), !std::mem::replace(&mut r.counted, true));
+        if first && lot < odds && !down && !calling {
+            self.call(now, customer, 0, units / odds);
+            return (false, true);
+        }
+        if !first && calling && !late {
+            return (false, true);
+        }
+        self.pace.top += 0.01 * units.min(10.0) * (f64::from(u8::from(worthiest)) - self.pace.top);
+        // The class worth most a unit goes first, as far as the ration reaches.
+        let ration = c.stores[0].ration.unwrap_or(self.rations[c.plan]).powf(SHADE);
+        let top = self.pace.top.clamp(0.01, 0.99);
+        let odds = if worthiest { ration / top } else { (ration - top) / (1.0 - top) };
+        (c.stores[0].grant(units, odds), false)
+    }
+
+    /// No counter, or several calls in a row failed and the next try is not due.
+    fn counter_down(&self, now: Time) -> bool {
+        !self.s.counter || (self.pace.counter_fails >= 3 && now < self.pace.counter_retry)
+    }
+
+    fn call(&mut self, now: Time, customer: CustomerId, store: usize, amount: f64) {
+        let Some(a) = self.customers.get_mut(&customer).and_then(|c| c.stores.get_mut(store)) else { return };
+        let name = count_name(customer, a.strict, now / EPOCH);
+        a.call = Some(amount);
+        self.names.insert(name, (customer, store, now / EPOCH));
+        self.pace.counter_retry = self.pace.counter_retry.max(now + RETRY_COUNTER);
+        self.actions.push(Action::Count { name, amount, keep: EPOCH + EPOCH / 5 });
+    }
+
+    fn on_counted(&mut self, now: Time, name: CountName, outcome: Outcome, total: f64, took: Span) {
+        let Some((customer, store, epoch)) = self.names.remove(&name) else { return };
+        // Calls follow the room that the counter shows: quick answers raise them, slow or missing ones lower.
+        let good = outcome == Outcome::Ok && total.is_finite();
+        let quick = good && (took as f64) < CROWDED * self.s.counter_timeout as f64;
+        let step = [if outcome == Outcome::Timeout { 0.75 } else { 0.9 }, 1.1][usize::from(quick)];
+        self.pace.call_odds = (self.pace.call_odds * step).clamp(CALL_ODDS.0, CALL_ODDS.1);
+        if customer == ALL && good {
+            // All gateways add the time they ran, so the total tells since when the counter has counted.
+            self.pace.beat.0 = self.pace.beat.1;
+            self.pace.born = now.saturating_sub((total * SECOND) as Time + BEAT / 2);
+        }
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let (plan, Some(a)) = (c.plan, c.stores.get_mut(store)) else { return };
+        if good {
+            self.pace.counter_fails = 0;
+            let known = a.ration.is_some();
+            if !a.thin {
+                a.counted(now, (epoch, epoch * EPOCH), total);
+            } else {
+                let ration = a.rationed(now, (epoch, self.pace.born.max(epoch * EPOCH)), total);
+                self.rations[plan] += if known { 0.0 } else { 0.05 * (ration - self.rations[plan]) };
+            }
+        } else {
+            self.pace.counter_fails = self.pace.counter_fails.saturating_add(1);
+            // All gateways together ask a silent counter a hundred times a second at the most.
+            self.pace.counter_retry = now + RETRY_COUNTER.max(Span::from(self.s.gateways) * 10 * MS);
+            a.silent(now, outcome == Outcome::Timeout);
+        }
+        self.settle(now, customer);
+    }
+
+    fn on_tick(&mut self, now: Time) {
+        self.actions.push(Action::Timer { after: TICK, token: 0 });
+        if self.s.must_subscribe && now >= self.pace.ask_at {
+            self.pace.ask_at = now + self.s.must_ask_in / 2;
+            self.actions.push(Action::Subscribe);
+        }
+        let gain = (self.pace.total - self.out()) * TICK as f64 / SECOND;
+        self.pace.saved = (self.pace.saved + gain).clamp(-1.0, SAVED * self.pace.total);
+        self.warm_up(now);
+        self.watch(now);
+        let waiting = self.customers.iter().filter(|(_, c)| !c.waiting.is_empty()).map(|(k, _)| *k);
+        waiting.collect::<Vec<_>>().into_iter().for_each(|customer| self.settle(now, customer));
+        let late = |r: &Held| r.stage == Stage::Queued && now >= r.start_by(self.classes[r.class].latency);
+        let late: Vec<_> = self.requests.iter().filter(|(_, r)| late(r)).map(|(id, _)| *id).collect();
+        late.into_iter().for_each(|id| self.give_up(id));
+        if now >= self.pace.control_at {
+            self.pace.send_rate += 0.3 * (self.pace.sends - self.pace.send_rate);
+            (self.pace.control_at, self.pace.sends) = (now + PERIOD, 0.0);
+            self.control(now);
+            // Customers and servers without news for an epoch are forgotten, so that state stays bounded.
+            let busy = |c: &Customer| c.open > 0 || c.stores.iter().any(|a| a.call.is_some());
+            self.customers.retain(|_, c| busy(c) || now < c.asked + EPOCH);
+            self.servers.retain(|_, s| s.ready() || !s.out.is_empty() || now < s.fed.max(s.heard) + EPOCH);
+        }
+    }
+}
+
+/// The name of a customer's count in an epoch, the same at every gateway.
+fn count_name(customer: CustomerId, strict: bool, epoch: u64) -> CountName {
+    let x = ((customer.0 << 1) | u64::from(strict)) ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    CountName(x ^ (x >> 29))
+}
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,206 @@
+//! Final answers, effects, drains, cold and silent servers, and odd input.
+mod common;
+use bramblering::api::*;
+use common::*;
+
+fn open() -> Settings {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    settings
+}
+
+#[test]
+fn a_try_with_no_time_left_is_answered_at_once() {
+    let mut g = Gateway::new(open(), 3);
+    let request = Request { id: RequestId(1), patience: 5 * MS, units: 1.0, ..Request::default() };
+    assert!(refused(&g.on(Event::Request(request)), 1));
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    let mut g = Gateway::new(open(), 3);
+    let (_, server) = sends(&g.request(1, 1, 1, 1.0))[0];
+    let actions = g.ended(1, 0, server, Outcome::Reset);
+    assert!(failed(&actions, 1) && sends(&actions).is_empty());
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_goes_elsewhere() {
+    let mut g = Gateway::new(open(), 3);
+    let (_, server) = sends(&g.request(1, 1, 1, 1.0))[0];
+    let again = sends(&g.ended(1, 0, server, Outcome::NoConnection));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, server);
+}
+
+#[test]
+fn a_keyed_request_is_repeated_only_in_its_scope() {
+    let mut settings = open();
+    settings.classes[1].effect = Effect::Keyed(Scope::Cell, 8_000 * MS);
+    let mut g = Gateway::new(settings, 0);
+    let cell = |id, cell| ServerEntry { cell, ..entry(id) };
+    g.list(ListKind::Full, vec![cell(1, 1), cell(2, 1), cell(3, 2), cell(4, 2)]);
+    for id in 1..20 {
+        let (_, server) = sends(&g.request(id, 1, id, 1.0))[0];
+        let again = sends(&g.ended(id, 0, server, Outcome::Error));
+        for (_, other) in again {
+            assert_eq!((other.0 - 1) / 2, (server.0 - 1) / 2);
+            g.ended(id, 1, other, Outcome::Ok);
+        }
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_removed_server() {
+    let mut g = Gateway::new(open(), 3);
+    g.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Draining, ..entry(1) }]);
+    g.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Gone, ..entry(2) }]);
+    assert!((1..12).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == ServerId(3)));
+    g.list(ListKind::Full, vec![entry(1)]);
+    assert!((20..24).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == ServerId(1)));
+}
+
+#[test]
+fn a_fresh_server_gets_its_part_and_no_burst() {
+    let mut g = Gateway::new(open(), 3);
+    g.pass(2_000 * MS);
+    g.list(ListKind::Delta, vec![ServerEntry { started: g.now, ..entry(9) }]);
+    let mut cold = 0;
+    for id in 1..100 {
+        let sent = sends(&g.request(id, 0, id, 1.0));
+        cold += sent.iter().filter(|(_, s)| *s == ServerId(9)).count();
+        for (request, server) in sent {
+            g.ended(request.0, 0, server, Outcome::Ok);
+        }
+        g.pass(20 * MS);
+    }
+    assert!(cold <= 8, "33 a second over three warm servers, a fifth of that for the cold one: {cold}");
+}
+
+#[test]
+fn a_silent_server_is_left_and_safe_requests_move_away() {
+    let mut g = Gateway::new(open(), 4);
+    let mut id = 0;
+    let mut silent = Vec::new();
+    let mut late = Vec::new();
+    for round in 0..100 {
+        id += 1;
+        let mut actions = g.request(id, 0, id, 1.0);
+        actions.extend(g.pass(20 * MS));
+        for action in &actions {
+            if let Action::Withdraw { id, attempt } = action {
+                late.extend(sends(&g.ended(id.0, *attempt, ServerId(1), Outcome::Cancelled)));
+            }
+        }
+        for (request, server) in sends(&actions) {
+            if server != ServerId(1) {
+                g.ended(request.0, 0, server, Outcome::Ok);
+            } else {
+                silent.push(round);
+            }
+        }
+    }
+    assert!(!silent.is_empty() && silent.len() < 10, "a trial now and then, not a flood: {silent:?}");
+    assert!(late.iter().any(|(_, server)| *server != ServerId(1)), "what hung there was tried elsewhere");
+}
+
+#[test]
+fn odd_input_is_taken_without_harm() {
+    let mut g = Gateway::new(settings(), 2);
+    g.ended(99, 0, ServerId(1), Outcome::Ok);
+    g.ended(99, 7, ServerId(77), Outcome::Timeout);
+    g.counted(CountName(5), Outcome::Ok, f64::NAN);
+    g.on(Event::Timer { token: 12345 });
+    g.on(Event::Left { id: RequestId(3) });
+    g.on(Event::Started { id: RequestId(3), attempt: 0 });
+    let report = Some(Report { queue: Some(f64::INFINITY), ..Report::default() });
+    g.on(Event::Probed { server: ServerId(77), outcome: Outcome::Ok, report });
+    g.on(Event::Request(Request { id: RequestId(4), class: 9, ..Request::default() }));
+    let actions = g.request(5, 0, 1, f64::NAN);
+    let (name, _) = calls(&actions)[0];
+    g.counted(name, Outcome::Ok, f64::NAN);
+    g.counted(name, Outcome::Ok, -3.0);
+    g.request(6, 0, 1, -2.0);
+    g.pass(2_000 * MS);
+}
+
+#[test]
+fn extreme_settings_forget_no_request() {
+    for variant in 0..8 {
+        let mut s = settings();
+        match variant {
+            0 => s.gateways = 1,
+            1 => s.classes.truncate(1),
+            2 => (s.plans[0].rate, s.plans[0].burst) = (1e-6, 1e-6),
+            3 => s.classes.iter_mut().for_each(|c| c.aim = 0),
+            4 => s.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (u64::MAX, u64::MAX)),
+            5 => s.counter = false,
+            6 => (s.cold, s.cold_share, s.max_attempts, s.gateways) = (0, 0.0, 0, 0),
+            _ => (s.plans[0].open, s.plans[0].rate, s.plans[0].ceiling_rate) = (1, 0.0, 1e9),
+        }
+        let classes = s.classes.len();
+        let mut g = Gateway::new(s, 1);
+        let mut all = Vec::new();
+        for id in 1..=40 {
+            all.extend(g.request(id, id as usize % classes, id % 3, 30.0 * (id % 2) as f64));
+            for (name, amount) in calls(&all).into_iter().skip(id as usize / 2).take(1) {
+                all.extend(g.counted(name, Outcome::Ok, amount));
+            }
+            all.extend(g.pass(7 * MS));
+        }
+        for (request, server) in sends(&all) {
+            all.extend(g.ended(request.0, 0, server, Outcome::Ok));
+        }
+        all.extend(g.pass(10_000 * MS));
+        for id in 1..=40 {
+            let sent = sends(&all).iter().filter(|(request, _)| request.0 == id).count();
+            let answers = usize::from(refused(&all, id)) + usize::from(failed(&all, id));
+            assert!(sent + answers >= 1, "variant {variant}: request {id} was forgotten");
+        }
+    }
+}
+
+#[test]
+fn a_server_that_fails_one_class_keeps_the_other() {
+    let mut g = Gateway::new(Settings { gateways: 1, ..open() }, 2);
+    for id in 1..100 {
+        for (request, server) in sends(&g.request(id, (id % 2) as usize, id, 1.0)) {
+            let bad = id % 2 == 1 && server == ServerId(1);
+            g.ended(request.0, 0, server, if bad { Outcome::Error } else { Outcome::Ok });
+        }
+        g.pass(40 * MS);
+    }
+    // With an attempt out at the other server, the class that is served goes to the idle one, the failing not.
+    let to = |actions: Vec<Action>| sends(&actions)[0].1;
+    assert_eq!(to(g.request(201, 1, 201, 1.0)), ServerId(2));
+    assert_eq!(to(g.request(202, 0, 202, 1.0)), ServerId(1));
+    assert_eq!(to(g.request(203, 1, 203, 1.0)), ServerId(2));
+}
+
+#[test]
+fn a_server_never_heard_of_is_not_taken_for_idle() {
+    let mut g = Gateway::new(Settings { gateways: 1, ..open() }, 20);
+    for id in 1..200 {
+        for (id, server) in sends(&g.request(id, 0, id, 1.0)) {
+            let report = Some(Report { queue: Some(2.0), ..Report::default() });
+            let (outcome, took) = (Outcome::Ok, 50 * MS);
+            let (attempt, closed, used, true_units) = (0, true, None, None);
+            g.on(Event::Ended(Ended {
+                id,
+                attempt,
+                server,
+                outcome,
+                took,
+                closed,
+                used,
+                true_units,
+                report,
+            }));
+        }
+        g.pass(20 * MS);
+    }
+    g.list(ListKind::Delta, (21..=25).map(entry).collect());
+    let next = (201..206).flat_map(|id| sends(&g.request(id, 0, id, 1.0)));
+    let strangers = next.filter(|(_, server)| server.0 > 20).count();
+    assert!(strangers < 5, "five busy-looking servers are not all passed over for five unknown ones");
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,116 @@
+//! A gateway under test: settings with plain defaults, and helpers to feed it events.
+#![allow(dead_code)]
+use bramblering::api::*;
+use bramblering::policy::Policy;
+
+pub const MS: Span = 1_000_000;
+
+pub fn class(worth: f64, effect: Effect) -> Class {
+    Class { aim: 1_000 * MS, deadline: 4_000 * MS, worth, effect, ..Class::default() }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        gateways: 3,
+        classes: vec![class(1.0, Effect::Safe), class(5.0, Effect::Unsafe)],
+        plans: vec![Plan { rate: 10.0, burst: 20.0, price: 1.0, overrun_cost: 0.5, ..Plan::default() }],
+        may_cancel: true,
+        max_attempts: 4,
+        counter: true,
+        counter_timeout: 30 * MS,
+        cold_share: 0.2,
+        cold: 10_000 * MS,
+        ..Settings::default()
+    }
+}
+
+pub fn entry(id: u64) -> ServerEntry {
+    ServerEntry { id: ServerId(id), size: 1.0, ..ServerEntry::default() }
+}
+
+pub struct Gateway {
+    pub policy: Policy,
+    pub now: Time,
+}
+
+impl Gateway {
+    pub fn new(settings: Settings, servers: u64) -> Self {
+        let mut gateway = Gateway { policy: Policy::new(settings, 1), now: 1_000_000 * MS };
+        gateway.list(ListKind::Cached, (1..=servers).map(entry).collect());
+        gateway
+    }
+    pub fn on(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, event, &mut actions);
+        actions
+    }
+    pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Vec<Action> {
+        self.on(Event::Servers { kind, entries })
+    }
+    pub fn request(&mut self, id: u64, class: usize, customer: u64, units: f64) -> Vec<Action> {
+        let (id, customer) = (RequestId(id), CustomerId(customer));
+        let patience = 4_000 * MS;
+        self.on(Event::Request(Request {
+            id,
+            class,
+            customer,
+            patience,
+            units,
+            spread: 2,
+            ..Request::default()
+        }))
+    }
+    pub fn ended(&mut self, id: u64, attempt: u32, server: ServerId, outcome: Outcome) -> Vec<Action> {
+        let closed = outcome == Outcome::Ok;
+        let end = Ended {
+            id: RequestId(id),
+            attempt,
+            server,
+            outcome,
+            took: 50 * MS,
+            closed,
+            used: None,
+            true_units: None,
+            report: None,
+        };
+        self.on(Event::Ended(end))
+    }
+    pub fn counted(&mut self, name: CountName, outcome: Outcome, total: f64) -> Vec<Action> {
+        self.on(Event::Counted { name, outcome, total, took: 2 * MS })
+    }
+    /// Lets time pass, with the housekeeping timer ringing as it would.
+    pub fn pass(&mut self, span: Span) -> Vec<Action> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while self.now + 20 * MS <= end {
+            self.now += 20 * MS;
+            all.extend(self.on(Event::Timer { token: 0 }));
+        }
+        self.now = end;
+        all
+    }
+}
+
+pub fn calls(actions: &[Action]) -> Vec<(CountName, f64)> {
+    let call = |a: &Action| match a {
+        Action::Count { name, amount, .. } => Some((*name, *amount)),
+        _ => None,
+    };
+    actions.iter().filter_map(call).collect()
+}
+
+pub fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
+    let send = |a: &Action| match a {
+        Action::Send { id, server, .. } => Some((*id, *server)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+pub fn refused(actions: &[Action], id: u64) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { id: i, .. } if i.0 == id))
+}
+
+pub fn failed(actions: &[Action], id: u64) -> bool {
+    actions.contains(&Action::Fail { id: RequestId(id) })
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,283 @@
+//! The five rules under random legal events, with a fixed seed.
+mod common;
+use bramblering::api::*;
+use bramblering::policy::Policy;
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Request { class: usize, customer: u64, units: u8, patience: u16 },
+    End { pick: usize, outcome: u8 },
+    Count { pick: usize },
+    Leave { pick: usize },
+    Server { id: u64, state: u8, fresh: bool },
+    Pass { ms: u16 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4usize, 0..4u64, 0..9u8, 1..4000u16).prop_map(|(class, customer, units, patience)| {
+            Step::Request { class, customer, units, patience }
+        }),
+        4 => (any::<usize>(), 0..7u8).prop_map(|(pick, outcome)| Step::End { pick, outcome }),
+        4 => any::<usize>().prop_map(|pick| Step::Count { pick }),
+        1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
+        1 => (1..7u64, 0..3u8, any::<bool>()).prop_map(|(id, state, fresh)| Step::Server { id, state, fresh }),
+        3 => (1..300u16).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+#[derive(Default)]
+struct Seen {
+    class: usize,
+    deadline: Time,
+    answers: u32,
+    left: bool,
+    /// Server, when sent, when it times out, outcome once known.
+    attempts: Vec<(ServerId, Time, Time, Option<Outcome>)>,
+}
+
+struct World {
+    settings: Settings,
+    policy: Policy,
+    now: Time,
+    requests: BTreeMap<RequestId, Seen>,
+    servers: BTreeMap<ServerId, ServerEntry>,
+    counts: Vec<(CountName, f64)>,
+    totals: BTreeMap<CountName, f64>,
+    timers: Vec<Time>,
+}
+
+fn never_ran(outcome: Option<Outcome>) -> bool {
+    matches!(outcome, Some(Outcome::Full | Outcome::NoConnection | Outcome::Moot))
+}
+
+impl World {
+    fn new(duplicate: bool, counter: bool) -> Self {
+        let keyed = |scope| class(3.0, Effect::Keyed(scope, 2_000 * MS));
+        let mut settings = settings();
+        settings.classes.extend([keyed(Scope::Cell), keyed(Scope::All)]);
+        settings.plans[0].open = 6;
+        (settings.may_duplicate, settings.counter) = (duplicate, counter);
+        let policy = Policy::new(settings.clone(), 3);
+        let mut world = World {
+            settings,
+            policy,
+            now: 1_000_000 * MS,
+            requests: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            counts: Vec::new(),
+            totals: BTreeMap::new(),
+            timers: Vec::new(),
+        };
+        let entries: Vec<_> = (1..=6).map(|id| ServerEntry { cell: id as u32 / 3, ..entry(id) }).collect();
+        world.servers = entries.iter().map(|e| (e.id, e.clone())).collect();
+        world.tell(Event::Servers { kind: ListKind::Cached, entries });
+        world
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, event, &mut actions);
+        actions.into_iter().for_each(|action| self.check(action));
+    }
+
+    fn check(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, until } => {
+                let to = self.servers.get(&server).expect("a listed server");
+                assert_eq!(to.state, ServerState::Ready, "drains are kept");
+                let r = self.requests.get_mut(&id).expect("a known request");
+                assert!(r.answers == 0 && !r.left, "nothing goes out after the final answer");
+                assert!(self.settings.may_duplicate || r.attempts.iter().all(|a| a.3.is_some()));
+                assert!((r.attempts.len() as u32) < self.settings.max_attempts);
+                if let Some(first) = r.attempts.iter().find(|a| !never_ran(a.3)) {
+                    match self.settings.classes[r.class].effect {
+                        Effect::Safe => {}
+                        Effect::Unsafe => panic!("an unsafe request may have run twice"),
+                        Effect::Keyed(scope, ttl) => {
+                            assert!(self.now < first.1 + ttl);
+                            let there = &self.servers[&first.0];
+                            assert!(scope == Scope::All || there.cell == to.cell);
+                        }
+                    }
+                }
+                r.attempts.push((server, self.now, until.min(r.deadline), None));
+            }
+            Action::Refuse { id, .. } | Action::Fail { id } => {
+                let r = self.requests.get_mut(&id).expect("a known request");
+                assert!(r.answers == 0 && !r.left, "one final answer");
+                assert!(self.now <= r.deadline + 8 * MS, "in time");
+                r.answers += 1;
+                let repeatable = matches!(
+                    self.settings.classes[r.class].effect,
+                    Effect::Safe | Effect::Keyed(Scope::All, _)
+                );
+                if matches!(action, Action::Refuse { .. }) && !repeatable {
+                    assert!(r.attempts.iter().all(|a| never_ran(a.3)), "a refusal says nothing ran");
+                }
+            }
+            Action::Withdraw { id, attempt } => {
+                assert!(self.requests[&id].attempts.len() > attempt as usize, "it was sent")
+            }
+            Action::Count { name, amount, .. } => {
+                assert!(self.settings.counter && amount.is_finite());
+                self.counts.push((name, amount));
+            }
+            Action::Timer { after, .. } => self.timers.push(self.now + after),
+            Action::Subscribe => {}
+        }
+    }
+
+    fn end(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        let r = self.requests.get_mut(&id).expect("known");
+        let (server, sent, ..) = r.attempts[attempt];
+        r.attempts[attempt].3 = Some(outcome);
+        if outcome == Outcome::Ok && r.answers == 0 && !r.left {
+            r.answers += 1;
+        }
+        let closed = r.answers > 0 || r.left;
+        let took = self.now - sent;
+        let (used, true_units, report, attempt) = (None, Some(2.0), None, attempt as u32);
+        let end = Ended { id, attempt, server, outcome, took, closed, used, true_units, report };
+        self.tell(Event::Ended(end));
+    }
+
+    fn out(&self) -> Vec<(RequestId, usize)> {
+        let attempts = self.requests.iter().flat_map(|(id, r)| {
+            r.attempts.iter().enumerate().filter(|(_, a)| a.3.is_none()).map(|(i, _)| (*id, i))
+        });
+        attempts.collect()
+    }
+
+    /// Time passes in steps of the bench's kind: due timers ring, due attempts time out.
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(2) {
+            self.now += 2 * MS;
+            for (id, attempt) in self.out() {
+                if self.requests[&id].attempts[attempt].2 <= self.now {
+                    self.end(id, attempt, Outcome::Timeout);
+                }
+            }
+            let due = self.timers.iter().filter(|t| **t <= self.now).count();
+            self.timers.retain(|t| *t > self.now);
+            (0..due).for_each(|_| self.tell(Event::Timer { token: 0 }));
+        }
+    }
+
+    fn step(&mut self, id: u64, step: Step) {
+        match step {
+            Step::Request { class, customer, units, patience } => {
+                let (id, patience) = (RequestId(id), patience as u64 * MS);
+                let deadline = self.now + patience;
+                self.requests.insert(id, Seen { class, deadline, ..Seen::default() });
+                let (customer, units) = (CustomerId(customer), units as f64);
+                let request =
+                    Request { id, class, customer, patience, units, spread: 2, ..Request::default() };
+                self.tell(Event::Request(request));
+            }
+            Step::End { pick, outcome } => {
+                let out = self.out();
+                if let Some((id, attempt)) = out.get(pick % out.len().max(1)).copied() {
+                    use Outcome::*;
+                    self.end(
+                        id,
+                        attempt,
+                        [Ok, Ok, Error, Full, NoConnection, Reset, Cancelled][outcome as usize],
+                    );
+                }
+            }
+            Step::Count { pick } if !self.counts.is_empty() => {
+                let (name, amount) = self.counts.remove(pick % self.counts.len());
+                let total = self.totals.entry(name).or_default();
+                let outcome = [Outcome::Ok, Outcome::Ok, Outcome::Ok, Outcome::Timeout, Outcome::Full];
+                let outcome = outcome[pick % 5];
+                *total = if pick % 50 == 0 { 0.0 } else { *total };
+                *total += if outcome == Outcome::Full { 0.0 } else { amount };
+                let total = *total;
+                self.tell(Event::Counted { name, outcome, total, took: 2 * MS });
+            }
+            Step::Leave { pick } if !self.requests.is_empty() => {
+                let id = *self.requests.keys().nth(pick % self.requests.len()).expect("in range");
+                let r = self.requests.get_mut(&id).expect("known");
+                r.left |= r.answers == 0;
+                self.tell(Event::Left { id });
+            }
+            Step::Server { id, state, fresh } => {
+                let state = [ServerState::Ready, ServerState::Draining, ServerState::Gone][state as usize];
+                let entry = self.servers.get_mut(&ServerId(id)).expect("listed");
+                entry.state = state;
+                entry.started = if fresh { self.now } else { entry.started };
+                let entries = vec![entry.clone()];
+                self.tell(Event::Servers { kind: ListKind::Delta, entries });
+            }
+            Step::Pass { ms } => self.pass(ms as u64),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn random_legal_events_break_no_rule() {
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let input = (any::<bool>(), any::<bool>(), prop::collection::vec(step(), 1..120));
+    let run = |(duplicate, counter, steps): (bool, bool, Vec<Step>)| {
+        let mut world = World::new(duplicate, counter);
+        for (id, step) in steps.into_iter().enumerate() {
+            world.step(id as u64, step);
+        }
+        world.pass(4_100);
+        for (id, r) in &world.requests {
+            assert!(r.left || r.answers == 1, "request {id:?} has {} final answers", r.answers);
+        }
+        Ok(())
+    };
+    runner.run(&input, run).unwrap();
+}
+
+#[test]
+fn many_gateways_together_feed_a_cold_server_no_more_than_its_part() {
+    // Each of 200 gateways sees two requests a second; 20 servers, one of them restarts.
+    let open = Settings { gateways: 200, plans: vec![Plan::default()], ..settings() };
+    let mut gateways: Vec<_> = (0..200)
+        .map(|seed| {
+            let mut g = Gateway::new(open.clone(), 20);
+            g.policy = bramblering::policy::Policy::new(open.clone(), seed);
+            g.list(ListKind::Full, (1..=20).map(entry).collect());
+            g
+        })
+        .collect();
+    let (mut id, mut cold, mut all) = (0, 0, 0);
+    for half in 0..24 {
+        for g in &mut gateways {
+            if half == 12 {
+                g.list(ListKind::Delta, vec![ServerEntry { started: g.now, ..entry(1) }]);
+            }
+            id += 1;
+            let sent = sends(&g.request(id, 0, id, 1.0));
+            for (request, server) in &sent {
+                g.ended(request.0, 0, *server, Outcome::Ok);
+                cold += usize::from(half >= 12 && *server == ServerId(1));
+                all += usize::from(half >= 12);
+            }
+            g.pass(500 * MS);
+        }
+    }
+    // Six seconds of a ten-second ramp from a fifth: at most its ramp's part of an even share.
+    let even = all as f64 / 20.0;
+    assert!(cold > 0 && (cold as f64) < 0.6 * even, "{cold} sent against {even} to a warm one");
+}
+
+#[test]
+fn a_try_that_gets_its_units_too_late_is_still_answered_in_time() {
+    let mut g = Gateway::new(settings(), 3);
+    let request = Request { id: RequestId(1), patience: 43 * MS, units: 1.0, ..Request::default() };
+    let actions = g.on(Event::Request(request));
+    assert_eq!(calls(&actions).len(), 1);
+    assert!(refused(&g.pass(40 * MS), 1));
+}
--- /dev/null
+++ b/tests/slots.rs
@@ -0,0 +1,160 @@
+//! The fuzzy table, reserves, and the order in which slots are given.
+mod common;
+use bramblering::api::*;
+use bramblering::policy::fuzzy;
+use common::*;
+
+/// Table 1 of the paper, rows E and columns dE, with terms as the paper names them.
+const TABLE: [[&str; 5]; 5] = [
+    ["NH", "NB", "NB", "NM", "NS"],
+    ["NB", "NM", "NS", "Z", "PS"],
+    ["NS", "Z", "Z", "Z", "PS"],
+    ["NS", "Z", "PS", "PM", "PB"],
+    ["PS", "PM", "PB", "PB", "PH"],
+];
+
+#[test]
+fn all_25_rules_hold_at_the_corners() {
+    let corners = [-1.0, -0.4, 0.0, 0.4, 1.0];
+    let terms = [
+        ("NH", -1.0),
+        ("NB", -0.6),
+        ("NM", -0.35),
+        ("NS", -0.15),
+        ("Z", 0.0),
+        ("PS", 0.15),
+        ("PM", 0.35),
+        ("PB", 0.6),
+        ("PH", 1.0),
+    ];
+    for (i, row) in TABLE.iter().enumerate() {
+        for (j, term) in row.iter().enumerate() {
+            let wanted = terms.iter().find(|t| t.0 == *term).map(|t| t.1);
+            let got = fuzzy(corners[i], corners[j]);
+            assert!((got - wanted.expect("a term")).abs() < 1e-9, "E {i} dE {j}: {got}, table says {term}");
+        }
+    }
+}
+
+#[test]
+fn errors_beyond_the_clamp_count_as_the_clamp() {
+    assert_eq!(fuzzy(50.0, 50.0), fuzzy(1.0, 1.0));
+    assert_eq!(fuzzy(f64::NAN, 0.0), fuzzy(0.0, 0.0));
+    assert!(fuzzy(0.2, 0.0) > 0.0 && fuzzy(0.2, 0.0) < fuzzy(0.4, 0.0));
+}
+
+#[test]
+fn when_slots_bind_the_worthier_class_leaves_first() {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 1);
+    let mut out = Vec::new();
+    let mut id = 0;
+    // Fill every slot, then queue one of each class, the cheaper one first.
+    while out.len() == id as usize {
+        id += 1;
+        out.extend(sends(&g.request(id, 0, id, 1.0)));
+    }
+    let worthy = id + 1;
+    assert!(sends(&g.request(worthy, 1, worthy, 1.0)).is_empty());
+    let freed = sends(&g.ended(1, 0, ServerId(1), Outcome::Ok));
+    assert_eq!(freed, vec![(RequestId(worthy), ServerId(1))]);
+}
+
+#[test]
+fn a_request_held_past_half_its_aim_is_refused_in_time() {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 0);
+    assert!(sends(&g.request(1, 1, 1, 1.0)).is_empty());
+    let actions = g.pass(600 * MS);
+    assert!(refused(&actions, 1));
+}
+
+/// A spell of costly requests must not shut their class out once it is over.
+#[test]
+fn a_class_whose_answers_were_slow_is_still_tried() {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 6);
+    for id in 1..60 {
+        for (request, server) in sends(&g.request(id, 1, id, 1.0)) {
+            g.now += 3_900 * MS;
+            let end = Ended {
+                id: request,
+                attempt: 0,
+                server,
+                outcome: Outcome::Ok,
+                took: 3_900 * MS,
+                closed: true,
+                used: None,
+                true_units: None,
+                report: None,
+            };
+            g.on(Event::Ended(end));
+        }
+    }
+    assert_eq!(sends(&g.request(100, 1, 100, 1.0)).len(), 1);
+}
+
+/// Attempts that hang past their aim leave the slot count, so that others are still sent.
+#[test]
+fn hung_attempts_do_not_hold_the_slots() {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 1);
+    let sent: usize = (1..=40).map(|id| sends(&g.request(id, 1, id, 1.0)).len()).sum();
+    assert!(sent < 40, "slots bind");
+    g.pass(1_200 * MS);
+    assert_eq!(sends(&g.request(100, 1, 100, 1.0)).len(), 1);
+}
+
+/// With hundreds of gateways a fair part of the fleet is below one slot: it is saved up, not exceeded for long.
+#[test]
+fn a_part_below_two_slots_is_saved_up_and_not_exceeded_for_long() {
+    let mut settings = Settings { gateways: 40, ..settings() };
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 5); // twenty slots in all, half a slot here
+    assert_eq!(sends(&g.request(1, 1, 1, 1.0)).len(), 1, "an idle gateway sends at once");
+    let mut out = vec![(0, 0, ServerId(0)); 0];
+    let (mut held_for, mut id) = (0, 1);
+    for _ in 0..1_000 {
+        id += 1;
+        let mut actions = g.request(id, 0, id, 1.0);
+        actions.extend(g.pass(20 * MS));
+        out.extend(sends(&actions).into_iter().map(|(request, server)| (request.0, 0, server)));
+        held_for += out.len();
+        out.iter_mut().for_each(|o| o.1 += 1);
+        for (request, _, server) in out.extract_if_over(10) {
+            g.ended(request, 0, server, Outcome::Ok);
+        }
+    }
+    let mean = held_for as f64 / 1_000.0;
+    assert!((0.3..0.7).contains(&mean), "half a slot in the mean: {mean}");
+}
+
+trait ExtractOver {
+    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, ServerId)>;
+}
+
+impl ExtractOver for Vec<(u64, u32, ServerId)> {
+    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, ServerId)> {
+        let (over, rest) = self.iter().copied().partition(|o| o.1 >= age);
+        *self = rest;
+        over
+    }
+}
+
+/// Where every server is silent, leaving slots would only pile more on them.
+#[test]
+fn where_all_servers_drown_hung_attempts_keep_their_slots() {
+    let mut settings = Settings { gateways: 1, ..settings() };
+    settings.plans[0].rate = 0.0;
+    let mut g = Gateway::new(settings, 2); // eight slots
+    let mut sent = 0;
+    for id in 1..=400 {
+        sent += sends(&g.request(id, 1, id, 1.0)).len();
+        sent += sends(&g.pass(50 * MS)).len();
+    }
+    assert!(sent <= 24, "a silent fleet is not sent one attempt after another: {sent}");
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,53 @@
+//! The adapter: frames in and out, and plain messages on malformed input.
+use bramblering::wire::Host;
+
+fn batch(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let size = 16 + 56 * records.len() + tail.len();
+    let mut frame = 5_000_000_000u64.to_le_bytes().to_vec();
+    frame.extend((size as u32).to_le_bytes());
+    frame.extend((records.len() as u32).to_le_bytes());
+    for record in records {
+        let mut record = record.clone();
+        record.resize(56, 0);
+        frame.extend(record);
+    }
+    frame.extend(tail);
+    frame
+}
+
+fn attach(length: usize) -> Vec<u8> {
+    let mut record = vec![11, 0, 3, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+    record.extend((length as u32).to_le_bytes());
+    record
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    let reply = Host::default().answer(&batch(&[], &[])).unwrap();
+    assert_eq!(reply, [0, 0, 0, 0, 8, 0, 0, 0]);
+}
+
+#[test]
+fn malformed_input_gets_a_plain_message() {
+    let say = |frame: &[u8]| Host::default().answer(frame).unwrap_err().to_string();
+    assert!(say(&batch(&[], &[])[..12]).contains("cut short"));
+    assert!(say(&batch(&[vec![99, 0]], &[])).contains("event code at byte 16 cannot be 99"));
+    assert!(say(&batch(&[vec![12, 0, 3]], &[])).contains("has not been started"));
+    assert!(say(&batch(&[attach(9)], b"{}")).contains("tail is cut short"));
+    for (text, wanted) in [
+        ("{", "settings: "),
+        ("{}", "names no class"),
+        (r#"{"services": 3}"#, "`services` is 3, not a list"),
+        (r#"{"services": [{"semantics": "safe", "aim": -1}]}"#, "`services[].aim` is -1"),
+        (r#"{"services": [{"semantics": "odd"}]}"#, "unknown: `odd`"),
+    ] {
+        let message = say(&batch(&[attach(text.len())], text.as_bytes()));
+        assert!(message.contains(wanted), "{message}");
+    }
+}
+
+#[test]
+fn unknown_settings_are_skipped() {
+    let text = r#"{"new": [1], "services": [{"semantics": "safe", "other": {}}]}"#;
+    assert!(Host::default().answer(&batch(&[attach(text.len())], text.as_bytes())).is_ok());
+}
