--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,89 @@
+//! One real gateway: configuration, start and stop.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use anyhow::{Context as _, Result};
+use net::clients::{self, Context, Phase};
+use net::clock::Clock;
+use net::config::Config;
+use net::counter;
+use net::discovery;
+use net::gateway::Gateway;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+/// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
+const SPARE_SOCKETS: usize = 32;
+/// New connections go on coming for up to 0.4 s after SIGTERM.
+const STILL_ACCEPTING: Duration = Duration::from_millis(450);
+/// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+const AFTER_DEADLINE: Duration = Duration::from_millis(600);
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fennelbeam: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(config))
+}
+
+async fn serve(config: Config) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let listener =
+        clients::listen(config.listen).with_context(|| format!("cannot listen on {}", config.listen))?;
+    let (clock, site) = (Clock::start(), Arc::new(config.site.clone()));
+    let (inputs, inbox) = mpsc::unbounded_channel();
+    let (phase, phases) = watch::channel(Phase::Starting);
+    // Two fifths for hosts, the rest for clients.
+    let sockets = config.sockets - SPARE_SOCKETS - counter::MAX_LINKS;
+    let (for_hosts, for_clients) = (sockets * 2 / 5, sockets * 3 / 5);
+    let gateway = Gateway::new(&config, site.clone(), clock, &inputs, for_hosts, phase.clone());
+    let unanswered = gateway.unanswered();
+    tokio::spawn(gateway.run(inbox));
+    tokio::spawn(discovery::watch(config.discovery, config.known.generation, inputs.clone()));
+    let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let context = Context { site, clock, gateway: inputs, phase: phases, ids: Arc::default() };
+    let accepting = tokio::spawn(clients::accept(listener, for_clients, context));
+    tracing::info!("{} listens on {}", config.name, config.listen);
+
+    terminate.recv().await;
+    let rest = Duration::from_nanos(longest) + AFTER_DEADLINE;
+    let stopping = stop(accepting.abort_handle(), phase, unanswered);
+    if timeout(rest, stopping).await.is_err() {
+        tracing::warn!("stopped with requests unanswered");
+    }
+    Ok(())
+}
+
+/// Accepts a while longer, then answers what was taken and lets connections close between requests.
+async fn stop(
+    accepting: tokio::task::AbortHandle,
+    phase: watch::Sender<Phase>,
+    mut unanswered: watch::Receiver<usize>,
+) {
+    sleep(STILL_ACCEPTING).await;
+    accepting.abort();
+    phase.send_replace(Phase::Closing);
+    let _ = phase_closed(&phase, &mut unanswered).await;
+}
+
+/// Until no request is unanswered and no connection is left.
+async fn phase_closed(phase: &watch::Sender<Phase>, unanswered: &mut watch::Receiver<usize>) -> Result<()> {
+    unanswered.wait_for(|n| *n == 0).await?;
+    phase.closed().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,70 @@
+//! What this gateway is told at its start.
+
+use super::discovery::HostList;
+use anyhow::{Context, Result};
+use fennelbeam::wire::Site;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: HostList,
+    settings: Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// The configuration, checked.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    pub known: HostList,
+    pub site: Site,
+}
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names.
+    pub fn from_env() -> Result<Config> {
+        let path = std::env::var("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
+        let text = std::fs::read(&path).with_context(|| format!("cannot read {path}"))?;
+        Config::parse(&text).with_context(|| format!("cannot use {path}"))
+    }
+
+    fn parse(text: &[u8]) -> Result<Config> {
+        let document: Document = serde_json::from_slice(text)?;
+        let site = Site::parse(&document.settings)?;
+        anyhow::ensure!(document.limits.sockets >= 64, "limits.sockets is under 64");
+        anyhow::ensure!(
+            document.counter.is_some() || !site.settings.counter,
+            "the settings allow the counter, but `counter` gives no address"
+        );
+        Ok(Config {
+            name: document.name,
+            listen: document.listen,
+            discovery: document.discovery,
+            counter: document.counter,
+            seed: u64::from_str_radix(&document.seed, 16).unwrap_or(0),
+            sockets: document.limits.sockets,
+            known: document.known,
+            site,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/counter.rs
@@ -0,0 +1,278 @@
+//! The counter service: calls written one behind another on a few connections, answered in their order.
+//! A call that was given up still has its answer coming, which is taken off the line and dropped.
+
+use super::clock::Clock;
+use super::gateway::Input;
+use super::resp::{self, Frame, RespError};
+use bytes::{Buf, Bytes, BytesMut};
+use fennelbeam::api::{CountName, Outcome, Span, Time};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// Connections at once; another is opened while all have calls out, so that one part of the counter that is
+/// slow holds up few calls to the others.
+pub const MAX_LINKS: usize = 4;
+/// The counter closes idle connections after about 10 s or less: ours go first.
+const IDLE: Duration = Duration::from_millis(2500);
+/// Calls waiting on one connection; more are not sent.
+const MAX_WAITING: usize = 256;
+
+/// Number of a call.
+pub type CallId = u64;
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct Counted {
+    pub name: CountName,
+    pub outcome: Outcome,
+    pub total: f64,
+    pub took: Span,
+}
+
+/// What a connection tells.
+#[derive(Debug)]
+pub enum CounterEvent {
+    Ended { call: CallId, outcome: Outcome, total: f64 },
+    Down(u64),
+}
+
+// How far a call is.
+const QUEUED: u8 = 0;
+const WRITTEN: u8 = 1;
+const GIVEN_UP: u8 = 2;
+
+struct Job {
+    call: CallId,
+    stage: Arc<AtomicU8>,
+    text: Bytes,
+}
+
+struct Call {
+    name: CountName,
+    started: Time,
+    stage: Arc<AtomicU8>,
+    link: u64,
+}
+
+struct Link {
+    id: u64,
+    jobs: UnboundedSender<Job>,
+    waiting: usize,
+}
+
+/// The counter as this gateway calls it.
+pub struct Counter {
+    address: Option<SocketAddr>,
+    clock: Clock,
+    gateway: UnboundedSender<Input>,
+    patience: Duration,
+    links: Vec<Link>,
+    calls: HashMap<CallId, Call>,
+    next: u64,
+}
+
+impl Counter {
+    pub fn new(
+        address: Option<SocketAddr>,
+        clock: Clock,
+        gateway: UnboundedSender<Input>,
+        patience: Span,
+    ) -> Self {
+        let patience = Duration::from_nanos(patience.max(1_000_000));
+        Counter { address, clock, gateway, patience, links: Vec::new(), calls: HashMap::new(), next: 0 }
+    }
+
+    /// Makes a call; `None`: it could not be written anywhere, so nothing was added.
+    pub fn call(&mut self, name: CountName, amount: f64, keep: Span) -> Option<(CallId, Time)> {
+        let started = self.clock.now();
+        let link = self.link()?;
+        let stage = Arc::new(AtomicU8::new(QUEUED));
+        let call = self.next;
+        self.next += 1;
+        let job = Job { call, stage: stage.clone(), text: command(name, amount, keep) };
+        let link = self.links.get_mut(link)?;
+        link.jobs.send(job).ok()?;
+        link.waiting += 1;
+        self.calls.insert(call, Call { name, started, stage, link: link.id });
+        Some((call, started + self.patience.as_nanos() as Span))
+    }
+
+    /// The connection with the fewest calls on it; a new one while all are in use.
+    fn link(&mut self) -> Option<usize> {
+        self.links.retain(|link| !link.jobs.is_closed());
+        let least = (0..self.links.len()).min_by_key(|i| self.links[*i].waiting);
+        if let Some(i) = least.filter(|i| self.links[*i].waiting == 0 || self.links.len() >= MAX_LINKS) {
+            return Some(i).filter(|i| self.links[*i].waiting < MAX_WAITING);
+        }
+        let (jobs, inbox) = mpsc::unbounded_channel();
+        let id = self.next;
+        self.next += 1;
+        let line = Line {
+            gateway: self.gateway.clone(),
+            silence: self.patience * 4,
+            answers: VecDeque::new(),
+            output: BytesMut::new(),
+        };
+        tokio::spawn(line.run(id, self.address?, inbox));
+        self.links.push(Link { id, jobs, waiting: 0 });
+        Some(self.links.len() - 1)
+    }
+
+    /// The call has waited long enough.
+    pub fn give_up(&mut self, call: CallId) -> Option<Counted> {
+        let stage = &self.calls.get(&call)?.stage;
+        let written = stage.swap(GIVEN_UP, Ordering::Relaxed) == WRITTEN;
+        let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
+        self.end(call, outcome, 0.0)
+    }
+
+    /// Takes in what a connection tells; calls given up before are no news.
+    pub fn on_event(&mut self, event: CounterEvent) -> Option<Counted> {
+        match event {
+            CounterEvent::Ended { call, outcome, total } => self.end(call, outcome, total),
+            CounterEvent::Down(id) => {
+                self.links.retain(|link| link.id != id);
+                None
+            }
+        }
+    }
+
+    fn end(&mut self, id: CallId, outcome: Outcome, total: f64) -> Option<Counted> {
+        let call = self.calls.remove(&id)?;
+        if let Some(link) = self.links.iter_mut().find(|link| link.id == call.link) {
+            link.waiting -= 1;
+        }
+        let took = self.clock.now().saturating_sub(call.started);
+        Some(Counted { name: call.name, outcome, total, took })
+    }
+}
+
+fn command(name: CountName, amount: f64, keep: Span) -> Bytes {
+    let (name, amount) = (format!("{:016x}", name.0), format!("{amount:.6}"));
+    let keep = (keep / 1_000_000).max(1).to_string();
+    let mut text = BytesMut::with_capacity(96);
+    resp::put_header(&mut text, b'*', 4);
+    for word in ["ADDGET", &name, &amount, &keep] {
+        resp::put_bulk(&mut text, word.as_bytes());
+    }
+    text.freeze()
+}
+
+/// One connection, with the calls on it whose answers are due, oldest first.
+struct Line {
+    gateway: UnboundedSender<Input>,
+    /// With a call out, this long without any answer means a dead connection.
+    silence: Duration,
+    answers: VecDeque<CallId>,
+    output: BytesMut,
+}
+
+impl Line {
+    async fn run(mut self, id: u64, address: SocketAddr, mut jobs: UnboundedReceiver<Job>) {
+        if let Ok(Ok(stream)) = timeout(self.silence, TcpStream::connect(address)).await {
+            let _ = stream.set_nodelay(true);
+            if let Err(error) = self.carry(stream, &mut jobs).await {
+                tracing::debug!("counter: {error}");
+            }
+        }
+        // Written and unanswered: may have been added. Never written: not added.
+        for call in std::mem::take(&mut self.answers) {
+            self.tell(call, Outcome::Timeout, 0.0);
+        }
+        jobs.close();
+        while let Ok(job) = jobs.try_recv() {
+            self.tell(job.call, Outcome::NoConnection, 0.0);
+        }
+        let _ = self.gateway.send(Input::Counter(CounterEvent::Down(id)));
+    }
+
+    fn tell(&self, call: CallId, outcome: Outcome, total: f64) {
+        let _ = self.gateway.send(Input::Counter(CounterEvent::Ended { call, outcome, total }));
+    }
+
+    async fn carry(
+        &mut self,
+        mut stream: TcpStream,
+        jobs: &mut UnboundedReceiver<Job>,
+    ) -> Result<(), RespError> {
+        let mut buf = BytesMut::new();
+        let mut heard = Instant::now();
+        let (mut reader, mut writer) = stream.split();
+        loop {
+            let waiting = !self.answers.is_empty();
+            let limit = if waiting { self.silence } else { IDLE };
+            tokio::select! {
+                biased;
+                job = jobs.recv() => {
+                    let Some(job) = job else { return Ok(()) };
+                    if !waiting {
+                        heard = Instant::now();
+                    }
+                    self.write(job, jobs, &mut writer).await?;
+                }
+                read = resp::fill(&mut reader, &mut buf) => {
+                    read?;
+                    heard = Instant::now();
+                    while let Some(frame) = resp::decode(&mut buf)? {
+                        self.answered(frame)?;
+                    }
+                }
+                _ = sleep_until(heard + limit) => return Ok(()),
+            }
+        }
+    }
+
+    /// Writes this call and all that have come since, in one go.
+    async fn write<W: AsyncWriteExt + Unpin>(
+        &mut self,
+        first: Job,
+        jobs: &mut UnboundedReceiver<Job>,
+        writer: &mut W,
+    ) -> Result<(), RespError> {
+        let mut batch = Vec::new();
+        let mut next = Some(first);
+        while let Some(job) = next {
+            if job.stage.load(Ordering::Relaxed) == QUEUED {
+                self.output.extend_from_slice(&job.text);
+                batch.push((self.output.len(), job));
+            }
+            next = jobs.try_recv().ok();
+        }
+        let all = self.output.len();
+        let wrote = timeout(self.silence, writer.write_all_buf(&mut self.output)).await;
+        let written = all - self.output.remaining();
+        for (end, job) in batch {
+            if end <= written {
+                job.stage.store(WRITTEN, Ordering::Relaxed);
+                self.answers.push_back(job.call);
+            } else {
+                self.tell(job.call, Outcome::NoConnection, 0.0);
+            }
+        }
+        wrote.map_err(|_| RespError::Closed)??;
+        Ok(())
+    }
+
+    fn answered(&mut self, frame: Frame) -> Result<(), RespError> {
+        let (outcome, total) = match &frame {
+            Frame::Bulk(text) => {
+                let total = std::str::from_utf8(text).ok().and_then(|t| t.parse::<f64>().ok());
+                let total = total.filter(|t| t.is_finite()).ok_or(RespError::Malformed("total"))?;
+                (Outcome::Ok, total)
+            }
+            // Turned away, or no such call: nothing added.
+            Frame::Error(_) => (Outcome::Full, 0.0),
+            _ => return Err(RespError::Malformed("answer")),
+        };
+        let call = self.answers.pop_front().ok_or(RespError::Malformed("answer without a call"))?;
+        self.tell(call, outcome, total);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,110 @@
+//! The list of hosts: one watch on the discovery agent, resumed where it broke off.
+
+use super::gateway::Input;
+use anyhow::{bail, Context, Result};
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::{header, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
+
+/// An empty line comes every 2 s: silence for well over that means that the connection is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+const CONNECT: Duration = Duration::from_secs(1);
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+const MAX_LINE: usize = 1 << 20;
+
+/// A list of hosts, or the entries that changed.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct HostList {
+    #[serde(default)]
+    pub generation: u64,
+    #[serde(default)]
+    pub reset: bool,
+    #[serde(default)]
+    pub instances: Vec<HostEntry>,
+}
+
+/// One host.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct HostEntry {
+    pub instance_id: String,
+    pub host_port: SocketAddr,
+    pub lifecycle: Lifecycle,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub machine_type: String,
+    #[serde(default)]
+    pub cell: u32,
+    #[serde(default)]
+    pub weight: f64,
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+/// State of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lifecycle {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+/// Watches for as long as the gateway runs; the last list stays in force while discovery is away.
+pub async fn watch(agent: SocketAddr, mut after: u64, gateway: UnboundedSender<Input>) {
+    let mut pause = BACKOFF.0;
+    loop {
+        let before = after;
+        if let Err(error) = watch_once(agent, &mut after, &gateway).await {
+            tracing::warn!("discovery: {error:#}");
+        }
+        pause = if after == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn watch_once(agent: SocketAddr, after: &mut u64, gateway: &UnboundedSender<Input>) -> Result<()> {
+    let mut body = timeout(SILENCE, open(agent, *after)).await.context("no answer")??;
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = timeout(SILENCE, body.frame()).await.context("silent")?.context("watch ended")??;
+        let Ok(data) = frame.into_data() else { continue };
+        buf.extend_from_slice(&data);
+        while let Some(end) = buf.iter().position(|b| *b == b'\n') {
+            let line = buf.split_to(end);
+            buf.advance(1);
+            if !line.trim_ascii().is_empty() {
+                let list: HostList = serde_json::from_slice(&line).context("not a list of hosts")?;
+                *after = list.generation;
+                gateway.send(Input::Hosts(list)).context("the gateway has stopped")?;
+            }
+        }
+        if buf.len() > MAX_LINE {
+            bail!("too long a line");
+        }
+    }
+}
+
+async fn open(agent: SocketAddr, after: u64) -> Result<Incoming> {
+    let stream = timeout(CONNECT, TcpStream::connect(agent)).await.context("no connection")??;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let request = Request::get(format!("/registry/instances?watch=1&after={after}"))
+        .header(header::HOST, agent.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let answer = sender.send_request(request).await?;
+    if answer.status() != StatusCode::OK {
+        bail!("status {}", answer.status());
+    }
+    Ok(answer.into_body())
+}
--- /dev/null
+++ b/src/net/hosts.rs
@@ -0,0 +1,472 @@
+//! Hosts: their connections and the attempts on them. One request at a time on a connection, since one
+//! behind a slow one would wait for it and giving one up means closing.
+
+use super::call::Call;
+use super::clock::Clock;
+use super::discovery::{HostList, Lifecycle};
+use super::gateway::Input;
+use super::resp::{self, Frame, RespError};
+use bytes::{Bytes, BytesMut};
+use bytes_utils::SegmentedBuf;
+use fennelbeam::api::{ListKind, Outcome, Report, RequestId, ServerEntry, ServerId, ServerState, Span, Time};
+use fennelbeam::wire::Site;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+const MS: Span = 1_000_000;
+
+/// An attempt of a request.
+pub type AttemptKey = (RequestId, u32);
+/// Number of a connection; never used twice.
+pub type ConnId = u64;
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Finished {
+    pub key: AttemptKey,
+    pub server: ServerId,
+    pub sent: Time,
+    pub outcome: Outcome,
+    pub value: Option<Bytes>,
+    pub used: Option<f64>,
+    pub true_units: Option<f64>,
+    pub report: Option<Report>,
+}
+
+/// What a connection tells.
+#[derive(Debug)]
+pub enum HostEvent {
+    /// It is up.
+    Up(ConnId),
+    /// It answered the request on it, and can carry another.
+    Answered(ConnId, Frame),
+    /// It has ended, or never came up.
+    Down(ConnId),
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Time,
+    until: Time,
+    call: Arc<Call>,
+    conn: Option<ConnId>,
+}
+
+#[derive(Default)]
+struct Host {
+    addr: Option<SocketAddr>,
+    started: u64,
+    ready: bool,
+    /// Goes up with each change of address or start: connections from before are not used again.
+    era: u32,
+    idle: Vec<ConnId>,
+    waiting: VecDeque<AttemptKey>,
+    dialing: usize,
+}
+
+struct Conn {
+    server: ServerId,
+    era: u32,
+    up: bool,
+    busy: Option<AttemptKey>,
+    /// The last byte of the request on it has been written.
+    sent: Arc<AtomicBool>,
+    jobs: UnboundedSender<SegmentedBuf<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// All hosts as discovery names them.
+pub struct Hosts {
+    site: Arc<Site>,
+    clock: Clock,
+    gateway: UnboundedSender<Input>,
+    /// Connections that may be open at once.
+    most: usize,
+    hosts: HashMap<ServerId, Host>,
+    conns: HashMap<ConnId, Conn>,
+    attempts: HashMap<AttemptKey, Attempt>,
+    next_conn: ConnId,
+    finished: VecDeque<Finished>,
+}
+
+impl Hosts {
+    pub fn new(site: Arc<Site>, clock: Clock, gateway: UnboundedSender<Input>, most: usize) -> Self {
+        Hosts {
+            site,
+            clock,
+            gateway,
+            most,
+            hosts: HashMap::new(),
+            conns: HashMap::new(),
+            attempts: HashMap::new(),
+            next_conn: 0,
+            finished: VecDeque::new(),
+        }
+    }
+
+    /// Attempts that have ended, in order.
+    pub fn finished(&mut self) -> Option<Finished> {
+        self.finished.pop_front()
+    }
+
+    /// Takes in a list and gives it in the module's terms.
+    pub fn update(&mut self, list: &HostList, kind: ListKind) -> Vec<ServerEntry> {
+        if kind != ListKind::Delta {
+            self.hosts.values_mut().for_each(|host| host.ready = false);
+        }
+        let mut entries = Vec::with_capacity(list.instances.len());
+        for line in &list.instances {
+            let id = server_id(&line.instance_id);
+            let host = self.hosts.entry(id).or_default();
+            if host.addr != Some(line.host_port) || host.started != line.started_at_ms {
+                host.era += 1;
+            }
+            (host.addr, host.started) = (Some(line.host_port), line.started_at_ms);
+            host.ready = line.lifecycle == Lifecycle::InService;
+            entries.push(ServerEntry {
+                id,
+                zone: position(&self.site.zones, &line.zone),
+                kind: position(&self.site.kinds, &line.machine_type),
+                cell: line.cell,
+                state: match line.lifecycle {
+                    Lifecycle::InService => ServerState::Ready,
+                    Lifecycle::Terminating => ServerState::Draining,
+                    Lifecycle::Terminated => ServerState::Gone,
+                },
+                size: line.weight,
+                started: line.started_at_ms.saturating_mul(MS),
+            });
+        }
+        self.drop_outdated();
+        entries
+    }
+
+    /// Idle connections of an earlier era close. Attempts that wait at a host that drains or is gone end
+    /// unsent: their first byte may not follow the news.
+    fn drop_outdated(&mut self) {
+        let mut unsent = Vec::new();
+        for host in self.hosts.values_mut() {
+            let (conns, era, ready) = (&mut self.conns, host.era, host.ready);
+            host.idle.retain(|conn| {
+                let keep = ready && conns.get(conn).is_some_and(|c| c.era == era);
+                if !keep {
+                    conns.remove(conn);
+                }
+                keep
+            });
+            if !ready {
+                unsent.extend(host.waiting.drain(..));
+            }
+        }
+        unsent.into_iter().for_each(|key| self.finish(key, Outcome::Moot));
+        let conns = &self.conns;
+        let used = |id: &ServerId| conns.values().any(|c| c.server == *id);
+        self.hosts.retain(|id, host| host.ready || used(id));
+    }
+
+    /// Starts an attempt: on the newest idle connection, or on the first that comes free or up.
+    pub fn start(&mut self, key: AttemptKey, server: ServerId, until: Time, call: Arc<Call>) {
+        let sent = self.clock.now();
+        self.attempts.insert(key, Attempt { server, sent, until, call, conn: None });
+        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) else {
+            return self.finish(key, Outcome::Moot);
+        };
+        host.waiting.push_back(key);
+        self.serve_waiting(server);
+        let Some(host) = self.hosts.get(&server) else { return };
+        if host.dialing < host.waiting.len() {
+            self.dial(server, key);
+        }
+    }
+
+    /// Gives waiting attempts the idle connections that there are.
+    fn serve_waiting(&mut self, server: ServerId) {
+        while let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) {
+            let Some(key) = host.waiting.front().copied() else { return };
+            let Some(conn) = host.idle.pop() else { return };
+            if self.write(conn, key) {
+                self.unqueue(server, key);
+            } else {
+                self.conns.remove(&conn);
+            }
+        }
+    }
+
+    /// Hands a connection its request; false: it has ended.
+    fn write(&mut self, id: ConnId, key: AttemptKey) -> bool {
+        let (Some(conn), Some(attempt)) = (self.conns.get_mut(&id), self.attempts.get_mut(&key)) else {
+            return false;
+        };
+        let mut parts = Vec::with_capacity(3);
+        attempt.call.for_host(attempt.until.saturating_sub(self.clock.now()), &mut parts);
+        let job = parts.into_iter().collect();
+        conn.sent.store(false, Ordering::Relaxed);
+        if conn.jobs.send(job).is_err() {
+            return false;
+        }
+        (conn.busy, attempt.conn) = (Some(key), Some(id));
+        true
+    }
+
+    fn dial(&mut self, server: ServerId, key: AttemptKey) {
+        if self.conns.len() >= self.most && !self.close_an_idle_one() {
+            self.unqueue(server, key);
+            return self.finish(key, Outcome::Moot);
+        }
+        let Some(host) = self.hosts.get_mut(&server) else { return };
+        let Some(addr) = host.addr else { return };
+        host.dialing += 1;
+        let id = self.next_conn;
+        self.next_conn += 1;
+        let (jobs, inbox) = mpsc::unbounded_channel();
+        let sent = Arc::new(AtomicBool::new(false));
+        let link = Link {
+            id,
+            dial: Duration::from_nanos(self.site.dial_timeout.max(MS)),
+            // Hosts close idle connections at this age at the latest, and a request written to a closed
+            // one ends as a reset: ours go well before.
+            idle: Duration::from_nanos((self.site.conn_idle / 2).max(100 * MS)),
+            sent: sent.clone(),
+            gateway: self.gateway.clone(),
+        };
+        let task = tokio::spawn(link.run(addr, inbox)).abort_handle();
+        let conn = Conn { server, era: host.era, up: false, busy: None, sent, jobs, task };
+        self.conns.insert(id, conn);
+    }
+
+    fn close_an_idle_one(&mut self) -> bool {
+        let oldest = self.hosts.values_mut().find(|host| !host.idle.is_empty());
+        oldest.map(|host| host.idle.remove(0)).is_some_and(|conn| self.conns.remove(&conn).is_some())
+    }
+
+    fn unqueue(&mut self, server: ServerId, key: AttemptKey) {
+        self.hosts.entry(server).and_modify(|host| host.waiting.retain(|k| *k != key));
+    }
+
+    /// Stops waiting for an attempt: its time is up, or (`withdrawn`) it is wanted no more. Closing the
+    /// connection is what tells the host.
+    pub fn stop(&mut self, key: AttemptKey, withdrawn: bool) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let (server, conn) = (attempt.server, attempt.conn.and_then(|id| self.conns.remove(&id)));
+        let sent = conn.is_some_and(|conn| conn.sent.load(Ordering::Relaxed));
+        self.unqueue(server, key);
+        let outcome = match (withdrawn, sent) {
+            (true, true) => Outcome::Cancelled,
+            (true, false) => Outcome::Moot,
+            (false, true) => Outcome::Timeout,
+            (false, false) => Outcome::NoConnection,
+        };
+        self.finish(key, outcome);
+    }
+
+    /// Takes in what a connection tells.
+    pub fn on_event(&mut self, event: HostEvent) {
+        match event {
+            HostEvent::Up(id) => {
+                let Some(conn) = self.conns.get_mut(&id) else { return };
+                conn.up = true;
+                let server = conn.server;
+                self.hosts.entry(server).and_modify(|host| host.dialing -= 1);
+                self.free(id);
+            }
+            HostEvent::Answered(id, frame) => {
+                let Some(key) = self.conns.get_mut(&id).and_then(|conn| conn.busy.take()) else { return };
+                if self.answered(key, frame) {
+                    self.free(id);
+                } else {
+                    self.conns.remove(&id);
+                }
+            }
+            HostEvent::Down(id) => {
+                let Some(conn) = self.conns.remove(&id) else { return };
+                self.down(id, &conn);
+            }
+        }
+    }
+
+    fn down(&mut self, id: ConnId, conn: &Conn) {
+        if let Some(key) = conn.busy {
+            let sent = conn.sent.load(Ordering::Relaxed);
+            return self.finish(key, if sent { Outcome::Reset } else { Outcome::NoConnection });
+        }
+        let Some(host) = self.hosts.get_mut(&conn.server) else { return };
+        host.idle.retain(|idle| *idle != id);
+        if conn.up {
+            return;
+        }
+        host.dialing -= 1;
+        // Each dial was made for one of those that wait.
+        if host.waiting.len() > host.dialing {
+            if let Some(key) = host.waiting.pop_front() {
+                self.finish(key, Outcome::NoConnection);
+            }
+        }
+    }
+
+    /// A connection can carry a request: the first that waits, else it is idle.
+    fn free(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get(&id) else { return };
+        let (server, era) = (conn.server, conn.era);
+        match self.hosts.get_mut(&server).filter(|host| host.ready && host.era == era) {
+            Some(host) => {
+                host.idle.push(id);
+                self.serve_waiting(server);
+            }
+            None => drop(self.conns.remove(&id)),
+        }
+        self.redial(server);
+    }
+
+    /// An attempt whose dial went to an address that is no more needs another.
+    fn redial(&mut self, server: ServerId) {
+        let Some(host) = self.hosts.get(&server) else { return };
+        if let Some(key) = host.waiting.back().copied().filter(|_| host.dialing < host.waiting.len()) {
+            self.dial(server, key);
+        }
+    }
+
+    /// PROTOCOL's table of what comes back; false: the host does not speak it, and the connection goes.
+    fn answered(&mut self, key: AttemptKey, frame: Frame) -> bool {
+        let Some(attempt) = self.attempts.remove(&key) else { return false };
+        let mut finished = Finished::new(key, &attempt, Outcome::Reset);
+        let known = match frame {
+            Frame::Array(parts) => finished.served(&self.site, parts),
+            Frame::Error(text) => finished.failed(&self.site, &text),
+            _ => false,
+        };
+        self.finished.push_back(finished);
+        known
+    }
+
+    fn finish(&mut self, key: AttemptKey, outcome: Outcome) {
+        if let Some(attempt) = self.attempts.remove(&key) {
+            self.finished.push_back(Finished::new(key, &attempt, outcome));
+        }
+    }
+}
+
+impl Finished {
+    fn new(key: AttemptKey, attempt: &Attempt, outcome: Outcome) -> Self {
+        Finished {
+            key,
+            server: attempt.server,
+            sent: attempt.sent,
+            outcome,
+            value: None,
+            used: None,
+            true_units: None,
+            report: None,
+        }
+    }
+
+    fn served(&mut self, site: &Site, parts: Vec<Frame>) -> bool {
+        let mut parts = parts.into_iter();
+        let Some(Frame::Bulk(value)) = parts.next() else { return false };
+        (self.outcome, self.value) = (Outcome::Ok, Some(value));
+        for part in parts {
+            if let Frame::Bulk(text) = part {
+                self.figures(site, &text);
+            }
+        }
+        true
+    }
+
+    fn failed(&mut self, site: &Site, text: &[u8]) -> bool {
+        let busy = text == b"BUSY" || text.starts_with(b"BUSY ");
+        self.outcome = if busy { Outcome::Full } else { Outcome::Error };
+        text.split(|b| *b == b' ').for_each(|word| self.figures(site, word));
+        true
+    }
+
+    /// Figures on use and a load report are both names with numbers.
+    fn figures(&mut self, site: &Site, text: &[u8]) {
+        let Ok(text) = std::str::from_utf8(text) else { return };
+        for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+            let Some(value) = value.parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+            match name {
+                "used" => self.used = Some(value / 100.0),
+                "cost" => self.true_units = Some(value),
+                _ if site.fields.iter().any(|f| f == name) => {
+                    self.report.get_or_insert_default().set(name, value);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// A host's number for the module: from its name, so nothing need be kept for hosts that are gone.
+fn server_id(name: &str) -> ServerId {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    ServerId(hasher.finish())
+}
+
+fn position(names: &[String], name: &str) -> u32 {
+    names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+}
+
+/// One connection to a host.
+struct Link {
+    id: ConnId,
+    dial: Duration,
+    idle: Duration,
+    sent: Arc<AtomicBool>,
+    gateway: UnboundedSender<Input>,
+}
+
+impl Link {
+    async fn run(self, addr: SocketAddr, jobs: UnboundedReceiver<SegmentedBuf<Bytes>>) {
+        if let Ok(Ok(stream)) = timeout(self.dial, TcpStream::connect(addr)).await {
+            let _ = stream.set_nodelay(true);
+            self.tell(HostEvent::Up(self.id));
+            let _ = self.carry(stream, jobs).await;
+        }
+        self.tell(HostEvent::Down(self.id));
+    }
+
+    fn tell(&self, event: HostEvent) {
+        let _ = self.gateway.send(Input::Host(event));
+    }
+
+    async fn carry(
+        &self,
+        mut stream: TcpStream,
+        mut jobs: UnboundedReceiver<SegmentedBuf<Bytes>>,
+    ) -> Result<(), RespError> {
+        let mut buf = BytesMut::new();
+        let (mut reader, mut writer) = stream.split();
+        loop {
+            let mut job = tokio::select! {
+                biased;
+                job = jobs.recv() => job.ok_or(RespError::Closed)?,
+                // An idle host says nothing: this is its end, or nonsense.
+                end = resp::fill(&mut reader, &mut buf) => return end,
+                _ = tokio::time::sleep(self.idle) => return Ok(()),
+            };
+            writer.write_all_buf(&mut job).await?;
+            self.sent.store(true, Ordering::Relaxed);
+            let frame = resp::read_frame(&mut reader, &mut buf).await?;
+            self.tell(HostEvent::Answered(self.id, frame));
+            if !buf.is_empty() {
+                return Err(RespError::Malformed("answer"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/resp.rs
@@ -0,0 +1,188 @@
+//! RESP2, bounded: flat frames only, so neither nesting, counts nor lengths that a peer claims can cost
+//! more than the bytes it has sent. (The usual crate recurses into nested arrays without a bound, and a
+//! few kilobytes of `*1` overflow its stack.) Values are slices of the read buffer, not copies.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// The longest value.
+pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest frame: a value, and room for the rest.
+pub const MAX_FRAME: usize = MAX_VALUE + 4 * 1024;
+const MAX_LINE: usize = 1024;
+const MAX_ITEMS: usize = 16;
+const READ: usize = 4 * 1024;
+
+/// What was wrong with the bytes of a peer.
+#[derive(Debug, thiserror::Error)]
+pub enum RespError {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("connection closed")]
+    Closed,
+    #[error("malformed {0}")]
+    Malformed(&'static str),
+    #[error("too long a {0}")]
+    TooLong(&'static str),
+}
+
+/// One frame; arrays hold no arrays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    Simple(Bytes),
+    Error(Bytes),
+    Integer(Bytes),
+    Bulk(Bytes),
+    Null,
+    Array(Vec<Frame>),
+}
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Simple,
+    Error,
+    Integer,
+    Bulk,
+    Null,
+}
+
+struct Item {
+    kind: Kind,
+    start: usize,
+    end: usize,
+}
+
+/// Takes the first whole frame off `buf`; `None`: more bytes are needed.
+pub fn decode(buf: &mut BytesMut) -> Result<Option<Frame>, RespError> {
+    let mut scan = Scan { buf, at: 0 };
+    if scan.buf.first() != Some(&b'*') {
+        let Some(item) = scan.item()? else { return Ok(None) };
+        let whole = scan.at;
+        return Ok(Some(cut(&buf.split_to(whole).freeze(), &item)));
+    }
+    let Some((start, end)) = scan.line()? else { return Ok(None) };
+    let count = match number(&scan.buf[start + 1..end])? {
+        -1 => None,
+        n => Some(usize::try_from(n).map_err(|_| RespError::Malformed("array length"))?),
+    };
+    if count.is_some_and(|n| n > MAX_ITEMS) {
+        return Err(RespError::TooLong("array"));
+    }
+    let mut items = Vec::with_capacity(count.unwrap_or(0));
+    for _ in 0..count.unwrap_or(0) {
+        let Some(item) = scan.item()? else { return Ok(None) };
+        items.push(item);
+    }
+    let whole = scan.at;
+    let bytes = buf.split_to(whole).freeze();
+    Ok(Some(match count {
+        None => Frame::Null,
+        Some(_) => Frame::Array(items.iter().map(|item| cut(&bytes, item)).collect()),
+    }))
+}
+
+fn cut(bytes: &Bytes, item: &Item) -> Frame {
+    let part = || bytes.slice(item.start..item.end);
+    match item.kind {
+        Kind::Simple => Frame::Simple(part()),
+        Kind::Error => Frame::Error(part()),
+        Kind::Integer => Frame::Integer(part()),
+        Kind::Bulk => Frame::Bulk(part()),
+        Kind::Null => Frame::Null,
+    }
+}
+
+struct Scan<'a> {
+    buf: &'a [u8],
+    at: usize,
+}
+
+impl Scan<'_> {
+    /// The next line without its end, type byte included.
+    fn line(&mut self) -> Result<Option<(usize, usize)>, RespError> {
+        let rest = &self.buf[self.at..];
+        let Some(cr) = rest.iter().take(MAX_LINE).position(|b| *b == b'\r') else {
+            return if rest.len() < MAX_LINE { Ok(None) } else { Err(RespError::TooLong("line")) };
+        };
+        match rest.get(cr + 1) {
+            None => Ok(None),
+            Some(b'\n') => {
+                let line = (self.at, self.at + cr);
+                self.at += cr + 2;
+                Ok(Some(line))
+            }
+            Some(_) => Err(RespError::Malformed("line end")),
+        }
+    }
+
+    fn item(&mut self) -> Result<Option<Item>, RespError> {
+        let kind = match self.buf.get(self.at) {
+            None => return Ok(None),
+            Some(b'+') => Kind::Simple,
+            Some(b'-') => Kind::Error,
+            Some(b':') => Kind::Integer,
+            Some(b'$') => Kind::Bulk,
+            Some(_) => return Err(RespError::Malformed("frame type")),
+        };
+        let Some((start, end)) = self.line()? else { return Ok(None) };
+        if !matches!(kind, Kind::Bulk) {
+            return Ok(Some(Item { kind, start: start + 1, end }));
+        }
+        let length = number(&self.buf[start + 1..end])?;
+        if length == -1 {
+            return Ok(Some(Item { kind: Kind::Null, start: end, end }));
+        }
+        let length = usize::try_from(length).map_err(|_| RespError::Malformed("bulk length"))?;
+        let (start, end) = (self.at, self.at.saturating_add(length));
+        if length > MAX_VALUE || end > MAX_FRAME {
+            return Err(RespError::TooLong("value"));
+        }
+        match self.buf.get(end..end + 2) {
+            None => Ok(None),
+            Some(b"\r\n") => {
+                self.at = end + 2;
+                Ok(Some(Item { kind, start, end }))
+            }
+            Some(_) => Err(RespError::Malformed("bulk end")),
+        }
+    }
+}
+
+fn number(digits: &[u8]) -> Result<i64, RespError> {
+    let text = std::str::from_utf8(digits).ok().filter(|t| !t.starts_with('+'));
+    text.and_then(|t| t.parse().ok()).ok_or(RespError::Malformed("length"))
+}
+
+/// Reads one frame; bytes beyond it stay in `buf`. Safe to drop between frames and within one.
+pub async fn read_frame<R: AsyncRead + Unpin>(from: &mut R, buf: &mut BytesMut) -> Result<Frame, RespError> {
+    loop {
+        if let Some(frame) = decode(buf)? {
+            return Ok(frame);
+        }
+        fill(from, buf).await?;
+    }
+}
+
+/// Reads what is there into `buf`.
+pub async fn fill<R: AsyncRead + Unpin>(from: &mut R, buf: &mut BytesMut) -> Result<(), RespError> {
+    buf.reserve(READ);
+    match from.read_buf(buf).await? {
+        0 => Err(RespError::Closed),
+        _ => Ok(()),
+    }
+}
+
+/// The line before a bulk string or an array.
+pub fn put_header(out: &mut BytesMut, kind: u8, length: usize) {
+    out.put_u8(kind);
+    out.put_slice(length.to_string().as_bytes());
+    out.put_slice(b"\r\n");
+}
+
+/// A whole bulk string.
+pub fn put_bulk(out: &mut BytesMut, value: &[u8]) {
+    put_header(out, b'$', value.len());
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -141,9 +141,10 @@
             let number = record.u32(2)?;
             match code {
                 11 => {
-                    let (settings, fields) = settings(record.tail(14, tail, 1)?)?;
-                    let policy = Policy::new(settings, record.u64(6)?);
-                    self.instances.insert(number, Instance { policy, fields });
+                    let json = serde_json::from_slice(record.tail(14, tail, 1)?);
+                    let site = Site::parse(&json.map_err(|e| WireError::Settings(e.to_string()))?)?;
+                    let policy = Policy::new(site.settings, record.u64(6)?);
+                    self.instances.insert(number, Instance { policy, fields: site.fields });
                     continue;
                 }
                 7 => {
@@ -232,6 +233,22 @@
     })
 }
 
+impl Report {
+    /// Takes in one value by the name that the settings give it; unknown names are skipped.
+    pub fn set(&mut self, name: &str, value: f64) {
+        let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+        match name {
+            "busy_reqs" => self.inflight = value,
+            "pending" => self.queue = value,
+            "cpu_share" => self.util = value,
+            "svc_ms" => self.latency_ms = value,
+            "served_ps" => self.served = value,
+            "failed_ps" => self.errors = value,
+            _ => {}
+        }
+    }
+}
+
 fn report(r: &Bytes, at: usize, fields: &[String]) -> Result<Option<Report>, WireError> {
     let count = r.u8(at)? as usize;
     if count > 4 {
@@ -239,16 +256,7 @@
     }
     let mut report = Report::default();
     for (i, field) in fields.iter().take(count).enumerate() {
-        let value = Some(r.f32(at + 1 + 4 * i)?).filter(|v| v.is_finite() && *v >= 0.0);
-        match field.as_str() {
-            "busy_reqs" => report.inflight = value,
-            "pending" => report.queue = value,
-            "cpu_share" => report.util = value,
-            "svc_ms" => report.latency_ms = value,
-            "served_ps" => report.served = value,
-            "failed_ps" => report.errors = value,
-            _ => {}
-        }
+        report.set(field, r.f32(at + 1 + 4 * i)?);
     }
     Ok((count > 0).then_some(report))
 }
@@ -315,34 +323,68 @@
     }
 }
 
-fn settings(text: &[u8]) -> Result<(Settings, Vec<String>), WireError> {
-    let json: Value = serde_json::from_slice(text).map_err(|e| WireError::Settings(e.to_string()))?;
-    let doc = Doc(&json, "");
-    let (allowed, domain) = (doc.part("allowed", "allowed.")?, doc.part("domain", "domain.")?);
-    let (rules, feedback) = (doc.part("rules", "rules.")?, doc.part("feedback", "feedback.")?);
-    let classes: Result<Vec<_>, _> = doc.list("services")?.iter().map(class).collect();
-    let plans: Result<Vec<_>, _> = doc.list("tariffs")?.iter().map(plan).collect();
-    let settings = Settings {
-        gateways: doc.u64("balancers")?.max(1) as u32,
-        zone: doc.u64("zone")? as u32,
-        classes: classes?,
-        plans: plans?,
-        may_cancel: allowed.bool("cancel")?,
-        may_duplicate: allowed.bool("may-duplicate")?,
-        max_retry_after: allowed.bool("retry-after")?.then_some(allowed.u64("max-retry-after")?),
-        max_attempts: allowed.u64("max-attempts")? as u32,
-        counter: domain.bool("shared-counter")?,
-        counter_timeout: domain.u64("counter-timeout")?,
-        must_subscribe: doc.text("discovery")? == "subscribe",
-        must_ask_in: rules.u64("must-ask-in")?,
-        cold_share: rules.f64("cold-share")?,
-        cold: rules.u64("cold")?,
-    };
-    if settings.classes.is_empty() {
-        return Err(WireError::Settings("`services` names no class".into()));
+/// A settings document: what the module is told, and what the program around it reads there.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the values in a load report.
+    pub fields: Vec<String>,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the plans.
+    pub plans: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the kinds of machine.
+    pub kinds: Vec<String>,
+    /// A connection that is not up by then counts as failed.
+    pub dial_timeout: Span,
+    /// Servers close a connection that has stood idle for this long.
+    pub conn_idle: Span,
+}
+
+impl Site {
+    /// Reads the document.
+    pub fn parse(json: &Value) -> Result<Site, WireError> {
+        let doc = Doc(json, "");
+        let (allowed, domain) = (doc.part("allowed", "allowed.")?, doc.part("domain", "domain.")?);
+        let (rules, feedback) = (doc.part("rules", "rules.")?, doc.part("feedback", "feedback.")?);
+        let (services, tariffs) = (doc.list("services")?, doc.list("tariffs")?);
+        let classes: Result<Vec<_>, _> = services.iter().map(class).collect();
+        let plans: Result<Vec<_>, _> = tariffs.iter().map(plan).collect();
+        let settings = Settings {
+            gateways: doc.u64("balancers")?.max(1) as u32,
+            zone: doc.u64("zone")? as u32,
+            classes: classes?,
+            plans: plans?,
+            may_cancel: allowed.bool("cancel")?,
+            may_duplicate: allowed.bool("may-duplicate")?,
+            max_retry_after: allowed.bool("retry-after")?.then_some(allowed.u64("max-retry-after")?),
+            max_attempts: allowed.u64("max-attempts")? as u32,
+            counter: domain.bool("shared-counter")?,
+            counter_timeout: domain.u64("counter-timeout")?,
+            must_subscribe: doc.text("discovery")? == "subscribe",
+            must_ask_in: rules.u64("must-ask-in")?,
+            cold_share: rules.f64("cold-share")?,
+            cold: rules.u64("cold")?,
+        };
+        if settings.classes.is_empty() {
+            return Err(WireError::Settings("`services` names no class".into()));
+        }
+        let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
+        let name = |v: &Value| v.get("name").map(text).unwrap_or_default();
+        Ok(Site {
+            settings,
+            fields: feedback.list("fields")?.iter().map(text).collect(),
+            classes: services.iter().map(name).collect(),
+            plans: tariffs.iter().map(name).collect(),
+            zones: doc.list("localities")?.iter().map(text).collect(),
+            kinds: doc.list("machine-types")?.iter().map(text).collect(),
+            dial_timeout: allowed.u64("dial-timeout")?,
+            conn_idle: allowed.u64("conn-idle")?,
+        })
     }
-    let fields = feedback.list("fields")?.iter().map(|f| f.as_str().unwrap_or("").to_owned()).collect();
-    Ok((settings, fields))
 }
 
 fn class(value: &Value) -> Result<Class, WireError> {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -1,7 +1,7 @@
 //! Final answers, effects, drains, cold and silent servers, and odd input.
 mod common;
-use bramblering::api::*;
 use common::*;
+use fennelbeam::api::*;
 
 fn open() -> Settings {
     let mut settings = settings();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway under test: settings with plain defaults, and helpers to feed it events.
 #![allow(dead_code)]
-use bramblering::api::*;
-use bramblering::policy::Policy;
+use fennelbeam::api::*;
+use fennelbeam::policy::Policy;
 
 pub const MS: Span = 1_000_000;
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,7 +1,7 @@
 //! Leases: blocks, return, settlement, and a counter that is silent, empty or slow.
 mod common;
-use bramblering::api::*;
 use common::*;
+use fennelbeam::api::*;
 
 /// Sends a request and answers its call with the total that other gateways leave.
 fn lease(g: &mut Gateway, id: u64, units: f64, others: f64, total: &mut f64) -> Vec<Action> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules under random legal events, with a fixed seed.
 mod common;
-use bramblering::api::*;
-use bramblering::policy::Policy;
 use common::*;
+use fennelbeam::api::*;
+use fennelbeam::policy::Policy;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
@@ -247,7 +247,7 @@
     let mut gateways: Vec<_> = (0..200)
         .map(|seed| {
             let mut g = Gateway::new(open.clone(), 20);
-            g.policy = bramblering::policy::Policy::new(open.clone(), seed);
+            g.policy = fennelbeam::policy::Policy::new(open.clone(), seed);
             g.list(ListKind::Full, (1..=20).map(entry).collect());
             g
         })
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -1,8 +1,8 @@
 //! The fuzzy table, reserves, and the order in which slots are given.
 mod common;
-use bramblering::api::*;
-use bramblering::policy::fuzzy;
 use common::*;
+use fennelbeam::api::*;
+use fennelbeam::policy::fuzzy;
 
 /// Table 1 of the paper, rows E and columns dE, with terms as the paper names them.
 const TABLE: [[&str; 5]; 5] = [
