Test each row of the table over sockets; let idle clients make room

Seen while writing the tests: with all client descriptors in use, new connections stood in the backlog for good, and a request written there counts as taken. Checked: the accept loop waited for a permit that idle keep-alive connections never gave back (clients.rs, accept). Now the connection that has been idle longest closes; the new test hangs without that. A command that has come in part no longer ends with its connection at a stop.

--- a/src/main.rs
+++ b/src/main.rs
@@ -45,6 +45,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let listener =
         clients::listen(config.listen).with_context(|| format!("cannot listen on {}", config.listen))?;
+    let address = listener.local_addr()?;
     let (clock, site) = (Clock::start(), Arc::new(config.site.clone()));
     let (inputs, inbox) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Starting);
@@ -56,9 +57,10 @@
     tokio::spawn(gateway.run(inbox));
     tokio::spawn(discovery::watch(config.discovery, config.known.generation, inputs.clone()));
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let context = Context { site, clock, gateway: inputs, phase: phases, ids: Arc::default() };
+    let (ids, crowded) = Default::default();
+    let context = Context { site, clock, gateway: inputs, phase: phases, ids, crowded };
     let accepting = tokio::spawn(clients::accept(listener, for_clients, context));
-    tracing::info!("{} listens on {}", config.name, config.listen);
+    tracing::info!("{} listens on {address}", config.name);
 
     terminate.recv().await;
     let rest = Duration::from_nanos(longest) + AFTER_DEADLINE;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -18,7 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 /// Commands of one connection that may wait for their answers; then reading stops.
@@ -77,6 +77,8 @@
     pub gateway: UnboundedSender<Input>,
     pub phase: watch::Receiver<Phase>,
     pub ids: Arc<AtomicU64>,
+    /// Asks the connection that has been idle longest to make room.
+    pub crowded: Arc<Notify>,
 }
 
 /// Listens on the given address only.
@@ -87,10 +89,14 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts until it is dropped. Beyond `most` connections, new ones wait in the backlog.
+/// Accepts until it is dropped. With `most` connections open, an idle one makes room for the next: what waits
+/// in the backlog may have sent a request, which would be lost there.
 pub async fn accept(listener: TcpListener, most: usize, context: Context) {
     let permits = Arc::new(Semaphore::new(most));
     loop {
+        if permits.available_permits() == 0 {
+            context.crowded.notify_one();
+        }
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve(stream, context.clone(), permit))),
@@ -132,6 +138,14 @@
     }
 }
 
+/// Why a connection ends from our side.
+enum End {
+    /// All is answered, the last of it perhaps just now.
+    Answered,
+    /// It was idle, and another is to have its place at once.
+    MadeRoom,
+}
+
 struct Connection {
     context: Context,
     input: BytesMut,
@@ -157,7 +171,7 @@
     };
     let ended = connection.run(&mut stream, inbox).await;
     connection.leave();
-    if ended.is_ok() {
+    if matches!(ended, Ok(End::Answered)) {
         linger(stream).await;
     }
 }
@@ -179,15 +193,17 @@
         &mut self,
         stream: &mut TcpStream,
         mut inbox: UnboundedReceiver<(u64, Answer)>,
-    ) -> Result<(), RespError> {
-        let mut phase = self.context.phase.clone();
+    ) -> Result<End, RespError> {
+        let (mut phase, crowded) = (self.context.phase.clone(), self.context.crowded.clone());
         let (mut reader, mut writer) = stream.split();
         loop {
             self.flush_ready();
-            let (writing, idle) = (self.output.has_remaining(), self.slots.is_empty());
+            let writing = self.output.has_remaining();
+            // A command that has come in part is a request that has begun.
+            let idle = self.slots.is_empty() && !writing && self.input.is_empty();
             let closing = self.broken || *phase.borrow_and_update() == Phase::Closing;
-            if closing && idle && !writing {
-                return Ok(());
+            if closing && idle {
+                return Ok(End::Answered);
             }
             // A client that is slow to read its answers is not read from either.
             let reading = !self.broken && !writing && self.slots.len() < MAX_PIPELINE;
@@ -206,6 +222,7 @@
                     read?;
                     self.take_commands();
                 }
+                () = crowded.notified(), if idle => return Ok(End::MadeRoom),
                 changed = phase.changed(), if !closing => changed.map_err(|_| RespError::Closed)?,
             }
         }
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,396 @@
+//! The real gateway between a client, hosts and discovery: one test for each row of the protocol's table
+//! and for each thing that may go wrong on a socket.
+mod sockets;
+
+use serde_json::Value;
+use sockets::*;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
+
+/// Where nobody listens.
+const NOWHERE: &str = "127.0.0.1:9";
+
+/// A gateway before hosts that are in service, with discovery at hand.
+fn before(settings: Value, hosts: &Peers) -> (Gateway, Discovery) {
+    let discovery = Discovery::start();
+    let line = |(i, addr): (usize, &SocketAddr)| host_line(&format!("s-{i}"), *addr, "in_service", 0);
+    let lines: Vec<Value> = hosts.addrs.iter().enumerate().map(line).collect();
+    let gateway = Gateway::start(settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
+    (gateway, discovery)
+}
+
+fn field<'a>(list: &'a str, name: &str) -> &'a str {
+    list.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).unwrap().1
+}
+
+#[test]
+fn a_call_goes_on_unchanged_but_for_its_time() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.get(5);
+    let mut seen = host.command();
+    assert_eq!(seen.words[..3], ["CALL.GET", CUSTOMER, "0000000000000005"]);
+    let (sent, got) = ("c=read,t=team,d=8500,units=2,spread=1,first=0,k=7", seen.words[3].clone());
+    let d: u64 = field(&got, "d").parse().unwrap();
+    assert!((1..=8000).contains(&d), "{got}");
+    assert_eq!(got.replace(&format!("d={d}"), "d=8500"), sent);
+    seen.serve("price");
+    assert_eq!(client.answer(), "price");
+
+    client.post(6, "buy");
+    let mut seen = host.command();
+    assert_eq!(seen.words[0], "CALL.POST");
+    assert_eq!(seen.words[4], "buy");
+    assert_eq!(seen.conn, (0, 0), "the idle connection is used again");
+    seen.serve("done");
+    assert_eq!(client.answer(), "done");
+}
+
+#[test]
+fn a_value_of_the_greatest_length_passes() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let (mut client, long) = (gateway.client(), "x".repeat(64 * 1024));
+    client.post(1, &long);
+    let mut seen = host.command();
+    assert_eq!(seen.words[4], long);
+    seen.serve(&long);
+    assert_eq!(client.answer(), long);
+}
+
+// Rows of the table: may the host have run it? An unsafe call moves on only if it never ran.
+
+#[test]
+fn turned_away_never_ran_so_an_unsafe_call_moves_on() {
+    let hosts = Peers::start(2);
+    let (gateway, _discovery) = before(settings(), &hosts);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    let mut first = hosts.command();
+    first.write("-BUSY\r\n");
+    let mut second = hosts.command();
+    assert_ne!(first.conn.0, second.conn.0);
+    second.serve("second");
+    assert_eq!(client.answer(), "second");
+}
+
+#[test]
+fn refused_connections_never_ran_so_an_unsafe_call_moves_on() {
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let host = Peers::start(1);
+    let discovery = Discovery::start();
+    let lines =
+        [host_line("s-0", refusing, "in_service", 0), host_line("s-1", host.addrs[0], "in_service", 0)];
+    let gateway = Gateway::start(settings(), &lines, discovery.addr, NOWHERE.parse().unwrap());
+    let mut client = gateway.client();
+    for id in 0..4 {
+        client.post(id, "body");
+        host.command().serve("served");
+        assert_eq!(client.answer(), "served");
+    }
+}
+
+#[test]
+fn an_error_may_have_run_so_an_unsafe_call_fails() {
+    let hosts = Peers::start(2);
+    let (gateway, _discovery) = before(settings(), &hosts);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    hosts.command().write("-ERR failed\r\n");
+    assert_eq!(client.answer(), "-ERR failed");
+    assert_eq!(hosts.others(), 0);
+}
+
+#[test]
+fn a_break_after_the_last_byte_may_have_run_so_an_unsafe_call_fails() {
+    let hosts = Peers::start(2);
+    let (gateway, _discovery) = before(settings(), &hosts);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    hosts.command().close();
+    assert_eq!(client.answer(), "-ERR failed");
+    assert_eq!(hosts.others(), 0);
+}
+
+#[test]
+fn nonsense_from_a_host_is_its_failure_and_ends_the_connection() {
+    let hosts = Peers::start(2);
+    let (gateway, _discovery) = before(settings(), &hosts);
+    for (id, nonsense) in
+        [":1\r\n", "*1\r\n$-1\r\n", "*1\r\n*1\r\n", "$99999999\r\n", "huh"].iter().enumerate()
+    {
+        let mut client = gateway.client();
+        client.post(id as u64, "body");
+        let mut seen = hosts.command();
+        seen.write(nonsense);
+        assert_eq!(client.answer(), "-ERR failed", "{nonsense:?}");
+        hosts.end(seen.conn);
+    }
+}
+
+#[test]
+fn silence_ends_at_the_time_out_by_closing_the_connection() {
+    let mut settings = settings();
+    settings["services"][1]["aim"] = 700_000_000u64.into();
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings, &host);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    let mut seen = host.command();
+    assert_eq!(client.answer(), "-ERR failed");
+    host.end(seen.conn);
+    // An answer that comes after all finds nobody, and the next call gets its own.
+    seen.write_late("*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n");
+    client.get(2);
+    host.command().serve("own");
+    assert_eq!(client.answer(), "own");
+}
+
+#[test]
+fn a_safe_call_is_repeated_after_a_break() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.get(1);
+    host.command().close();
+    host.command().serve("again");
+    assert_eq!(client.answer(), "again");
+}
+
+// Clients
+
+#[test]
+fn answers_come_in_the_order_of_the_commands() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.get(1);
+    let mut first = host.command();
+    client.get(2);
+    let mut second = host.command();
+    assert_ne!(first.conn, second.conn, "one request at a time on a connection");
+    client.call(&["PING"]);
+    second.serve("two");
+    first.serve("one");
+    assert_eq!(client.answer(), "one");
+    assert_eq!(client.answer(), "two");
+    assert!(["+PONG", "-ERR starting"].contains(&client.answer().as_str()));
+}
+
+#[test]
+fn a_client_that_goes_takes_its_attempt_along() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    let seen = host.command();
+    drop(client);
+    host.end(seen.conn);
+}
+
+#[test]
+fn what_is_no_call_gets_an_error_and_the_connection_stays() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    let id = "0000000000000001";
+    let good = "c=read,t=team,d=100,units=1,spread=1,first=0";
+    for words in [
+        &["NOPE"][..],
+        &["CALL.GET", CUSTOMER, id],
+        &["CALL.GET", "zz", id, good],
+        &["CALL.GET", "ffffffffffffffff", id, good],
+        &["CALL.GET", CUSTOMER, "1", good],
+        &["CALL.GET", CUSTOMER, id, "c=none,t=team,d=100"],
+        &["CALL.GET", CUSTOMER, id, "c=read,t=none,d=100"],
+        &["CALL.GET", CUSTOMER, id, "c=read,t=team"],
+        &["CALL.GET", CUSTOMER, id, "c=read,t=team,d=-4"],
+        &["CALL.GET", CUSTOMER, id, "c=read,t=team,d=100,units=nan"],
+        &["CALL.GET", CUSTOMER, id, "c=order,t=team,d=100"],
+        &["CALL.POST", CUSTOMER, id, "c=read,t=team,d=100", "body"],
+    ] {
+        client.call(words);
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR "), "{words:?}: {answer}");
+    }
+    client.get(2);
+    host.command().serve("still here");
+    assert_eq!(client.answer(), "still here");
+}
+
+#[test]
+fn malformed_or_oversized_input_gets_an_error_and_ends() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let nested = "*1\r\n".repeat(20_000);
+    for bytes in
+        ["GET / HTTP/1.1\r\n\r\n", "*1\r\n$70000\r\n", "*9999\r\n", "*-7\r\n", "*1\r\n$1\r\nabc", &nested]
+    {
+        let mut client = gateway.client();
+        client.write(bytes.as_bytes());
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR "), "{answer}");
+        assert!(client.ended(), "after {:?}", &bytes[..8]);
+    }
+}
+
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let host = Peers::start(1);
+    let discovery = Discovery::start();
+    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
+    let nowhere = NOWHERE.parse().unwrap();
+    // Far fewer than 80 fit: idle ones make room, and none is lost in the backlog.
+    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, nowhere);
+    let mut clients = Vec::new();
+    for id in 0..80 {
+        let mut client = gateway.client();
+        client.get(id);
+        host.command().serve("served");
+        assert_eq!(client.answer(), "served");
+        clients.push(client);
+    }
+    assert!(clients[0].ended(), "the one that has been idle longest went first");
+}
+
+// Hosts that come and go
+
+#[test]
+fn an_attempt_that_waits_for_its_connection_does_not_start_after_the_drain() {
+    // Nothing is accepted and the backlog is full, so the connection stays on its way.
+    let (stuck, _listener, _full) = full_backlog();
+    let host = Peers::start(1);
+    let discovery = Discovery::start();
+    let mut settings = settings();
+    settings["allowed"]["dial-timeout"] = 60_000_000_000u64.into();
+    let line = [host_line("s-0", stuck, "in_service", 0)];
+    let gateway = Gateway::start(settings, &line, discovery.addr, NOWHERE.parse().unwrap());
+    let (mut client, mut other) = (gateway.client(), gateway.client());
+    let mut watch = discovery.watch();
+    client.post(1, "body");
+    other.call(&["PING"]);
+    other.answer();
+    let drained = host_line("s-0", stuck, "terminating", 0);
+    let fresh = host_line("s-1", host.addrs[0], "in_service", 0);
+    watch.tell(&list(2, false, &[fresh, drained]));
+    host.command().serve("elsewhere");
+    assert_eq!(client.answer(), "elsewhere");
+}
+
+#[test]
+fn a_host_that_started_anew_gets_a_new_connection() {
+    let host = Peers::start(1);
+    let (gateway, discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.get(1);
+    let mut seen = host.command();
+    seen.serve("old");
+    assert_eq!(client.answer(), "old");
+    let mut watch = discovery.watch();
+    watch.tell(&list(2, false, &[host_line("s-0", host.addrs[0], "in_service", 1_000)]));
+    host.end(seen.conn);
+    client.get(2);
+    let mut seen = host.command();
+    assert_eq!(seen.conn, (0, 1));
+    seen.serve("new");
+    assert_eq!(client.answer(), "new");
+}
+
+#[test]
+fn in_flight_work_finishes_on_a_host_that_drains() {
+    let host = Peers::start(1);
+    let (gateway, discovery) = before(settings(), &host);
+    let (mut client, mut other) = (gateway.client(), gateway.client());
+    client.post(1, "body");
+    let mut seen = host.command();
+    other.get(2);
+    let mut idle = host.command();
+    idle.serve("idle");
+    assert_eq!(other.answer(), "idle");
+    let mut watch = discovery.watch();
+    watch.tell(&list(2, false, &[host_line("s-0", host.addrs[0], "terminated", 0)]));
+    host.end(idle.conn);
+    seen.serve("finished");
+    assert_eq!(client.answer(), "finished");
+    host.end(seen.conn);
+}
+
+#[test]
+fn idle_connections_are_retired_before_the_host_would_close_them() {
+    let mut settings = settings();
+    settings["allowed"]["conn-idle"] = 2_000_000_000u64.into();
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings, &host);
+    let mut client = gateway.client();
+    client.get(1);
+    let mut seen = host.command();
+    seen.serve("served");
+    assert_eq!(client.answer(), "served");
+    let idle = std::time::Instant::now();
+    host.end(seen.conn);
+    assert!(idle.elapsed().as_millis() >= 900, "not at once: it may be used again");
+}
+
+// Discovery
+
+#[test]
+fn a_watch_that_ends_is_resumed_after_the_last_version_and_the_list_kept() {
+    let host = Peers::start(1);
+    let (gateway, discovery) = before(settings(), &Peers::start(0));
+    let mut watch = discovery.watch();
+    assert!(watch.path.starts_with("GET /registry/instances?watch=1&after=1 "), "{}", watch.path);
+    watch.tell(&list(41, true, &[host_line("s-0", host.addrs[0], "in_service", 0)]));
+    let mut client = gateway.client();
+    client.until_ready();
+    watch.close();
+    let watch = discovery.watch();
+    assert!(watch.path.contains("after=41 "), "{}", watch.path);
+    client.get(1);
+    host.command().serve("kept");
+    assert_eq!(client.answer(), "kept");
+}
+
+#[test]
+fn a_silent_watch_is_replaced() {
+    let (_gateway, discovery) = before(settings(), &Peers::start(0));
+    let _silent = discovery.watch();
+    let _next = discovery.watch();
+}
+
+// Start and stop
+
+#[test]
+fn after_sigterm_all_that_was_taken_is_answered() {
+    let host = Peers::start(1);
+    let (mut gateway, _discovery) = before(settings(), &host);
+    let (mut client, mut idle) = (gateway.client(), gateway.client());
+    idle.call(&["PING"]);
+    idle.answer();
+    client.post(1, "body");
+    let mut seen = host.command();
+    gateway.terminate();
+    assert!(idle.ended(), "a connection between requests closes");
+    seen.serve("served");
+    assert_eq!(client.answer(), "served");
+    assert!(client.ended());
+    assert!(gateway.exit().success());
+}
+
+#[test]
+fn a_missing_or_bad_configuration_is_one_line_and_a_failure() {
+    let bad = std::env::temp_dir().join(format!("fennelbeam-bad-{}.json", std::process::id()));
+    std::fs::write(&bad, "{\"name\": 3}").unwrap();
+    for path in ["/nonexistent/config.json", bad.to_str().unwrap()] {
+        let output = Command::new(env!("CARGO_BIN_EXE_fennelbeam"))
+            .env("ROUTER_CONFIG", path)
+            .stdin(Stdio::null())
+            .output()
+            .unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.starts_with("fennelbeam: "), "{text}");
+    }
+    std::fs::remove_file(bad).unwrap();
+}
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,351 @@
+//! The real program on loopback, with peers that do just what a test tells them. All ports are ephemeral,
+//! and every wait is for an event, with a limit far above what it takes.
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Far above what anything takes, also on a loaded machine.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub fn settings() -> Value {
+    json!({
+        "allowed": {"cancel": true, "conn-idle": 60_000_000_000u64, "dial-timeout": 2_000_000_000u64,
+            "max-attempts": 4, "may-duplicate": false, "retry-after": false, "probes": false},
+        "balancers": 1, "zone": 0, "discovery": "automatic",
+        "domain": {"counter-timeout": 1_000_000_000u64, "shared-counter": false, "post-paid": true},
+        "feedback": {"fields": [], "how": "none"},
+        "localities": ["a"], "machine-types": ["m"],
+        "rules": {"cold": 1_000_000_000u64, "cold-share": 0.5},
+        "services": [
+            {"name": "read", "semantics": "safe", "aim": 8_000_000_000u64, "hard-limit": 9_000_000_000u64, "worth": 1.0},
+            {"name": "order", "semantics": "unsafe", "aim": 8_000_000_000u64, "hard-limit": 9_000_000_000u64, "worth": 3.0}],
+        "tariffs": [{"name": "team", "refill": 1000.0, "burst": 1000.0, "worth-factor": 1.0}],
+    })
+}
+
+pub fn host_line(name: &str, addr: SocketAddr, lifecycle: &str, started: u64) -> Value {
+    json!({"instanceId": name, "hostPort": addr.to_string(), "zone": "a", "machineType": "m", "cell": 1,
+        "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started})
+}
+
+pub fn list(generation: u64, reset: bool, hosts: &[Value]) -> Value {
+    json!({"generation": generation, "reset": reset, "instances": hosts})
+}
+
+fn next<T>(from: &Receiver<T>, what: &str) -> T {
+    from.recv_timeout(LONG).unwrap_or_else(|_| panic!("waited in vain for {what}"))
+}
+
+/// The program under test; killed with the test.
+pub struct Gateway {
+    child: Child,
+    config: PathBuf,
+    pub addr: SocketAddr,
+}
+
+impl Gateway {
+    pub fn start(settings: Value, known: &[Value], discovery: SocketAddr, counter: SocketAddr) -> Self {
+        Self::with_sockets(256, settings, known, discovery, counter)
+    }
+
+    pub fn with_sockets(
+        sockets: usize,
+        settings: Value,
+        known: &[Value],
+        discovery: SocketAddr,
+        counter: SocketAddr,
+    ) -> Self {
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "counter": counter.to_string(),
+            "known": list(1, true, known), "settings": settings,
+        });
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("fennelbeam-test-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelbeam"))
+            .env("ROUTER_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let (told, port) = channel();
+        thread::spawn(move || {
+            let mut line = String::new();
+            while log.read_line(&mut line).is_ok_and(|n| n > 0) {
+                if let Some((_, addr)) = line.trim_end().rsplit_once("listens on ") {
+                    let _ = told.send(addr.parse().unwrap());
+                }
+                line.clear();
+            }
+        });
+        let addr = next(&port, "the gateway to listen");
+        Gateway { child, config: path, addr }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { stream: BufReader::new(stream) }
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let end = Instant::now() + LONG;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway did not exit");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub struct Client {
+    stream: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.get_mut().write_all(bytes).unwrap();
+    }
+    pub fn get(&mut self, id: u64) {
+        self.call(&[
+            "CALL.GET",
+            CUSTOMER,
+            &format!("{id:016x}"),
+            "c=read,t=team,d=8500,units=2,spread=1,first=0,k=7",
+        ]);
+    }
+    pub fn post(&mut self, id: u64, body: &str) {
+        let id = format!("{id:016x}");
+        self.call(&["CALL.POST", CUSTOMER, &id, "c=order,t=team,d=8500,units=2,spread=1,first=0", body]);
+    }
+    pub fn call(&mut self, words: &[&str]) {
+        self.write(&command(words));
+    }
+    /// The next line; for a bulk string, its value.
+    pub fn answer(&mut self) -> String {
+        let mut line = String::new();
+        self.stream.read_line(&mut line).unwrap();
+        if let Some(length) = line.strip_prefix('$') {
+            let mut value = vec![0; length.trim_end().parse::<usize>().unwrap() + 2];
+            self.stream.read_exact(&mut value).unwrap();
+            return String::from_utf8(value).unwrap().trim_end().to_owned();
+        }
+        line.trim_end().to_owned()
+    }
+    /// Whether the gateway has ended the connection with nothing more to read.
+    pub fn ended(&mut self) -> bool {
+        let mut byte = [0];
+        matches!(self.stream.read(&mut byte), Ok(0))
+    }
+    pub fn until_ready(&mut self) {
+        let end = Instant::now() + LONG;
+        while Instant::now() < end {
+            self.call(&["PING"]);
+            if self.answer() == "+PONG" {
+                return;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway did not get ready");
+    }
+}
+
+pub const CUSTOMER: &str = "00000000b4d65521";
+
+pub fn command(words: &[&str]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        bytes.extend(format!("${}\r\n{word}\r\n", word.len()).into_bytes());
+    }
+    bytes
+}
+
+/// What a peer that speaks RESP saw.
+enum Saw {
+    Command(Seen),
+    Ended(Conn),
+}
+
+/// Number of a peer, and of a connection to it in the order of coming.
+pub type Conn = (usize, u32);
+
+/// A command that has come whole, and the connection that it came on.
+pub struct Seen {
+    pub conn: Conn,
+    pub words: Vec<String>,
+    stream: TcpStream,
+}
+
+impl Seen {
+    pub fn write(&mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).unwrap();
+    }
+    /// Writes to a connection that may be gone.
+    pub fn write_late(&mut self, bytes: &str) {
+        let _ = self.stream.write_all(bytes.as_bytes());
+    }
+    pub fn serve(&mut self, value: &str) {
+        self.write(&format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()));
+    }
+    pub fn close(self) {
+        self.stream.shutdown(Shutdown::Both).unwrap();
+    }
+}
+
+/// Hosts or counters: what comes to any of them goes to the test.
+pub struct Peers {
+    pub addrs: Vec<SocketAddr>,
+    saw: Receiver<Saw>,
+}
+
+impl Peers {
+    pub fn start(count: usize) -> Self {
+        let (tell, saw) = channel();
+        let listen = |peer| {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let (addr, tell) = (listener.local_addr().unwrap(), tell.clone());
+            thread::spawn(move || {
+                for (number, stream) in (0..).zip(listener.incoming()) {
+                    let (Ok(stream), tell) = (stream, tell.clone()) else { return };
+                    thread::spawn(move || read_commands((peer, number), stream, &tell));
+                }
+            });
+            addr
+        };
+        Peers { addrs: (0..count).map(listen).collect(), saw }
+    }
+
+    pub fn command(&self) -> Seen {
+        loop {
+            if let Saw::Command(seen) = next(&self.saw, "a command") {
+                return seen;
+            }
+        }
+    }
+
+    /// Waits for the end of a connection on which nothing more comes.
+    pub fn end(&self, conn: Conn) {
+        loop {
+            match next(&self.saw, "the end of a connection") {
+                Saw::Ended(ended) if ended == conn => return,
+                Saw::Ended(_) => {}
+                Saw::Command(seen) => panic!("a command in place of the end: {:?}", seen.words),
+            }
+        }
+    }
+
+    /// Commands that have come and were not asked for.
+    pub fn others(&self) -> usize {
+        self.saw.try_iter().filter(|saw| matches!(saw, Saw::Command(_))).count()
+    }
+}
+
+fn read_commands(conn: Conn, stream: TcpStream, tell: &Sender<Saw>) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(words) = read_command(&mut reader) {
+        let stream = stream.try_clone().unwrap();
+        if tell.send(Saw::Command(Seen { conn, words, stream })).is_err() {
+            return;
+        }
+    }
+    let _ = tell.send(Saw::Ended(conn));
+}
+
+fn read_command(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let number = |reader: &mut BufReader<TcpStream>| -> Option<usize> {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        line.get(1..)?.trim_end().parse().ok()
+    };
+    let count = number(reader)?;
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let mut value = vec![0; number(reader)? + 2];
+        reader.read_exact(&mut value).ok()?;
+        value.truncate(value.len() - 2);
+        words.push(String::from_utf8(value).ok()?);
+    }
+    Some(words)
+}
+
+/// Discovery: each watch goes to the test.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    watches: Receiver<Watch>,
+}
+
+pub struct Watch {
+    pub path: String,
+    stream: TcpStream,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (tell, watches) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let mut head = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+                let path = head.next().unwrap_or_default();
+                head.find(|line| line.is_empty());
+                if tell.send(Watch { path, stream }).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { addr, watches }
+    }
+
+    pub fn watch(&self) -> Watch {
+        let mut watch = next(&self.watches, "a watch");
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        watch
+    }
+}
+
+impl Watch {
+    fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+    pub fn tell(&mut self, list: &Value) {
+        let line = format!("{list}\n");
+        self.write(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+    pub fn close(self) {
+        self.stream.shutdown(Shutdown::Both).unwrap();
+    }
+}
+
+/// A listener whose backlog is full: connections to it stay on their way. Keep the streams.
+pub fn full_backlog() -> (SocketAddr, socket2::Socket, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    let connect = || TcpStream::connect_timeout(&addr, Duration::from_millis(300)).ok();
+    (addr, socket, std::iter::from_fn(connect).collect())
+}
