Drop idle connections of a host that is silent through a time-out

Found by reading the protocol's part on machines that vanish: their open connections stay open and silent. The pool (hosts.rs, stop) kept idle ones of such a host, and an unsafe request written to one ends as timed out, which may have run, where a new connection that never comes up proves that it never did. Ruled out: TCP keep-alive (does not notice, says the protocol) and dropping on any time-out (a host that is only slow still answers others). The new test fails without the mend: the second idle connection stays open. Also tested: counter rows, late counter answers, RESP bounds, new connections after SIGTERM.

--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -276,3 +276,110 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    const SECOND: Span = 1_000_000_000;
+    const NAME: CountName = CountName(10);
+
+    /// A counter whose service is the listener, given up by the test alone or after a `patience`.
+    async fn counter(patience: Span) -> (Counter, TcpListener, UnboundedReceiver<Input>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (tell, inbox) = mpsc::unbounded_channel();
+        let address = Some(listener.local_addr().unwrap());
+        (Counter::new(address, Clock::start(), tell, patience), listener, inbox)
+    }
+
+    async fn call(counter: &mut Counter) -> CallId {
+        counter.call(NAME, -2.5, 4 * SECOND).unwrap().0
+    }
+
+    async fn event(inbox: &mut UnboundedReceiver<Input>) -> CounterEvent {
+        match timeout(Duration::from_secs(20), inbox.recv()).await.unwrap() {
+            Some(Input::Counter(event)) => event,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn expect_command(stream: &mut TcpStream) {
+        let wanted = b"*4\r\n$6\r\nADDGET\r\n$16\r\n000000000000000a\r\n$9\r\n-2.500000\r\n$4\r\n4000\r\n";
+        let mut got = vec![0; wanted.len()];
+        stream.read_exact(&mut got).await.unwrap();
+        assert_eq!(String::from_utf8_lossy(&got), String::from_utf8_lossy(wanted));
+    }
+
+    #[tokio::test]
+    async fn a_late_answer_is_not_taken_for_the_next_call() {
+        let (mut counter, listener, mut inbox) = counter(20 * SECOND).await;
+        let first = call(&mut counter).await;
+        let mut service = listener.accept().await.unwrap().0;
+        expect_command(&mut service).await;
+        assert_eq!(counter.give_up(first).unwrap().outcome, Outcome::Timeout, "it may have been added");
+        call(&mut counter).await;
+        expect_command(&mut service).await;
+        service.write_all(b"$1\r\n3\r\n$1\r\n7\r\n").await.unwrap();
+        assert!(counter.on_event(event(&mut inbox).await).is_none(), "given up before");
+        let second = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!((second.outcome, second.total), (Outcome::Ok, 7.0));
+    }
+
+    #[tokio::test]
+    async fn a_call_given_up_before_it_was_written_is_never_written() {
+        let (mut counter, listener, mut inbox) = counter(20 * SECOND).await;
+        let first = call(&mut counter).await;
+        assert_eq!(counter.give_up(first).unwrap().outcome, Outcome::NoConnection, "nothing was added");
+        call(&mut counter).await;
+        let mut service = listener.accept().await.unwrap().0;
+        expect_command(&mut service).await;
+        service.write_all(b"$1\r\n7\r\n").await.unwrap();
+        let second = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!((second.outcome, second.total), (Outcome::Ok, 7.0));
+    }
+
+    #[tokio::test]
+    async fn outcomes_follow_the_protocols_table() {
+        for (answer, wanted) in [
+            ("-BUSY\r\n", Outcome::Full),
+            ("-ERR no such call\r\n", Outcome::Full),
+            ("$3\r\nnan\r\n", Outcome::Timeout),
+            (":7\r\n", Outcome::Timeout),
+            ("", Outcome::Timeout),
+        ] {
+            let (mut counter, listener, mut inbox) = counter(20 * SECOND).await;
+            call(&mut counter).await;
+            let mut service = listener.accept().await.unwrap().0;
+            expect_command(&mut service).await;
+            service.write_all(answer.as_bytes()).await.unwrap();
+            drop(service);
+            let ended = counter.on_event(event(&mut inbox).await).unwrap();
+            assert_eq!(ended.outcome, wanted, "{answer:?}");
+        }
+    }
+
+    #[tokio::test]
+    async fn nobody_listening_adds_nothing() {
+        let (mut counter, listener, mut inbox) = counter(20 * SECOND).await;
+        drop(listener);
+        call(&mut counter).await;
+        let ended = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!(ended.outcome, Outcome::NoConnection);
+    }
+
+    #[tokio::test]
+    async fn a_silent_connection_is_replaced() {
+        let (mut counter, listener, mut inbox) = counter(SECOND / 20).await;
+        call(&mut counter).await;
+        let mut silent = listener.accept().await.unwrap().0;
+        expect_command(&mut silent).await;
+        let ended = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!(ended.outcome, Outcome::Timeout);
+        assert!(matches!(event(&mut inbox).await, CounterEvent::Down(_)));
+        call(&mut counter).await;
+        let mut fresh = listener.accept().await.unwrap().0;
+        expect_command(&mut fresh).await;
+    }
+}
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -72,6 +72,8 @@
     idle: Vec<ConnId>,
     waiting: VecDeque<AttemptKey>,
     dialing: usize,
+    /// When it last answered anything.
+    heard: Time,
 }
 
 struct Conn {
@@ -263,9 +265,13 @@
     /// connection is what tells the host.
     pub fn stop(&mut self, key: AttemptKey, withdrawn: bool) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        let (server, conn) = (attempt.server, attempt.conn.and_then(|id| self.conns.remove(&id)));
+        let (server, attempt_sent) = (attempt.server, attempt.sent);
+        let conn = attempt.conn.and_then(|id| self.conns.remove(&id));
         let sent = conn.is_some_and(|conn| conn.sent.load(Ordering::Relaxed));
         self.unqueue(server, key);
+        if sent && !withdrawn {
+            self.distrust(server, attempt_sent);
+        }
         let outcome = match (withdrawn, sent) {
             (true, true) => Outcome::Cancelled,
             (true, false) => Outcome::Moot,
@@ -275,6 +281,16 @@
         self.finish(key, outcome);
     }
 
+    /// A host cut off leaves its connections open and silent. One that has said nothing since an attempt that
+    /// timed out keeps no idle ones: a new one that fails to come up proves that a request never ran, which
+    /// an unsafe one survives; one written to a dead connection does not.
+    fn distrust(&mut self, server: ServerId, since: Time) {
+        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.heard < since) else { return };
+        for conn in host.idle.drain(..) {
+            self.conns.remove(&conn);
+        }
+    }
+
     /// Takes in what a connection tells.
     pub fn on_event(&mut self, event: HostEvent) {
         match event {
@@ -286,7 +302,10 @@
                 self.free(id);
             }
             HostEvent::Answered(id, frame) => {
-                let Some(key) = self.conns.get_mut(&id).and_then(|conn| conn.busy.take()) else { return };
+                let Some(conn) = self.conns.get_mut(&id) else { return };
+                let (server, Some(key)) = (conn.server, conn.busy.take()) else { return };
+                let now = self.clock.now();
+                self.hosts.entry(server).and_modify(|host| host.heard = now);
                 if self.answered(key, frame) {
                     self.free(id);
                 } else {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 use sockets::*;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Where nobody listens.
 const NOWHERE: &str = "127.0.0.1:9";
@@ -147,6 +148,27 @@
     assert_eq!(client.answer(), "own");
 }
 
+#[test]
+fn a_host_silent_through_a_time_out_keeps_no_idle_connections() {
+    let mut settings = settings();
+    settings["services"][1]["aim"] = 700_000_000u64.into();
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings, &host);
+    let (mut client, mut other) = (gateway.client(), gateway.client());
+    client.get(1);
+    let mut first = host.command();
+    other.get(2);
+    let mut second = host.command();
+    first.serve("one");
+    assert_eq!(client.answer(), "one");
+    second.serve("two");
+    assert_eq!(other.answer(), "two");
+    client.post(3, "body");
+    assert_eq!(host.command().conn, second.conn, "the newest idle one is used");
+    assert_eq!(client.answer(), "-ERR failed");
+    host.end(first.conn);
+}
+
 #[test]
 fn a_safe_call_is_repeated_after_a_break() {
     let host = Peers::start(1);
@@ -327,7 +349,7 @@
     let mut seen = host.command();
     seen.serve("served");
     assert_eq!(client.answer(), "served");
-    let idle = std::time::Instant::now();
+    let idle = Instant::now();
     host.end(seen.conn);
     assert!(idle.elapsed().as_millis() >= 900, "not at once: it may be used again");
 }
@@ -377,6 +399,33 @@
     assert!(gateway.exit().success());
 }
 
+#[test]
+fn for_a_while_after_sigterm_new_connections_are_served() {
+    // A machine too busy to connect in time tells nothing: then once more.
+    let in_time = (0..10).any(|_| {
+        let host = Peers::start(1);
+        let (mut gateway, _discovery) = before(settings(), &host);
+        let mut early = gateway.client();
+        early.post(1, "body");
+        let mut held = host.command();
+        let start = Instant::now();
+        gateway.terminate();
+        let late = gateway.try_client();
+        if start.elapsed() > Duration::from_millis(250) {
+            return false;
+        }
+        let mut late = late.expect("a connection soon after SIGTERM");
+        late.get(2);
+        host.command().serve("served");
+        assert_eq!(late.answer(), "served");
+        held.serve("held");
+        assert_eq!(early.answer(), "held");
+        assert!(gateway.exit().success());
+        true
+    });
+    assert!(in_time);
+}
+
 #[test]
 fn a_missing_or_bad_configuration_is_one_line_and_a_failure() {
     let bad = std::env::temp_dir().join(format!("fennelbeam-bad-{}.json", std::process::id()));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -91,9 +91,13 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        Client { stream: BufReader::new(stream) }
+        self.try_client().unwrap()
+    }
+
+    pub fn try_client(&self) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(self.addr)?;
+        stream.set_read_timeout(Some(LONG))?;
+        Ok(Client { stream: BufReader::new(stream) })
     }
 
     pub fn terminate(&self) {
