Bound the commands in hand over all client connections

Found by adding up what clients may make us hold: 595 connections of 16 commands, each with a body and a value of 64 KiB, come to over 1 GB where the limit is 192 MB (clients.rs bounded each connection only). Now every command takes one of 512 permits until its answer has left; connections without one are not read. The new test sees a third command taken without the bound. PONG is also withheld while no list of hosts is known at all.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
@@ -58,7 +58,8 @@
     tokio::spawn(discovery::watch(config.discovery, config.known.generation, inputs.clone()));
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let (ids, crowded) = Default::default();
-    let context = Context { site, clock, gateway: inputs, phase: phases, ids, crowded };
+    let room = Arc::new(Semaphore::new(clients::MAX_IN_HAND));
+    let context = Context { site, clock, gateway: inputs, phase: phases, ids, crowded, room };
     let accepting = tokio::spawn(clients::accept(listener, for_clients, context));
     tracing::info!("{} listens on {address}", config.name);
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -23,6 +23,9 @@
 
 /// Commands of one connection that may wait for their answers; then reading stops.
 const MAX_PIPELINE: usize = 16;
+/// Commands in hand on all connections together. Each may hold a body and a value of the greatest length, so
+/// this bounds the memory that clients slow to read can make us hold; far above what a day's peak needs.
+pub const MAX_IN_HAND: usize = 512;
 /// A client that takes nothing of its answers for this long has gone.
 const STALLED: Duration = Duration::from_secs(3);
 const LINGER: Duration = Duration::from_millis(500);
@@ -79,6 +82,8 @@
     pub ids: Arc<AtomicU64>,
     /// Asks the connection that has been idle longest to make room.
     pub crowded: Arc<Notify>,
+    /// A permit for each command in hand.
+    pub room: Arc<Semaphore>,
 }
 
 /// Listens on the given address only.
@@ -155,6 +160,10 @@
     answers: UnboundedSender<(u64, Answer)>,
     /// Nothing more is read: the client has sent what cannot be followed.
     broken: bool,
+    /// Permits for the commands whose answers have not left yet.
+    room: Option<OwnedSemaphorePermit>,
+    /// No permit was to be had for the next command.
+    starved: bool,
 }
 
 async fn serve(mut stream: TcpStream, context: Context, _permit: OwnedSemaphorePermit) {
@@ -168,6 +177,8 @@
         first_slot: 0,
         answers,
         broken: false,
+        room: None,
+        starved: false,
     };
     let ended = connection.run(&mut stream, inbox).await;
     connection.leave();
@@ -195,6 +206,7 @@
         mut inbox: UnboundedReceiver<(u64, Answer)>,
     ) -> Result<End, RespError> {
         let (mut phase, crowded) = (self.context.phase.clone(), self.context.crowded.clone());
+        let room = self.context.room.clone();
         let (mut reader, mut writer) = stream.split();
         loop {
             self.flush_ready();
@@ -206,7 +218,7 @@
                 return Ok(End::Answered);
             }
             // A client that is slow to read its answers is not read from either.
-            let reading = !self.broken && !writing && self.slots.len() < MAX_PIPELINE;
+            let reading = !self.broken && !writing && !self.starved && self.slots.len() < MAX_PIPELINE;
             tokio::select! {
                 biased;
                 Some((slot, answer)) = inbox.recv() => {
@@ -222,6 +234,10 @@
                     read?;
                     self.take_commands();
                 }
+                permit = room.clone().acquire_owned(), if self.starved => {
+                    self.keep(permit.map_err(|_| RespError::Closed)?);
+                    self.take_commands();
+                }
                 () = crowded.notified(), if idle => return Ok(End::MadeRoom),
                 changed = phase.changed(), if !closing => changed.map_err(|_| RespError::Closed)?,
             }
@@ -251,13 +267,43 @@
                 }
             }
         }
-        if self.slots.len() < MAX_PIPELINE && !self.input.is_empty() {
+        if !self.output.has_remaining() {
+            self.give_back();
+        }
+        if !self.starved {
             self.take_commands();
         }
     }
 
+    /// Permits beyond those of commands that still wait go back once their answers have left.
+    fn give_back(&mut self) {
+        if let Some(room) = &mut self.room {
+            drop(room.split(room.num_permits().saturating_sub(self.slots.len())));
+        }
+    }
+
+    fn keep(&mut self, permit: OwnedSemaphorePermit) {
+        self.starved = false;
+        match &mut self.room {
+            Some(room) => room.merge(permit),
+            none => *none = Some(permit),
+        }
+    }
+
+    /// Whether there is room for one more command.
+    fn reserve(&mut self) -> bool {
+        if self.room.as_ref().is_some_and(|room| room.num_permits() > self.slots.len()) {
+            return true;
+        }
+        match self.context.room.clone().try_acquire_owned() {
+            Ok(permit) => self.keep(permit),
+            Err(_) => self.starved = true,
+        }
+        !self.starved
+    }
+
     fn take_commands(&mut self) {
-        while !self.broken && self.slots.len() < MAX_PIPELINE {
+        while !self.broken && self.slots.len() < MAX_PIPELINE && !self.input.is_empty() && self.reserve() {
             match resp::decode(&mut self.input) {
                 Ok(None) => return,
                 Ok(Some(Frame::Array(words))) if !words.is_empty() => self.take_command(&words),
@@ -314,3 +360,64 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context, UnboundedReceiver<Input>) {
+        let settings = json!({
+            "services": [{"name": "read", "semantics": "safe", "hard-limit": 1_000_000_000u64}],
+            "tariffs": [{"name": "team"}],
+        });
+        let (gateway, inbox) = mpsc::unbounded_channel();
+        let context = Context {
+            site: Arc::new(Site::parse(&settings).unwrap()),
+            clock: Clock::start(),
+            gateway,
+            phase,
+            ids: Arc::default(),
+            crowded: Arc::default(),
+            room: Arc::new(Semaphore::new(room)),
+        };
+        (context, inbox)
+    }
+
+    async fn request(inbox: &mut UnboundedReceiver<Input>) -> Incoming {
+        match timeout(Duration::from_secs(20), inbox.recv()).await.unwrap() {
+            Some(Input::Request(incoming)) => *incoming,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[tokio::test]
+    async fn commands_in_hand_are_bounded_over_all_connections() {
+        let (_phase, phases) = watch::channel(Phase::Ready);
+        let (context, mut inbox) = context(2, phases);
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(accept(listener, 8, context));
+        let mut call = BytesMut::new();
+        resp::put_header(&mut call, b'*', 4);
+        for word in ["CALL.GET", "0000000000000001", "0000000000000002", "c=read,t=team,d=900"] {
+            resp::put_bulk(&mut call, word.as_bytes());
+        }
+        let mut client = TcpStream::connect(address).await.unwrap();
+        client.write_all(&call.repeat(2)).await.unwrap();
+        let (first, second) = (request(&mut inbox).await, request(&mut inbox).await);
+        let mut other = TcpStream::connect(address).await.unwrap();
+        other.write_all(&call).await.unwrap();
+        let early = timeout(Duration::from_millis(300), inbox.recv()).await;
+        assert!(early.is_err(), "a third was taken: {early:?}");
+        first.reply.answer(Answer::Failed);
+        request(&mut inbox).await.reply.answer(Answer::Busy(None));
+        second.reply.answer(Answer::Failed);
+        let mut answers = [0; 26];
+        client.read_exact(&mut answers).await.unwrap();
+        assert_eq!(&answers, b"-ERR failed\r\n-ERR failed\r\n");
+        let mut answer = [0; 7];
+        other.read_exact(&mut answer).await.unwrap();
+        assert_eq!(&answer, b"-BUSY\r\n");
+    }
+}
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -91,7 +91,9 @@
             phase,
             unanswered: watch::Sender::new(0),
         };
-        gateway.set_timer(clock.now() + KNOWN_WILL_DO, Timer::Ready);
+        if !config.known.instances.is_empty() {
+            gateway.set_timer(clock.now() + KNOWN_WILL_DO, Timer::Ready);
+        }
         gateway.on_hosts(&config.known, ListKind::Cached);
         gateway
     }
