Tell of ended attempts in the module's own terms; test refusals and stuck clients

The pool repeated the fields of api::Ended; it now fills one. No change in what is done. New tests over sockets: what lies beyond the quota is refused at once, with advice only where allowed, and a client stuck within a command does not hold up a stop.

--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -191,20 +191,11 @@
     /// Tells the module of the attempts that have ended; the first value goes to the client on its own.
     fn report_finished(&mut self) {
         while let Some(finished) = self.hosts.finished() {
-            let Finished { key: (id, attempt), server, sent, outcome, value, .. } = finished;
-            let closed = self.served(id, value);
-            let took = self.clock.now().saturating_sub(sent);
-            self.tell(Event::Ended(Ended {
-                id,
-                attempt,
-                server,
-                outcome,
-                took,
-                closed,
-                used: finished.used,
-                true_units: finished.true_units,
-                report: finished.report,
-            }));
+            let Finished { mut ended, sent, value } = finished;
+            let id = ended.id;
+            ended.closed = self.served(id, value);
+            ended.took = self.clock.now().saturating_sub(sent);
+            self.tell(Event::Ended(ended));
             self.forget(id);
         }
     }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -8,7 +8,7 @@
 use super::resp::{self, Frame, RespError};
 use bytes::{Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam::api::{ListKind, Outcome, Report, RequestId, ServerEntry, ServerId, ServerState, Span, Time};
+use fennelbeam::api::{Ended, ListKind, Outcome, RequestId, ServerEntry, ServerId, ServerState, Span, Time};
 use fennelbeam::wire::Site;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, VecDeque};
@@ -30,17 +30,13 @@
 /// Number of a connection; never used twice.
 pub type ConnId = u64;
 
-/// How an attempt ended.
+/// An attempt that has ended, as the module is told of it but for what only the gateway knows.
 #[derive(Debug)]
 pub struct Finished {
-    pub key: AttemptKey,
-    pub server: ServerId,
+    pub ended: Ended,
     pub sent: Time,
-    pub outcome: Outcome,
+    /// What goes to the client.
     pub value: Option<Bytes>,
-    pub used: Option<f64>,
-    pub true_units: Option<f64>,
-    pub report: Option<Report>,
 }
 
 /// What a connection tells.
@@ -382,22 +378,24 @@
 
 impl Finished {
     fn new(key: AttemptKey, attempt: &Attempt, outcome: Outcome) -> Self {
-        Finished {
-            key,
+        let ended = Ended {
+            id: key.0,
+            attempt: key.1,
             server: attempt.server,
-            sent: attempt.sent,
             outcome,
-            value: None,
+            took: 0,
+            closed: false,
             used: None,
             true_units: None,
             report: None,
-        }
+        };
+        Finished { ended, sent: attempt.sent, value: None }
     }
 
     fn served(&mut self, site: &Site, parts: Vec<Frame>) -> bool {
         let mut parts = parts.into_iter();
         let Some(Frame::Bulk(value)) = parts.next() else { return false };
-        (self.outcome, self.value) = (Outcome::Ok, Some(value));
+        (self.ended.outcome, self.value) = (Outcome::Ok, Some(value));
         for part in parts {
             if let Frame::Bulk(text) = part {
                 self.figures(site, &text);
@@ -408,7 +406,7 @@
 
     fn failed(&mut self, site: &Site, text: &[u8]) -> bool {
         let busy = text == b"BUSY" || text.starts_with(b"BUSY ");
-        self.outcome = if busy { Outcome::Full } else { Outcome::Error };
+        self.ended.outcome = if busy { Outcome::Full } else { Outcome::Error };
         text.split(|b| *b == b' ').for_each(|word| self.figures(site, word));
         true
     }
@@ -419,10 +417,10 @@
         for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
             let Some(value) = value.parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
             match name {
-                "used" => self.used = Some(value / 100.0),
-                "cost" => self.true_units = Some(value),
+                "used" => self.ended.used = Some(value / 100.0),
+                "cost" => self.ended.true_units = Some(value),
                 _ if site.fields.iter().any(|f| f == name) => {
-                    self.report.get_or_insert_default().set(name, value);
+                    self.ended.report.get_or_insert_default().set(name, value);
                 }
                 _ => {}
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -276,6 +276,26 @@
     assert!(clients[0].ended(), "the one that has been idle longest went first");
 }
 
+#[test]
+fn beyond_the_quota_is_refused_at_once_with_the_advice_that_is_allowed() {
+    for (advice, wanted) in [(false, "-BUSY"), (true, "-BUSY 1500")] {
+        let mut settings = settings();
+        settings["allowed"]["retry-after"] = advice.into();
+        settings["allowed"]["max-retry-after"] = 1_500_000_000u64.into();
+        settings["tariffs"][0]["refill"] = 0.001.into();
+        settings["tariffs"][0]["burst"] = 3.0.into();
+        let host = Peers::start(1);
+        let (gateway, _discovery) = before(settings, &host);
+        let mut client = gateway.client();
+        client.get(1);
+        host.command().serve("inside");
+        assert_eq!(client.answer(), "inside");
+        client.get(2);
+        assert_eq!(client.answer(), wanted);
+        assert_eq!(host.others(), 0);
+    }
+}
+
 // Hosts that come and go
 
 #[test]
@@ -399,6 +419,23 @@
     assert!(gateway.exit().success());
 }
 
+#[test]
+fn a_client_stuck_within_a_command_does_not_hold_up_the_stop() {
+    let mut settings = settings();
+    for class in settings["services"].as_array_mut().unwrap() {
+        class["aim"] = 500_000_000u64.into();
+        class["hard-limit"] = 1_000_000_000u64.into();
+    }
+    let host = Peers::start(1);
+    let (mut gateway, _discovery) = before(settings, &host);
+    let mut stuck = gateway.client();
+    stuck.call(&["PING"]);
+    stuck.answer();
+    stuck.write(b"*4\r\n$8\r\nCALL");
+    gateway.terminate();
+    assert!(gateway.exit().success());
+}
+
 #[test]
 fn for_a_while_after_sigterm_new_connections_are_served() {
     // A machine too busy to connect in time tells nothing: then once more.
