--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -101,8 +101,8 @@
     }
 
     pub fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
     pub fn exit(&mut self) -> ExitStatus {
