--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -371,7 +371,7 @@
 
     #[tokio::test]
     async fn a_silent_connection_is_replaced() {
-        let (mut counter, listener, mut inbox) = counter(SECOND / 20).await;
+        let (mut counter, listener, mut inbox) = counter(SECOND / 2).await;
         call(&mut counter).await;
         let mut silent = listener.accept().await.unwrap().0;
         expect_command(&mut silent).await;
