Take new addresses of discovery and counter on SIGHUP

Ruled out: a crash of its own (the exit code is the signal's). The handler stands before the configuration is read. Discovery's task turns to the new address and asks for the whole list before it watches; counter links of the old address take no new call, and end when the answers that are due have come. A bad file changes nothing but a line in the log. One unreadable entry no longer voids a list (discovery.rs parsed all or nothing).

Tests: sighup_*, an_entry_that_cannot_be_read_*, at_a_new_address_calls_on_old_links_finish.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,12 +9,14 @@
 use net::config::Config;
 use net::counter;
 use net::discovery;
-use net::gateway::Gateway;
+use net::gateway::{Gateway, Input};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
@@ -36,13 +38,14 @@
 }
 
 fn run() -> Result<()> {
-    let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(config))
+    runtime.block_on(serve())
 }
 
-async fn serve(config: Config) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
+async fn serve() -> Result<()> {
+    // Before all else: without a handler either signal ends the process.
+    let (mut terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let config = Config::from_env()?;
     let listener =
         clients::listen(config.listen).with_context(|| format!("cannot listen on {}", config.listen))?;
     let address = listener.local_addr()?;
@@ -55,7 +58,9 @@
     let gateway = Gateway::new(&config, site.clone(), clock, &inputs, for_hosts, phase.clone());
     let unanswered = gateway.unanswered();
     tokio::spawn(gateway.run(inbox));
-    tokio::spawn(discovery::watch(config.discovery, config.known.generation, inputs.clone()));
+    let (agent, agents) = watch::channel(config.discovery);
+    tokio::spawn(discovery::watch(agents, config.known.generation, inputs.clone()));
+    tokio::spawn(reload(hangup, agent, inputs.clone()));
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let (ids, crowded) = Default::default();
     let room = Arc::new(Semaphore::new(clients::MAX_IN_HAND));
@@ -72,6 +77,22 @@
     Ok(())
 }
 
+/// At each SIGHUP reads the configuration again, for the addresses of discovery and the counter only.
+async fn reload(mut hangup: Signal, agent: watch::Sender<SocketAddr>, gateway: UnboundedSender<Input>) {
+    while hangup.recv().await.is_some() {
+        let config = match Config::from_env() {
+            Ok(config) => config,
+            Err(error) => {
+                tracing::warn!("configuration kept as it was: {error:#}");
+                continue;
+            }
+        };
+        agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
+        let _ = gateway.send(Input::CounterAt(config.counter));
+        tracing::info!("configuration read again");
+    }
+}
+
 /// Accepts a while longer, then answers what was taken and lets connections close between requests.
 async fn stop(
     accepting: tokio::task::AbortHandle,
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -89,6 +89,15 @@
         Counter { address, clock, gateway, patience, links: Vec::new(), calls: HashMap::new(), next: 0 }
     }
 
+    /// New calls go to this address. Those on their way finish where they are: a link without a sender ends
+    /// once its answers are in.
+    pub fn move_to(&mut self, address: Option<SocketAddr>) {
+        if self.address != address {
+            self.address = address;
+            self.links.clear();
+        }
+    }
+
     /// Makes a call; `None`: it could not be written anywhere, so nothing was added.
     pub fn call(&mut self, name: CountName, amount: f64, keep: Span) -> Option<(CallId, Time)> {
         let started = self.clock.now();
@@ -204,19 +213,25 @@
     ) -> Result<(), RespError> {
         let mut buf = BytesMut::new();
         let mut heard = Instant::now();
+        let mut open = true;
         let (mut reader, mut writer) = stream.split();
         loop {
             let waiting = !self.answers.is_empty();
+            if !open && !waiting {
+                return Ok(());
+            }
             let limit = if waiting { self.silence } else { IDLE };
             tokio::select! {
                 biased;
-                job = jobs.recv() => {
-                    let Some(job) = job else { return Ok(()) };
-                    if !waiting {
-                        heard = Instant::now();
+                job = jobs.recv(), if open => match job {
+                    Some(job) => {
+                        if !waiting {
+                            heard = Instant::now();
+                        }
+                        self.write(job, jobs, &mut writer).await?;
                     }
-                    self.write(job, jobs, &mut writer).await?;
-                }
+                    None => open = false,
+                },
                 read = resp::fill(&mut reader, &mut buf) => {
                     read?;
                     heard = Instant::now();
@@ -382,4 +397,20 @@
         let mut fresh = listener.accept().await.unwrap().0;
         expect_command(&mut fresh).await;
     }
+
+    #[tokio::test]
+    async fn at_a_new_address_calls_on_old_links_finish() {
+        let (mut counter, old, mut inbox) = counter(20 * SECOND).await;
+        call(&mut counter).await;
+        let mut service = old.accept().await.unwrap().0;
+        expect_command(&mut service).await;
+        let new = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        counter.move_to(Some(new.local_addr().unwrap()));
+        call(&mut counter).await;
+        let mut moved = new.accept().await.unwrap().0;
+        expect_command(&mut moved).await;
+        service.write_all(b"$1\r\n7\r\n").await.unwrap();
+        let ended = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!((ended.outcome, ended.total), (Outcome::Ok, 7.0));
+    }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,17 +1,20 @@
 //! The list of hosts: one watch on the discovery agent, resumed where it broke off.
 
 use super::gateway::Input;
-use anyhow::{bail, Context, Result};
+use anyhow::{anyhow, bail, Context, Result};
 use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// An empty line comes every 2 s: silence for well over that means that the connection is dead.
@@ -27,7 +30,7 @@
     pub generation: u64,
     #[serde(default)]
     pub reset: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     pub instances: Vec<HostEntry>,
 }
 
@@ -59,21 +62,65 @@
     Terminated,
 }
 
-/// Watches for as long as the gateway runs; the last list stays in force while discovery is away.
-pub async fn watch(agent: SocketAddr, mut after: u64, gateway: UnboundedSender<Input>) {
-    let mut pause = BACKOFF.0;
+/// Entries one by one: what cannot be read of one says nothing of the others.
+fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<HostEntry>, D::Error> {
+    let all = Vec::<Value>::deserialize(from)?;
+    let count = all.len();
+    let entries: Vec<HostEntry> = all.into_iter().filter_map(|e| HostEntry::deserialize(e).ok()).collect();
+    if entries.len() < count {
+        tracing::warn!("discovery: {} of {count} entries cannot be read", count - entries.len());
+    }
+    if entries.is_empty() && count > 0 {
+        return Err(D::Error::custom("no entry can be read"));
+    }
+    Ok(entries)
+}
+
+/// Watches for as long as the gateway runs; the last list stays in force while discovery is away. At a new
+/// address the whole list is asked for: its versions need not compare with those of the old one.
+pub async fn watch(mut agents: watch::Receiver<SocketAddr>, known: u64, gateway: UnboundedSender<Input>) {
+    let (mut after, mut pause) = (Some(known), BACKOFF.0);
     loop {
-        let before = after;
-        if let Err(error) = watch_once(agent, &mut after, &gateway).await {
-            tracing::warn!("discovery: {error:#}");
+        let (agent, before) = (*agents.borrow_and_update(), after);
+        let turn = async {
+            if let Err(error) = watch_once(agent, &mut after, &gateway).await {
+                tracing::warn!("discovery: {error:#}");
+            }
+            pause = if after == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
+            tokio::time::sleep(pause).await;
+        };
+        tokio::select! {
+            () = turn => {}
+            moved = agents.changed() => match moved {
+                Ok(()) => (after, pause) = (None, BACKOFF.0),
+                Err(_) => return,
+            },
         }
-        pause = if after == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
-        tokio::time::sleep(pause).await;
     }
 }
 
-async fn watch_once(agent: SocketAddr, after: &mut u64, gateway: &UnboundedSender<Input>) -> Result<()> {
-    let mut body = timeout(SILENCE, open(agent, *after)).await.context("no answer")??;
+async fn watch_once(
+    agent: SocketAddr,
+    after: &mut Option<u64>,
+    gateway: &UnboundedSender<Input>,
+) -> Result<()> {
+    let tell = |line: &[u8]| {
+        let list: HostList = serde_json::from_slice(line).context("not a list of hosts")?;
+        let generation = list.generation;
+        gateway.send(Input::Hosts(list)).context("the gateway has stopped")?;
+        anyhow::Ok(generation)
+    };
+    let from = match *after {
+        Some(generation) => generation,
+        None => {
+            let body = timeout(SILENCE, open(agent, "/registry/instances")).await.context("no answer")??;
+            let list = timeout(SILENCE, Limited::new(body, MAX_LINE).collect()).await.context("silent")?;
+            tell(&list.map_err(|error| anyhow!("not a list of hosts: {error}"))?.to_bytes())?
+        }
+    };
+    *after = Some(from);
+    let path = format!("/registry/instances?watch=1&after={from}");
+    let mut body = timeout(SILENCE, open(agent, &path)).await.context("no answer")??;
     let mut buf = BytesMut::new();
     loop {
         let frame = timeout(SILENCE, body.frame()).await.context("silent")?.context("watch ended")??;
@@ -83,9 +130,7 @@
             let line = buf.split_to(end);
             buf.advance(1);
             if !line.trim_ascii().is_empty() {
-                let list: HostList = serde_json::from_slice(&line).context("not a list of hosts")?;
-                *after = list.generation;
-                gateway.send(Input::Hosts(list)).context("the gateway has stopped")?;
+                *after = Some(tell(&line)?);
             }
         }
         if buf.len() > MAX_LINE {
@@ -94,14 +139,12 @@
     }
 }
 
-async fn open(agent: SocketAddr, after: u64) -> Result<Incoming> {
+async fn open(agent: SocketAddr, path: &str) -> Result<Incoming> {
     let stream = timeout(CONNECT, TcpStream::connect(agent)).await.context("no connection")??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    let request = Request::get(format!("/registry/instances?watch=1&after={after}"))
-        .header(header::HOST, agent.to_string())
-        .body(Empty::<Bytes>::new())?;
+    let request = Request::get(path).header(header::HOST, agent.to_string()).body(Empty::<Bytes>::new())?;
     let answer = sender.send_request(request).await?;
     if answer.status() != StatusCode::OK {
         bail!("status {}", answer.status());
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -14,6 +14,7 @@
 use fennelbeam::wire::Site;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -36,6 +37,8 @@
     Host(HostEvent),
     Counter(CounterEvent),
     Hosts(HostList),
+    /// Where the counter is from now on.
+    CounterAt(Option<SocketAddr>),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -134,6 +137,7 @@
                     self.on_counted(counted);
                 }
             }
+            Input::CounterAt(address) => self.counter.move_to(address),
             Input::Hosts(list) => {
                 self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
                 self.ready();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -400,6 +400,69 @@
     let _next = discovery.watch();
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_leaves_the_others() {
+    let host = Peers::start(1);
+    let (gateway, discovery) = before(settings(), &Peers::start(0));
+    let mut watch = discovery.watch();
+    let mut bad = host_line("s-1", host.addrs[0], "in_service", 0);
+    bad["hostPort"] = "nowhere".into();
+    watch.tell(&list(2, true, &[bad, host_line("s-0", host.addrs[0], "in_service", 0)]));
+    let mut client = gateway.client();
+    client.until_ready();
+    client.get(1);
+    host.command().serve("served");
+    assert_eq!(client.answer(), "served");
+}
+
+// New configurations
+
+#[test]
+fn sighup_moves_discovery_and_asks_there_for_the_whole_list() {
+    let (old, new) = (Peers::start(1), Peers::start(1));
+    let (mut gateway, _discovery) = before(settings(), &old);
+    let mut client = gateway.client();
+    for text in ["", "{\"name\": 3}"] {
+        gateway.reload_text(text);
+        client.get(1);
+        old.command().serve("a bad file changes nothing");
+        assert_eq!(client.answer(), "a bad file changes nothing");
+    }
+    let moved = Discovery::start();
+    gateway.reload(moved.addr, NOWHERE.parse().unwrap());
+    let asked = moved.asked();
+    assert!(asked.path.starts_with("GET /registry/instances "), "{}", asked.path);
+    client.get(2);
+    old.command().serve("the last list stays until then");
+    assert_eq!(client.answer(), "the last list stays until then");
+    // A version lower than that of the old address is no reason to doubt it.
+    asked.answer(&list(0, true, &[host_line("s-9", new.addrs[0], "in_service", 0)]));
+    let watch = moved.watch();
+    assert!(watch.path.contains("watch=1&after=0 "), "{}", watch.path);
+    client.get(3);
+    new.command().serve("from the new list");
+    assert_eq!(client.answer(), "from the new list");
+}
+
+#[test]
+fn sighup_several_times_and_while_stopping_is_no_crash() {
+    let host = Peers::start(1);
+    let (mut gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    client.post(1, "body");
+    let mut seen = host.command();
+    let agents: Vec<Discovery> = (0..3).map(|_| Discovery::start()).collect();
+    for agent in &agents {
+        gateway.reload(agent.addr, agent.addr);
+    }
+    agents[2].asked();
+    gateway.terminate();
+    gateway.reload(agents[0].addr, agents[0].addr);
+    seen.serve("served");
+    assert_eq!(client.answer(), "served");
+    assert!(gateway.exit().success());
+}
+
 // Start and stop
 
 #[test]
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -45,7 +45,8 @@
 /// The program under test; killed with the test.
 pub struct Gateway {
     child: Child,
-    config: PathBuf,
+    path: PathBuf,
+    config: Value,
     pub addr: SocketAddr,
 }
 
@@ -87,7 +88,7 @@
             }
         });
         let addr = next(&port, "the gateway to listen");
-        Gateway { child, config: path, addr }
+        Gateway { child, path, config, addr }
     }
 
     pub fn client(&self) -> Client {
@@ -100,8 +101,26 @@
         Ok(Client { stream: BufReader::new(stream) })
     }
 
+    /// Replaces the configuration, whole as a deployment does, and sends SIGHUP.
+    pub fn reload(&mut self, discovery: SocketAddr, counter: SocketAddr) {
+        self.config["discovery"] = discovery.to_string().into();
+        self.config["counter"] = counter.to_string().into();
+        self.reload_text(&self.config.to_string());
+    }
+
+    pub fn reload_text(&self, text: &str) {
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(&new, &self.path).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
@@ -121,7 +140,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -324,8 +343,13 @@
         Discovery { addr, watches }
     }
 
+    /// The next question, still without an answer.
+    pub fn asked(&self) -> Watch {
+        next(&self.watches, "a question")
+    }
+
     pub fn watch(&self) -> Watch {
-        let mut watch = next(&self.watches, "a watch");
+        let mut watch = self.asked();
         watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         watch
     }
@@ -335,6 +359,11 @@
     fn write(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).unwrap();
     }
+    /// Answers a question for the whole list.
+    pub fn answer(mut self, list: &Value) {
+        let body = list.to_string();
+        self.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
     pub fn tell(&mut self, list: &Value) {
         let line = format!("{list}\n");
         self.write(&format!("{:x}\r\n{line}\r\n", line.len()));
