Believe of peers only what the protocol and the settings can mean

Lines at fault: call.rs let any finite units, spread, first and a d of 49 days through, and gateway.rs another client's open id; hosts.rs reused a connection before it looked for what lay there (select took the job first), and its Down then counted against the host; figures were believed if finite; counter.rs took any -... for 'nothing added', half a line held a link for four time-outs, and a call given up made its stuck link look free.

--- a/src/net/call.rs
+++ b/src/net/call.rs
@@ -6,6 +6,12 @@
 use fennelbeam::wire::Site;
 
 const MS: Span = 1_000_000;
+/// Names in a call's list that mean something here, in the order in which `values` takes them apart.
+const NAMES: [&str; 7] = ["c", "t", "d", "r", "units", "spread", "first"];
+/// The longest list.
+const MAX_LIST: usize = 1024;
+/// Where the settings know no bound: far above any use, far below what would upset an account for long.
+const MAX_UNITS: f64 = 1e4;
 
 /// Why a command is no call that we take.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
@@ -29,6 +35,8 @@
 /// What goes on to a host unchanged, but for `d`.
 #[derive(Debug)]
 pub struct Call {
+    /// The id that the client gave it.
+    pub client_id: u64,
     head: [Bytes; 3],
     before: Bytes,
     after: Bytes,
@@ -74,7 +82,7 @@
         _ => return Err(CallError::Arguments),
     };
     let customer = hex(head[1]).filter(|c| *c < 1 << 33).ok_or(CallError::Customer)?;
-    hex(head[2]).ok_or(CallError::Value("id"))?;
+    let client_id = hex(head[2]).ok_or(CallError::Value("id"))?;
     let request = Request { id, customer: CustomerId(customer), ..Request::default() };
     let (request, d) = values(site, request, list)?;
     let class = site.settings.classes.get(request.class).ok_or(CallError::Class)?;
@@ -82,7 +90,7 @@
         return Err(CallError::Effect);
     }
     let (before, after) = (list.slice(..d.0), list.slice(d.1..));
-    Ok((request, Call { head: head.map(Bytes::clone), before, after, body }))
+    Ok((request, Call { client_id, head: head.map(Bytes::clone), before, after, body }))
 }
 
 fn hex(digits: &[u8]) -> Option<u64> {
@@ -90,37 +98,52 @@
     std::str::from_utf8(digits).ok().filter(|_| plain).and_then(|t| u64::from_str_radix(t, 16).ok())
 }
 
-/// The list of names and values; also where the digits of `d` stand in it.
+/// The list of names and values, each once at the most; also where the digits of `d` stand in it.
 fn values(site: &Site, mut r: Request, list: &[u8]) -> Result<(Request, (usize, usize)), CallError> {
-    let text = std::str::from_utf8(list).map_err(|_| CallError::Value("list"))?;
-    let (mut class, mut plan, mut d) = (None, None, None);
-    (r.units, r.spread) = (1.0, 1);
+    let text = std::str::from_utf8(list).ok().filter(|t| t.len() <= MAX_LIST);
+    let text = text.filter(|t| t.bytes().all(|b| b.is_ascii_graphic())).ok_or(CallError::Value("list"))?;
+    let mut seen: [Option<(usize, &str)>; NAMES.len()] = Default::default();
     let mut at = 0;
     for pair in text.split(',') {
         let (name, value) = pair.split_once('=').ok_or(CallError::Value("list"))?;
-        let start = at + name.len() + 1;
-        at += pair.len() + 1;
-        let whole = |name| value.parse::<u32>().map_err(|_| CallError::Value(name));
-        match name {
-            "c" => class = Some(position(&site.classes, value).ok_or(CallError::Class)?),
-            "t" => plan = Some(position(&site.plans, value).ok_or(CallError::Plan)?),
-            "d" => {
-                r.patience = Span::from(whole("d")?) * MS;
-                d = Some((start, start + value.len()));
-            }
-            "r" => r.repeat = value == "1",
-            "units" => {
-                let units = value.parse::<f64>().ok().filter(|u| u.is_finite() && *u >= 0.0);
-                r.units = units.ok_or(CallError::Value("units"))?;
+        if let Some(i) = NAMES.iter().position(|n| *n == name) {
+            if seen[i].replace((at + name.len() + 1, value)).is_some() {
+                return Err(CallError::Value(NAMES[i]));
             }
-            "spread" => r.spread = whole("spread")?,
-            "first" => drop(whole("first")?),
-            _ => {}
         }
+        at += pair.len() + 1;
     }
-    r.class = class.ok_or(CallError::Class)?;
-    r.plan = plan.ok_or(CallError::Plan)?;
-    Ok((r, d.ok_or(CallError::Value("d"))?))
+    let [class, plan, d, repeat, units, spread, first] = seen.map(|found| found.map(|(_, value)| value));
+    let gateways = site.settings.gateways;
+    r.class = class.and_then(|name| position(&site.classes, name)).ok_or(CallError::Class)?;
+    r.plan = plan.and_then(|name| position(&site.plans, name)).ok_or(CallError::Plan)?;
+    // No client waits longer than its class allows.
+    let longest = site.settings.classes[r.class].deadline.div_ceil(MS);
+    let wait = d.and_then(whole).filter(|d| (1..=longest).contains(d)).ok_or(CallError::Value("d"))?;
+    r.patience = wait * MS;
+    r.repeat = match repeat {
+        None | Some("0") => false,
+        Some("1") => true,
+        Some(_) => return Err(CallError::Value("r")),
+    };
+    r.units = units.and_then(|units| amount(units, site.units_top)).ok_or(CallError::Value("units"))?;
+    let spread = spread.and_then(whole).filter(|n| (1..=u64::from(gateways)).contains(n));
+    r.spread = spread.ok_or(CallError::Value("spread"))? as u32;
+    first.and_then(whole).filter(|n| *n < u64::from(gateways)).ok_or(CallError::Value("first"))?;
+    let (start, digits) = seen[2].ok_or(CallError::Value("d"))?;
+    Ok((r, (start, start + digits.len())))
+}
+
+/// A whole number in plain digits.
+fn whole(text: &str) -> Option<u64> {
+    text.parse().ok().filter(|_| text.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// Units: more than none, and no more than any request counts.
+fn amount(text: &str, top: f64) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let most = if top > 0.0 { top } else { MAX_UNITS };
+    text.parse::<f64>().ok().filter(|units| plain && *units > 0.0 && *units <= most)
 }
 
 fn position(names: &[String], name: &str) -> Option<usize> {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -369,6 +369,7 @@
     fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context, UnboundedReceiver<Input>) {
         let settings = json!({
             "services": [{"name": "read", "semantics": "safe", "hard-limit": 1_000_000_000u64}],
+            "balancers": 1,
             "tariffs": [{"name": "team"}],
         });
         let (gateway, inbox) = mpsc::unbounded_channel();
@@ -400,7 +401,12 @@
         tokio::spawn(accept(listener, 8, context));
         let mut call = BytesMut::new();
         resp::put_header(&mut call, b'*', 4);
-        for word in ["CALL.GET", "0000000000000001", "0000000000000002", "c=read,t=team,d=900"] {
+        for word in [
+            "CALL.GET",
+            "0000000000000001",
+            "0000000000000002",
+            "c=read,t=team,d=900,units=1,spread=1,first=0",
+        ] {
             resp::put_bulk(&mut call, word.as_bytes());
         }
         let mut client = TcpStream::connect(address).await.unwrap();
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -39,7 +39,7 @@
 /// What a connection tells.
 #[derive(Debug)]
 pub enum CounterEvent {
-    Ended { call: CallId, outcome: Outcome, total: f64 },
+    Ended { link: u64, call: CallId, outcome: Outcome, total: f64 },
     Down(u64),
 }
 
@@ -58,12 +58,12 @@
     name: CountName,
     started: Time,
     stage: Arc<AtomicU8>,
-    link: u64,
 }
 
 struct Link {
     id: u64,
     jobs: UnboundedSender<Job>,
+    /// Calls without an answer, also those given up: they hold up the next ones all the same.
     waiting: usize,
 }
 
@@ -109,7 +109,7 @@
         let link = self.links.get_mut(link)?;
         link.jobs.send(job).ok()?;
         link.waiting += 1;
-        self.calls.insert(call, Call { name, started, stage, link: link.id });
+        self.calls.insert(call, Call { name, started, stage });
         Some((call, started + self.patience.as_nanos() as Span))
     }
 
@@ -124,12 +124,13 @@
         let id = self.next;
         self.next += 1;
         let line = Line {
+            id,
             gateway: self.gateway.clone(),
             silence: self.patience * 4,
             answers: VecDeque::new(),
             output: BytesMut::new(),
         };
-        tokio::spawn(line.run(id, self.address?, inbox));
+        tokio::spawn(line.run(self.address?, inbox));
         self.links.push(Link { id, jobs, waiting: 0 });
         Some(self.links.len() - 1)
     }
@@ -145,7 +146,12 @@
     /// Takes in what a connection tells; calls given up before are no news.
     pub fn on_event(&mut self, event: CounterEvent) -> Option<Counted> {
         match event {
-            CounterEvent::Ended { call, outcome, total } => self.end(call, outcome, total),
+            CounterEvent::Ended { link, call, outcome, total } => {
+                if let Some(link) = self.links.iter_mut().find(|l| l.id == link) {
+                    link.waiting -= 1;
+                }
+                self.end(call, outcome, total)
+            }
             CounterEvent::Down(id) => {
                 self.links.retain(|link| link.id != id);
                 None
@@ -155,9 +161,6 @@
 
     fn end(&mut self, id: CallId, outcome: Outcome, total: f64) -> Option<Counted> {
         let call = self.calls.remove(&id)?;
-        if let Some(link) = self.links.iter_mut().find(|link| link.id == call.link) {
-            link.waiting -= 1;
-        }
         let took = self.clock.now().saturating_sub(call.started);
         Some(Counted { name: call.name, outcome, total, took })
     }
@@ -176,6 +179,7 @@
 
 /// One connection, with the calls on it whose answers are due, oldest first.
 struct Line {
+    id: u64,
     gateway: UnboundedSender<Input>,
     /// With a call out, this long without any answer means a dead connection.
     silence: Duration,
@@ -184,7 +188,7 @@
 }
 
 impl Line {
-    async fn run(mut self, id: u64, address: SocketAddr, mut jobs: UnboundedReceiver<Job>) {
+    async fn run(mut self, address: SocketAddr, mut jobs: UnboundedReceiver<Job>) {
         if let Ok(Ok(stream)) = timeout(self.silence, TcpStream::connect(address)).await {
             let _ = stream.set_nodelay(true);
             if let Err(error) = self.carry(stream, &mut jobs).await {
@@ -199,11 +203,12 @@
         while let Ok(job) = jobs.try_recv() {
             self.tell(job.call, Outcome::NoConnection, 0.0);
         }
-        let _ = self.gateway.send(Input::Counter(CounterEvent::Down(id)));
+        let _ = self.gateway.send(Input::Counter(CounterEvent::Down(self.id)));
     }
 
     fn tell(&self, call: CallId, outcome: Outcome, total: f64) {
-        let _ = self.gateway.send(Input::Counter(CounterEvent::Ended { call, outcome, total }));
+        let ended = CounterEvent::Ended { link: self.id, call, outcome, total };
+        let _ = self.gateway.send(Input::Counter(ended));
     }
 
     async fn carry(
@@ -216,11 +221,16 @@
         let mut open = true;
         let (mut reader, mut writer) = stream.split();
         loop {
-            let waiting = !self.answers.is_empty();
+            let (waiting, begun) = (!self.answers.is_empty(), !buf.is_empty());
             if !open && !waiting {
                 return Ok(());
             }
-            let limit = if waiting { self.silence } else { IDLE };
+            let limit = match (begun, waiting) {
+                // Answers are short and come in one piece: the rest of a begun one is not to be expected.
+                (true, _) => self.silence / 8,
+                (false, true) => self.silence,
+                (false, false) => IDLE,
+            };
             tokio::select! {
                 biased;
                 job = jobs.recv(), if open => match job {
@@ -234,10 +244,13 @@
                 },
                 read = resp::fill(&mut reader, &mut buf) => {
                     read?;
-                    heard = Instant::now();
+                    let before = self.answers.len();
                     while let Some(frame) = resp::decode(&mut buf)? {
                         self.answered(frame)?;
                     }
+                    if self.answers.len() < before || !begun {
+                        heard = Instant::now();
+                    }
                 }
                 _ = sleep_until(heard + limit) => return Ok(()),
             }
@@ -257,6 +270,8 @@
             if job.stage.load(Ordering::Relaxed) == QUEUED {
                 self.output.extend_from_slice(&job.text);
                 batch.push((self.output.len(), job));
+            } else {
+                self.tell(job.call, Outcome::NoConnection, 0.0);
             }
             next = jobs.try_recv().ok();
         }
@@ -282,8 +297,10 @@
                 let total = total.filter(|t| t.is_finite()).ok_or(RespError::Malformed("total"))?;
                 (Outcome::Ok, total)
             }
-            // Turned away, or no such call: nothing added.
-            Frame::Error(_) => (Outcome::Full, 0.0),
+            // Turned away, or no such call: nothing added. Any other error is noise, and it may have been.
+            Frame::Error(text) if matches!(text.split(|b| *b == b' ').next(), Some(b"BUSY" | b"ERR")) => {
+                (Outcome::Full, 0.0)
+            }
             _ => return Err(RespError::Malformed("answer")),
         };
         let call = self.answers.pop_front().ok_or(RespError::Malformed("answer without a call"))?;
@@ -334,6 +351,14 @@
         let mut service = listener.accept().await.unwrap().0;
         expect_command(&mut service).await;
         assert_eq!(counter.give_up(first).unwrap().outcome, Outcome::Timeout, "it may have been added");
+        // A link with a late answer to come is taken only when all others have calls out too.
+        for _ in 1..MAX_LINKS {
+            call(&mut counter).await;
+        }
+        let mut others = Vec::new();
+        for _ in 1..MAX_LINKS {
+            others.push(listener.accept().await.unwrap());
+        }
         call(&mut counter).await;
         expect_command(&mut service).await;
         service.write_all(b"$1\r\n3\r\n$1\r\n7\r\n").await.unwrap();
@@ -347,6 +372,7 @@
         let (mut counter, listener, mut inbox) = counter(20 * SECOND).await;
         let first = call(&mut counter).await;
         assert_eq!(counter.give_up(first).unwrap().outcome, Outcome::NoConnection, "nothing was added");
+        assert!(counter.on_event(event(&mut inbox).await).is_none(), "given up before");
         call(&mut counter).await;
         let mut service = listener.accept().await.unwrap().0;
         expect_command(&mut service).await;
@@ -361,6 +387,8 @@
             ("-BUSY\r\n", Outcome::Full),
             ("-ERR no such call\r\n", Outcome::Full),
             ("$3\r\nnan\r\n", Outcome::Timeout),
+            ("-NOISE\r\n", Outcome::Timeout),
+            ("-BUSYNESS\r\n", Outcome::Timeout),
             (":7\r\n", Outcome::Timeout),
             ("", Outcome::Timeout),
         ] {
@@ -413,4 +441,18 @@
         let ended = counter.on_event(event(&mut inbox).await).unwrap();
         assert_eq!((ended.outcome, ended.total), (Outcome::Ok, 7.0));
     }
+
+    #[tokio::test]
+    async fn noise_without_an_end_soon_ends_its_link() {
+        // A silent link goes after eight seconds here, one with half an answer after one.
+        let (mut counter, listener, mut inbox) = counter(2 * SECOND).await;
+        call(&mut counter).await;
+        let mut service = listener.accept().await.unwrap().0;
+        expect_command(&mut service).await;
+        let start = Instant::now();
+        service.write_all(b"+noise").await.unwrap();
+        let ended = counter.on_event(event(&mut inbox).await).unwrap();
+        assert_eq!(ended.outcome, Outcome::Timeout, "it may have been added");
+        assert!(start.elapsed() < Duration::from_secs(6), "long before a silent one");
+    }
 }
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -13,7 +13,7 @@
 use fennelbeam::policy::Policy;
 use fennelbeam::wire::Site;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -65,6 +65,8 @@
     hosts: Hosts,
     counter: Counter,
     requests: HashMap<RequestId, Held>,
+    /// Ids that clients gave to the requests held.
+    open: HashSet<u64>,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
     actions: Vec<Action>,
     phase: watch::Sender<Phase>,
@@ -89,6 +91,7 @@
             hosts,
             counter,
             requests: HashMap::new(),
+            open: HashSet::new(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             phase,
@@ -158,6 +161,10 @@
 
     fn on_request(&mut self, incoming: Incoming) {
         let Incoming { at, request, call, reply } = incoming;
+        // Two requests of one id could not be told apart at a host.
+        if !self.open.insert(call.client_id) {
+            return reply.answer(Answer::Failed);
+        }
         let (id, deadline) = (request.id, at.saturating_add(request.patience));
         let held = Held { call: Arc::new(call), reply: Some(reply), deadline, attempts: 0, out: 0 };
         self.requests.insert(id, held);
@@ -216,7 +223,9 @@
 
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|held| held.reply.is_none() && held.out == 0) {
-            self.requests.remove(&id);
+            if let Some(held) = self.requests.remove(&id) {
+                self.open.remove(&held.call.client_id);
+            }
         }
     }
 
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -10,9 +10,12 @@
 use bytes_utils::SegmentedBuf;
 use fennelbeam::api::{Ended, ListKind, Outcome, RequestId, ServerEntry, ServerId, ServerState, Span, Time};
 use fennelbeam::wire::Site;
+use socket2::SockRef;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
+use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -24,6 +27,8 @@
 use tokio::time::timeout;
 
 const MS: Span = 1_000_000;
+/// No figure of a host is above this.
+const MAX_FIGURE: f64 = 1e5;
 
 /// An attempt of a request.
 pub type AttemptKey = (RequestId, u32);
@@ -44,8 +49,8 @@
 pub enum HostEvent {
     /// It is up.
     Up(ConnId),
-    /// It answered the request on it, and can carry another.
-    Answered(ConnId, Frame),
+    /// It answered the request on it; `clean`: with nothing behind, so it can carry another.
+    Answered { id: ConnId, frame: Frame, clean: bool },
     /// It has ended, or never came up.
     Down(ConnId),
 }
@@ -76,6 +81,8 @@
     server: ServerId,
     era: u32,
     up: bool,
+    /// It has carried a request before.
+    used: bool,
     busy: Option<AttemptKey>,
     /// The last byte of the request on it has been written.
     sent: Arc<AtomicBool>,
@@ -244,7 +251,7 @@
             gateway: self.gateway.clone(),
         };
         let task = tokio::spawn(link.run(addr, inbox)).abort_handle();
-        let conn = Conn { server, era: host.era, up: false, busy: None, sent, jobs, task };
+        let conn = Conn { server, era: host.era, up: false, used: false, busy: None, sent, jobs, task };
         self.conns.insert(id, conn);
     }
 
@@ -297,15 +304,17 @@
                 self.hosts.entry(server).and_modify(|host| host.dialing -= 1);
                 self.free(id);
             }
-            HostEvent::Answered(id, frame) => {
+            HostEvent::Answered { id, frame, clean } => {
                 let Some(conn) = self.conns.get_mut(&id) else { return };
+                conn.used = true;
                 let (server, Some(key)) = (conn.server, conn.busy.take()) else { return };
                 let now = self.clock.now();
                 self.hosts.entry(server).and_modify(|host| host.heard = now);
-                if self.answered(key, frame) {
+                if self.answered(key, frame) && clean {
                     self.free(id);
                 } else {
                     self.conns.remove(&id);
+                    self.redial(server);
                 }
             }
             HostEvent::Down(id) => {
@@ -318,6 +327,9 @@
     fn down(&mut self, id: ConnId, conn: &Conn) {
         if let Some(key) = conn.busy {
             let sent = conn.sent.load(Ordering::Relaxed);
+            if !sent && conn.used {
+                return self.again(conn.server, key);
+            }
             return self.finish(key, if sent { Outcome::Reset } else { Outcome::NoConnection });
         }
         let Some(host) = self.hosts.get_mut(&conn.server) else { return };
@@ -334,6 +346,20 @@
         }
     }
 
+    /// An old connection turned out to be of no use before the request was whole on it. That says nothing of
+    /// the host, and no attempt was made: another connection takes it.
+    fn again(&mut self, server: ServerId, key: AttemptKey) {
+        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) else {
+            return self.finish(key, Outcome::Moot);
+        };
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.conn = None;
+            host.waiting.push_front(key);
+            self.serve_waiting(server);
+            self.redial(server);
+        }
+    }
+
     /// A connection can carry a request: the first that waits, else it is idle.
     fn free(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get(&id) else { return };
@@ -393,10 +419,9 @@
     }
 
     fn served(&mut self, site: &Site, parts: Vec<Frame>) -> bool {
-        let mut parts = parts.into_iter();
-        let Some(Frame::Bulk(value)) = parts.next() else { return false };
+        let Ok([Frame::Bulk(value), figures, report]) = <[Frame; 3]>::try_from(parts) else { return false };
         (self.ended.outcome, self.value) = (Outcome::Ok, Some(value));
-        for part in parts {
+        for part in [figures, report] {
             if let Frame::Bulk(text) = part {
                 self.figures(site, &text);
             }
@@ -404,22 +429,31 @@
         true
     }
 
+    /// Only the words of the table say what has run; others are noise, and it may have.
     fn failed(&mut self, site: &Site, text: &[u8]) -> bool {
-        let busy = text == b"BUSY" || text.starts_with(b"BUSY ");
-        self.ended.outcome = if busy { Outcome::Full } else { Outcome::Error };
-        text.split(|b| *b == b' ').for_each(|word| self.figures(site, word));
+        let mut words = text.split(|b| *b == b' ');
+        self.ended.outcome = match words.next() {
+            Some(b"BUSY") => Outcome::Full,
+            Some(b"ERR") => Outcome::Error,
+            _ => return false,
+        };
+        words.for_each(|word| self.figures(site, word));
         true
     }
 
-    /// Figures on use and a load report are both names with numbers.
+    /// Figures on use and a load report are both names with numbers. What no host can mean is left out: it
+    /// would move accounts, and what is believed of the load of all.
     fn figures(&mut self, site: &Site, text: &[u8]) {
         let Ok(text) = std::str::from_utf8(text) else { return };
+        let most_units = if site.units_top > 0.0 { site.units_top } else { MAX_FIGURE };
         for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-            let Some(value) = value.parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+            let Some(value) = value.parse::<f64>().ok().filter(|v| (0.0..=MAX_FIGURE).contains(v)) else {
+                continue;
+            };
             match name {
                 "used" => self.ended.used = Some(value / 100.0),
-                "cost" => self.ended.true_units = Some(value),
-                _ if site.fields.iter().any(|f| f == name) => {
+                "cost" if value > 0.0 && value <= most_units => self.ended.true_units = Some(value),
+                _ if site.answers_report && site.fields.iter().any(|f| f == name) => {
                     self.ended.report.get_or_insert_default().set(name, value);
                 }
                 _ => {}
@@ -472,18 +506,53 @@
         loop {
             let mut job = tokio::select! {
                 biased;
-                job = jobs.recv() => job.ok_or(RespError::Closed)?,
-                // An idle host says nothing: this is its end, or nonsense.
+                // An idle host says nothing: this is its end, or nonsense. It goes before the next request,
+                // which would take what lies there for its answer.
                 end = resp::fill(&mut reader, &mut buf) => return end,
+                job = jobs.recv() => job.ok_or(RespError::Closed)?,
                 _ = tokio::time::sleep(self.idle) => return Ok(()),
             };
+            // The select goes by what the runtime knows, which may be less than what has come.
+            let lies_there = SockRef::from(reader.as_ref()).peek(&mut [MaybeUninit::uninit()]);
+            if !lies_there.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+                return Err(RespError::Malformed("answer without a request"));
+            }
             writer.write_all_buf(&mut job).await?;
             self.sent.store(true, Ordering::Relaxed);
             let frame = resp::read_frame(&mut reader, &mut buf).await?;
-            self.tell(HostEvent::Answered(self.id, frame));
-            if !buf.is_empty() {
+            let clean = buf.is_empty();
+            self.tell(HostEvent::Answered { id: self.id, frame, clean });
+            if !clean {
                 return Err(RespError::Malformed("answer"));
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn bytes_that_lie_there_are_no_answer_to_the_next_request() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (gateway, mut events) = mpsc::unbounded_channel();
+        let (jobs, inbox) = mpsc::unbounded_channel();
+        let sent = Arc::new(AtomicBool::new(false));
+        let limit = Duration::from_secs(20);
+        let link = Link { id: 7, dial: limit, idle: limit, sent: sent.clone(), gateway };
+        tokio::spawn(link.run(listener.local_addr().unwrap(), inbox));
+        let mut host = listener.accept().await.unwrap().0;
+        assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Up(7)))));
+        host.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").await.unwrap();
+        jobs.send(SegmentedBuf::from_iter([Bytes::from_static(b"request")])).unwrap();
+        assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Down(7)))));
+        assert!(!sent.load(Ordering::Relaxed));
+        // Closed with bytes unread, it may end as a reset.
+        let mut got = Vec::new();
+        let _ = host.read_to_end(&mut got).await;
+        assert!(got.is_empty(), "the request was written");
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -330,6 +330,10 @@
     pub settings: Settings,
     /// Names of the values in a load report.
     pub fields: Vec<String>,
+    /// Answers to requests hold load reports.
+    pub answers_report: bool,
+    /// The most units that a request counts; zero: no bound is known.
+    pub units_top: f64,
     /// Names of the classes.
     pub classes: Vec<String>,
     /// Names of the plans.
@@ -377,6 +381,8 @@
         Ok(Site {
             settings,
             fields: feedback.list("fields")?.iter().map(text).collect(),
+            answers_report: feedback.text("how")? == "answers",
+            units_top: domain.f64("units-top")?,
             classes: services.iter().map(name).collect(),
             plans: tariffs.iter().map(name).collect(),
             zones: doc.list("localities")?.iter().map(text).collect(),
