Bound what clients hold: time, places, bytes, and who makes room

Lines at fault in clients.rs: no time limit on a first or half command; crowded took idle connections only, so usual ones went before silent ones; a full room made commands wait; linger read without a bound; main.rs gave hosts two fifths of the descriptors (at most 58 in use over four gateways). memory_mb was not read. Now a command is owed within 2 s; silent connections make room before idle ones, oldest first; half of the memory bounds commands in hand (a value may come for each), an eighth their bytes; beyond that the answer is an error at once.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 mod net;
 
 use anyhow::{Context as _, Result};
-use net::clients::{self, Context, Phase};
+use net::clients::{self, Context, Phase, Room};
 use net::clock::Clock;
 use net::config::Config;
 use net::counter;
@@ -16,11 +16,11 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
-const SPARE_SOCKETS: usize = 32;
+const SPARE_SOCKETS: usize = 24;
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const STILL_ACCEPTING: Duration = Duration::from_millis(450);
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
@@ -52,9 +52,10 @@
     let (clock, site) = (Clock::start(), Arc::new(config.site.clone()));
     let (inputs, inbox) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Starting);
-    // Two fifths for hosts, the rest for clients.
-    let sockets = config.sockets - SPARE_SOCKETS - counter::MAX_LINKS;
-    let (for_hosts, for_clients) = (sockets * 2 / 5, sockets * 3 / 5);
+    // A quarter for hosts: clients hold up to a third of all for requests, and what holds the rest open and
+    // says nothing must not crowd those.
+    let sockets = config.sockets - SPARE_SOCKETS - 2 * counter::MAX_LINKS;
+    let (for_hosts, for_clients) = (sockets / 4, sockets - sockets / 4);
     let gateway = Gateway::new(&config, site.clone(), clock, &inputs, for_hosts, phase.clone());
     let unanswered = gateway.unanswered();
     tokio::spawn(gateway.run(inbox));
@@ -63,7 +64,7 @@
     tokio::spawn(reload(hangup, agent, inputs.clone()));
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let (ids, crowded) = Default::default();
-    let room = Arc::new(Semaphore::new(clients::MAX_IN_HAND));
+    let room = Room::within(config.memory);
     let context = Context { site, clock, gateway: inputs, phase: phases, ids, crowded, room };
     let accepting = tokio::spawn(clients::accept(listener, for_clients, context));
     tracing::info!("{} listens on {address}", config.name);
--- a/src/net/call.rs
+++ b/src/net/call.rs
@@ -44,6 +44,12 @@
 }
 
 impl Call {
+    /// Bytes that it keeps.
+    pub fn size(&self) -> usize {
+        let body = self.body.as_ref().map_or(0, Bytes::len);
+        self.head.iter().map(Bytes::len).sum::<usize>() + self.before.len() + self.after.len() + body
+    }
+
     /// The command for a host, in parts so that the body is not copied.
     pub fn for_host(&self, wait: Span, out: &mut Vec<Bytes>) {
         let mut text = BytesMut::with_capacity(256);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 /// The configuration, checked.
@@ -36,6 +37,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes beyond which it is killed.
+    pub memory: usize,
     pub known: HostList,
     pub site: Site,
 }
@@ -63,6 +66,7 @@
             counter: document.counter,
             seed: u64::from_str_radix(&document.seed, 16).unwrap_or(0),
             sockets: document.limits.sockets,
+            memory: document.limits.memory_mb.saturating_mul(1 << 20),
             known: document.known,
             site,
         })
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -1,8 +1,8 @@
 //! RESP2, bounded: flat frames only, so neither nesting, counts nor lengths that a peer claims can cost
 //! more than the bytes it has sent. (The usual crate recurses into nested arrays without a bound, and a
-//! few kilobytes of `*1` overflow its stack.) Values are slices of the read buffer, not copies.
+//! few kilobytes of `*1` overflow its stack.) Long values are slices of the read buffer, not copies.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
@@ -13,6 +13,7 @@
 const MAX_LINE: usize = 1024;
 const MAX_ITEMS: usize = 16;
 const READ: usize = 4 * 1024;
+const SMALL: usize = 1024;
 
 /// What was wrong with the bytes of a peer.
 #[derive(Debug, thiserror::Error)]
@@ -59,7 +60,7 @@
     if scan.buf.first() != Some(&b'*') {
         let Some(item) = scan.item()? else { return Ok(None) };
         let whole = scan.at;
-        return Ok(Some(cut(&buf.split_to(whole).freeze(), &item)));
+        return Ok(Some(cut(&take(buf, whole), &item)));
     }
     let Some((start, end)) = scan.line()? else { return Ok(None) };
     let count = match number(&scan.buf[start + 1..end])? {
@@ -75,13 +76,26 @@
         items.push(item);
     }
     let whole = scan.at;
-    let bytes = buf.split_to(whole).freeze();
+    let bytes = take(buf, whole);
     Ok(Some(match count {
         None => Frame::Null,
         Some(_) => Frame::Array(items.iter().map(|item| cut(&bytes, item)).collect()),
     }))
 }
 
+/// The first bytes of `buf`. A slice keeps all of the buffer: few bytes of a large one are copied.
+fn take(buf: &mut BytesMut, count: usize) -> Bytes {
+    if count >= SMALL {
+        return buf.split_to(count).freeze();
+    }
+    let bytes = Bytes::copy_from_slice(&buf[..count]);
+    buf.advance(count);
+    if buf.is_empty() && buf.capacity() > 4 * READ {
+        *buf = BytesMut::new();
+    }
+    bytes
+}
+
 fn cut(bytes: &Bytes, item: &Item) -> Frame {
     let part = || bytes.slice(item.start..item.end);
     match item.kind {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -338,6 +338,56 @@
     assert!(clients[0].ended(), "the one that has been idle longest went first");
 }
 
+#[test]
+fn silent_connections_go_before_usual_ones_that_are_idle() {
+    let host = Peers::start(1);
+    let discovery = Discovery::start();
+    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
+    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+    let mut usual = gateway.client();
+    usual.get(1);
+    host.command().serve("first");
+    assert_eq!(usual.answer(), "first");
+    let mut silent: Vec<Client> = (0..20).map(|_| gateway.client()).collect();
+    // Long enough for their first command not to be on its way.
+    std::thread::sleep(Duration::from_millis(300));
+    silent.extend((0..15).map(|_| gateway.client()));
+    assert!(silent[0].ended(), "the oldest made room");
+    usual.get(2);
+    host.command().serve("still here");
+    assert_eq!(usual.answer(), "still here");
+}
+
+#[test]
+fn a_first_command_and_the_rest_of_one_are_owed_in_time() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let (mut silent, mut half, mut later) = (gateway.client(), gateway.client(), gateway.client());
+    later.get(1);
+    host.command().serve("served");
+    assert_eq!(later.answer(), "served");
+    half.write(b"*4\r\n$8\r\nCALL");
+    later.write(b"*4\r\n");
+    for client in [&mut silent, &mut half, &mut later] {
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR "), "{answer:?}");
+        assert!(client.ended());
+    }
+}
+
+#[test]
+fn the_end_of_a_client_is_noticed_while_its_pipeline_is_full() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    let mut client = gateway.client();
+    for id in 0..17 {
+        client.get(id);
+    }
+    let seen = host.command();
+    drop(client);
+    host.skip_to_end(seen.conn);
+}
+
 #[test]
 fn beyond_the_quota_is_refused_at_once_with_the_advice_that_is_allowed() {
     for (advice, wanted) in [(false, "-BUSY"), (true, "-BUSY 1500")] {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Waits for the end of a connection, whatever comes on others.
+    pub fn skip_to_end(&self, conn: Conn) {
+        while !matches!(next(&self.saw, "the end of a connection"), Saw::Ended(ended) if ended == conn) {}
+    }
+
     /// Commands that have come and were not asked for.
     pub fn others(&self) -> usize {
         self.saw.try_iter().filter(|saw| matches!(saw, Saw::Command(_))).count()
