--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -20,6 +20,14 @@
     (gateway, discovery)
 }
 
+/// A gateway before one host, with places for 24 clients.
+fn narrow(host: &Peers) -> (Gateway, Discovery) {
+    let discovery = Discovery::start();
+    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
+    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+    (gateway, discovery)
+}
+
 fn field<'a>(list: &'a str, name: &str) -> &'a str {
     list.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).unwrap().1
 }
@@ -337,11 +345,8 @@
 #[test]
 fn idle_clients_make_room_for_new_ones() {
     let host = Peers::start(1);
-    let discovery = Discovery::start();
-    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
-    let nowhere = NOWHERE.parse().unwrap();
     // Far fewer than 80 fit: idle ones make room, and none is lost in the backlog.
-    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, nowhere);
+    let (gateway, _discovery) = narrow(&host);
     let mut clients = Vec::new();
     for id in 0..80 {
         let mut client = gateway.client();
@@ -375,9 +380,7 @@
 #[test]
 fn connections_that_only_ping_go_before_idle_callers() {
     let host = Peers::start(1);
-    let discovery = Discovery::start();
-    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
-    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+    let (gateway, _discovery) = narrow(&host);
     let mut usual = gateway.client();
     usual.get(1);
     host.command().serve("first");
@@ -400,9 +403,7 @@
 #[test]
 fn silent_connections_go_before_usual_ones_that_are_idle() {
     let host = Peers::start(1);
-    let discovery = Discovery::start();
-    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
-    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+    let (gateway, _discovery) = narrow(&host);
     let mut usual = gateway.client();
     usual.get(1);
     host.command().serve("first");
