Let the tests' gateways withdraw nothing unless that is what is tested

Seen again on two cores with six busy loops: 4 of 6 runs of tests/gateway.rs failed, in three tests, all of them with several safe calls on one gateway. The peers of the tests answer within a millisecond, so the module takes a call that is slow against that (HANGS times the usual latency, policy.rs watch) for hanging, withdraws it and asks again: the test then serves a connection that was closed, and nobody serves the second attempt. Ruled out: quota (320 units of 1000), room for commands (512 places, one in hand), slots.

The tests' settings allow no withdrawal now; the two tests that are about it ask for it, and bound the time: both passed by the time-out of 8 s before. The test of silent clients waits for the last place to be given instead of for the first client's end, which on a slow machine is the error of the 2 s limit.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -20,6 +20,13 @@
     (gateway, discovery)
 }
 
+/// Where attempts may be withdrawn.
+fn with_cancel() -> Value {
+    let mut settings = settings();
+    settings["allowed"]["cancel"] = true.into();
+    settings
+}
+
 /// A gateway before one host, with places for 24 clients.
 fn narrow(host: &Peers) -> (Gateway, Discovery) {
     let discovery = Discovery::start();
@@ -226,12 +233,14 @@
 #[test]
 fn a_client_that_goes_takes_its_attempt_along() {
     let host = Peers::start(1);
-    let (gateway, _discovery) = before(settings(), &host);
+    let (gateway, _discovery) = before(with_cancel(), &host);
     let mut client = gateway.client();
+    let start = Instant::now();
     client.post(1, "body");
     let seen = host.command();
     drop(client);
     host.end(seen.conn);
+    assert!(start.elapsed() < Duration::from_secs(6), "the aim is 8 s");
 }
 
 #[test]
@@ -412,7 +421,9 @@
     // Long enough for their first command not to be on its way.
     std::thread::sleep(Duration::from_millis(300));
     silent.extend((0..15).map(|_| gateway.client()));
-    assert!(silent[0].ended(), "the oldest made room");
+    let mut last = gateway.client();
+    last.call(&["PING"]);
+    assert_ne!(last.answer(), "", "by then all before it have had their place");
     usual.get(2);
     host.command().serve("still here");
     assert_eq!(usual.answer(), "still here");
@@ -438,14 +449,16 @@
 #[test]
 fn the_end_of_a_client_is_noticed_while_its_pipeline_is_full() {
     let host = Peers::start(1);
-    let (gateway, _discovery) = before(settings(), &host);
+    let (gateway, _discovery) = before(with_cancel(), &host);
     let mut client = gateway.client();
+    let start = Instant::now();
     for id in 0..17 {
         client.get(id);
     }
     let seen = host.command();
     drop(client);
     host.skip_to_end(seen.conn);
+    assert!(start.elapsed() < Duration::from_secs(6), "the aim is 8 s");
 }
 
 #[test]
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -13,9 +13,11 @@
 /// Far above what anything takes, also on a loaded machine.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Attempts may not be withdrawn: the module does so with safe ones that are slow against those before, and
+/// between tests on a busy machine any may be.
 pub fn settings() -> Value {
     json!({
-        "allowed": {"cancel": true, "conn-idle": 60_000_000_000u64, "dial-timeout": 2_000_000_000u64,
+        "allowed": {"cancel": false, "conn-idle": 60_000_000_000u64, "dial-timeout": 2_000_000_000u64,
             "max-attempts": 4, "may-duplicate": false, "retry-after": false, "probes": false},
         "balancers": 1, "zone": 0, "discovery": "automatic",
         "domain": {"counter-timeout": 1_000_000_000u64, "shared-counter": false, "post-paid": true},
