--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -35,6 +35,13 @@
     (gateway, discovery)
 }
 
+/// A call that the host serves with this value.
+fn served(client: &mut Client, host: &Peers, id: u64, value: &str) {
+    client.get(id);
+    host.command().serve(value);
+    assert_eq!(client.answer(), value);
+}
+
 fn field<'a>(list: &'a str, name: &str) -> &'a str {
     list.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).unwrap().1
 }
@@ -173,9 +180,7 @@
     host.end(seen.conn);
     // An answer that comes after all finds nobody, and the next call gets its own.
     seen.write_late("*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n");
-    client.get(2);
-    host.command().serve("own");
-    assert_eq!(client.answer(), "own");
+    served(&mut client, &host, 2, "own");
 }
 
 #[test]
@@ -267,9 +272,7 @@
         let answer = client.answer();
         assert!(answer.starts_with("-ERR "), "{words:?}: {answer}");
     }
-    client.get(2);
-    host.command().serve("still here");
-    assert_eq!(client.answer(), "still here");
+    served(&mut client, &host, 2, "still here");
 }
 
 #[test]
@@ -330,9 +333,7 @@
     assert!(other.answer().starts_with("-ERR "));
     seen.serve("own");
     assert_eq!(client.answer(), "own");
-    other.get(1);
-    host.command().serve("over");
-    assert_eq!(other.answer(), "over");
+    served(&mut other, &host, 1, "over");
 }
 
 #[test]
@@ -359,9 +360,7 @@
     let mut clients = Vec::new();
     for id in 0..80 {
         let mut client = gateway.client();
-        client.get(id);
-        host.command().serve("served");
-        assert_eq!(client.answer(), "served");
+        served(&mut client, &host, id, "served");
         clients.push(client);
     }
     assert!(clients[0].ended(), "the one that has been idle longest went first");
@@ -377,9 +376,7 @@
     for id in 0..80 {
         let mut client = gateway.client();
         for (client, id) in [(&mut client, 2 * id), (&mut usual, 2 * id + 1)] {
-            client.get(id);
-            host.command().serve("served");
-            assert_eq!(client.answer(), "served");
+            served(client, &host, id, "served");
         }
         stayed.push(client);
     }
@@ -391,9 +388,7 @@
     let host = Peers::start(1);
     let (gateway, _discovery) = narrow(&host);
     let mut usual = gateway.client();
-    usual.get(1);
-    host.command().serve("first");
-    assert_eq!(usual.answer(), "first");
+    served(&mut usual, &host, 1, "first");
     let ping = || {
         let mut client = gateway.client();
         client.call(&["PING"]);
@@ -404,9 +399,7 @@
     std::thread::sleep(Duration::from_millis(300));
     pings.extend((0..15).map(|_| ping()));
     assert!(pings[0].ended(), "the oldest made room");
-    usual.get(2);
-    host.command().serve("still here");
-    assert_eq!(usual.answer(), "still here");
+    served(&mut usual, &host, 2, "still here");
 }
 
 #[test]
@@ -414,9 +407,7 @@
     let host = Peers::start(1);
     let (gateway, _discovery) = narrow(&host);
     let mut usual = gateway.client();
-    usual.get(1);
-    host.command().serve("first");
-    assert_eq!(usual.answer(), "first");
+    served(&mut usual, &host, 1, "first");
     let mut silent: Vec<Client> = (0..20).map(|_| gateway.client()).collect();
     // Long enough for their first command not to be on its way.
     std::thread::sleep(Duration::from_millis(300));
@@ -424,9 +415,7 @@
     let mut last = gateway.client();
     last.call(&["PING"]);
     assert_ne!(last.answer(), "", "by then all before it have had their place");
-    usual.get(2);
-    host.command().serve("still here");
-    assert_eq!(usual.answer(), "still here");
+    served(&mut usual, &host, 2, "still here");
 }
 
 #[test]
@@ -434,9 +423,7 @@
     let host = Peers::start(1);
     let (gateway, _discovery) = before(settings(), &host);
     let (mut silent, mut half, mut later) = (gateway.client(), gateway.client(), gateway.client());
-    later.get(1);
-    host.command().serve("served");
-    assert_eq!(later.answer(), "served");
+    served(&mut later, &host, 1, "served");
     half.write(b"*4\r\n$8\r\nCALL");
     later.write(b"*4\r\n");
     for client in [&mut silent, &mut half, &mut later] {
@@ -472,9 +459,7 @@
         let host = Peers::start(1);
         let (gateway, _discovery) = before(settings, &host);
         let mut client = gateway.client();
-        client.get(1);
-        host.command().serve("inside");
-        assert_eq!(client.answer(), "inside");
+        served(&mut client, &host, 1, "inside");
         client.get(2);
         assert_eq!(client.answer(), wanted);
         assert_eq!(host.others(), 0);
@@ -600,9 +585,7 @@
     watch.close();
     let watch = discovery.watch();
     assert!(watch.path.contains("after=41 "), "{}", watch.path);
-    client.get(1);
-    host.command().serve("kept");
-    assert_eq!(client.answer(), "kept");
+    served(&mut client, &host, 1, "kept");
 }
 
 #[test]
@@ -626,9 +609,7 @@
     watch.tell(&list(2, true, &[bad, host_line("s-0", host.addrs[0], "in_service", 0)]));
     let mut client = gateway.client();
     client.until_ready();
-    client.get(1);
-    host.command().serve("served");
-    assert_eq!(client.answer(), "served");
+    served(&mut client, &host, 1, "served");
 }
 
 // New configurations
@@ -640,24 +621,18 @@
     let mut client = gateway.client();
     for text in ["", "{\"name\": 3}"] {
         gateway.reload_text(text);
-        client.get(1);
-        old.command().serve("a bad file changes nothing");
-        assert_eq!(client.answer(), "a bad file changes nothing");
+        served(&mut client, &old, 1, "a bad file changes nothing");
     }
     let moved = Discovery::start();
     gateway.reload(moved.addr, NOWHERE.parse().unwrap());
     let asked = moved.asked();
     assert!(asked.path.starts_with("GET /registry/instances "), "{}", asked.path);
-    client.get(2);
-    old.command().serve("the last list stays until then");
-    assert_eq!(client.answer(), "the last list stays until then");
+    served(&mut client, &old, 2, "the last list stays until then");
     // A version lower than that of the old address is no reason to doubt it.
     asked.answer(&list(0, true, &[host_line("s-9", new.addrs[0], "in_service", 0)]));
     let watch = moved.watch();
     assert!(watch.path.contains("watch=1&after=0 "), "{}", watch.path);
-    client.get(3);
-    new.command().serve("from the new list");
-    assert_eq!(client.answer(), "from the new list");
+    served(&mut client, &new, 3, "from the new list");
 }
 
 #[test]
@@ -731,9 +706,7 @@
             return false;
         }
         let mut late = late.expect("a connection soon after SIGTERM");
-        late.get(2);
-        host.command().serve("served");
-        assert_eq!(late.answer(), "served");
+        served(&mut late, &host, 2, "served");
         held.serve("held");
         assert_eq!(early.answer(), "held");
         assert!(gateway.exit().success());
