--- a/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -1,15 +1,13 @@
 //! One real gateway: configuration, start and stop.
 #![forbid(unsafe_code)]
 
-mod net;
-
 use anyhow::{Context as _, Result};
-use net::clients::{self, Context, Phase, Room};
-use net::clock::Clock;
-use net::config::Config;
-use net::counter;
-use net::discovery;
-use net::gateway::{Gateway, Input};
+use fennelbeam_gateway::clients::{self, Context, Phase, Room};
+use fennelbeam_gateway::clock::Clock;
+use fennelbeam_gateway::config::Config;
+use fennelbeam_gateway::counter;
+use fennelbeam_gateway::discovery;
+use fennelbeam_gateway::gateway::{Gateway, Input};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
--- a/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -12,11 +12,11 @@
 const NOWHERE: &str = "127.0.0.1:9";
 
 /// A gateway before hosts that are in service, with discovery at hand.
-fn before(settings: Value, hosts: &Peers) -> (Gateway, Discovery) {
+fn before(settings: Value, hosts: &Peers) -> (Program, Discovery) {
     let discovery = Discovery::start();
     let line = |(i, addr): (usize, &SocketAddr)| host_line(&format!("s-{i}"), *addr, "in_service", 0);
     let lines: Vec<Value> = hosts.addrs.iter().enumerate().map(line).collect();
-    let gateway = Gateway::start(settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
+    let gateway = Program::start(settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
     (gateway, discovery)
 }
 
@@ -28,10 +28,10 @@
 }
 
 /// A gateway before one host, with places for 24 clients.
-fn narrow(host: &Peers) -> (Gateway, Discovery) {
+fn narrow(host: &Peers) -> (Program, Discovery) {
     let discovery = Discovery::start();
     let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
-    let gateway = Gateway::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+    let gateway = Program::with_sockets(64, settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
     (gateway, discovery)
 }
 
@@ -105,7 +105,7 @@
     let discovery = Discovery::start();
     let lines =
         [host_line("s-0", refusing, "in_service", 0), host_line("s-1", host.addrs[0], "in_service", 0)];
-    let gateway = Gateway::start(settings(), &lines, discovery.addr, NOWHERE.parse().unwrap());
+    let gateway = Program::start(settings(), &lines, discovery.addr, NOWHERE.parse().unwrap());
     let mut client = gateway.client();
     for id in 0..4 {
         client.post(id, "body");
@@ -477,7 +477,7 @@
     let mut settings = settings();
     settings["allowed"]["dial-timeout"] = 60_000_000_000u64.into();
     let line = [host_line("s-0", stuck, "in_service", 0)];
-    let gateway = Gateway::start(settings, &line, discovery.addr, NOWHERE.parse().unwrap());
+    let gateway = Program::start(settings, &line, discovery.addr, NOWHERE.parse().unwrap());
     let (mut client, mut other) = (gateway.client(), gateway.client());
     let mut watch = discovery.watch();
     client.post(1, "body");
--- a/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -45,14 +45,14 @@
 }
 
 /// The program under test; killed with the test.
-pub struct Gateway {
+pub struct Program {
     child: Child,
     path: PathBuf,
     config: Value,
     pub addr: SocketAddr,
 }
 
-impl Gateway {
+impl Program {
     pub fn start(settings: Value, known: &[Value], discovery: SocketAddr, counter: SocketAddr) -> Self {
         Self::with_sockets(256, settings, known, discovery, counter)
     }
@@ -90,7 +90,7 @@
             }
         });
         let addr = next(&port, "the gateway to listen");
-        Gateway { child, path, config, addr }
+        Program { child, path, config, addr }
     }
 
     pub fn client(&self) -> Client {
@@ -138,7 +138,7 @@
     }
 }
 
-impl Drop for Gateway {
+impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/src/net/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,9 +1,9 @@
 //! A client's call: read from its command, written on to a host with a `d` of our own.
 
-use super::resp::{self, Frame};
+use crate::resp::{self, Frame};
 use bytes::{Bytes, BytesMut};
-use fennelbeam::api::{CustomerId, Effect, Request, RequestId, Span};
-use fennelbeam::wire::Site;
+use fennelbeam_policy::api::{CustomerId, Effect, Request, RequestId, Span};
+use fennelbeam_settings::Site;
 
 const MS: Span = 1_000_000;
 /// Names in a call's list that mean something here, in the order in which `values` takes them apart.
--- a/src/net/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,14 +1,14 @@
 //! Clients: the listener and their connections. Commands are read as they come, answers leave in the order
 //! of the commands. What becomes of a call is the gateway's business.
 
-use super::call::{self, Call};
-use super::clock::Clock;
-use super::gateway::Input;
-use super::resp::{self, Frame, RespError};
+use crate::call::{self, Call};
+use crate::clock::Clock;
+use crate::gateway::Input;
+use crate::resp::{self, Frame, RespError};
 use bytes::{Buf, Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam::api::{Request, RequestId, Span, Time};
-use fennelbeam::wire::Site;
+use fennelbeam_policy::api::{Request, RequestId, Span, Time};
+use fennelbeam_settings::Site;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
--- a/src/net/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,7 +1,7 @@
 //! The gateway's clock: it never goes back, and reads as Unix time so that hosts' start times and the
 //! epochs of shared counts compare with it.
 
-use fennelbeam::api::Time;
+use fennelbeam_policy::api::Time;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
--- a/src/net/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,8 @@
 //! What this gateway is told at its start.
 
-use super::discovery::HostList;
+use crate::discovery::Membership;
 use anyhow::{Context, Result};
-use fennelbeam::wire::Site;
+use fennelbeam_settings::Site;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
     seed: String,
     limits: Limits,
     #[serde(default)]
-    known: HostList,
+    known: Membership,
     settings: Value,
 }
 
@@ -39,7 +39,7 @@
     pub sockets: usize,
     /// Bytes beyond which it is killed.
     pub memory: usize,
-    pub known: HostList,
+    pub known: Membership,
     pub site: Site,
 }
 
--- a/src/net/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,11 +1,11 @@
 //! The counter service: calls written one behind another on a few connections, answered in their order.
 //! A call that was given up still has its answer coming, which is taken off the line and dropped.
 
-use super::clock::Clock;
-use super::gateway::Input;
-use super::resp::{self, Frame, RespError};
+use crate::clock::Clock;
+use crate::gateway::Input;
+use crate::resp::{self, Frame, RespError};
 use bytes::{Buf, Bytes, BytesMut};
-use fennelbeam::api::{CountName, Outcome, Span, Time};
+use fennelbeam_policy::api::{CountName, Outcome, Span, Time};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -54,7 +54,7 @@
     text: Bytes,
 }
 
-struct Call {
+struct PendingAdd {
     name: CountName,
     started: Time,
     stage: Arc<AtomicU8>,
@@ -74,7 +74,7 @@
     gateway: UnboundedSender<Input>,
     patience: Duration,
     links: Vec<Link>,
-    calls: HashMap<CallId, Call>,
+    calls: HashMap<CallId, PendingAdd>,
     next: u64,
 }
 
@@ -109,7 +109,7 @@
         let link = self.links.get_mut(link)?;
         link.jobs.send(job).ok()?;
         link.waiting += 1;
-        self.calls.insert(call, Call { name, started, stage });
+        self.calls.insert(call, PendingAdd { name, started, stage });
         Some((call, started + self.patience.as_nanos() as Span))
     }
 
--- a/src/net/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of hosts: one watch on the discovery agent, resumed where it broke off.
 
-use super::gateway::Input;
+use crate::gateway::Input;
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -26,19 +26,19 @@
 
 /// A list of hosts, or the entries that changed.
 #[derive(Clone, Debug, Default, Deserialize)]
-pub struct HostList {
+pub struct Membership {
     #[serde(default)]
     pub generation: u64,
     #[serde(default)]
     pub reset: bool,
     #[serde(default, deserialize_with = "readable")]
-    pub instances: Vec<HostEntry>,
+    pub instances: Vec<Member>,
 }
 
 /// One host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct HostEntry {
+pub struct Member {
     pub instance_id: String,
     pub host_port: SocketAddr,
     pub lifecycle: Lifecycle,
@@ -64,10 +64,10 @@
 }
 
 /// Entries one by one: what cannot be read of one says nothing of the others.
-fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<HostEntry>, D::Error> {
+fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
     let all = Vec::<Value>::deserialize(from)?;
     let count = all.len();
-    let entries: Vec<HostEntry> = all.into_iter().filter_map(|e| HostEntry::deserialize(e).ok()).collect();
+    let entries: Vec<Member> = all.into_iter().filter_map(|e| Member::deserialize(e).ok()).collect();
     if entries.len() < count {
         tracing::warn!("discovery: {} of {count} entries cannot be read", count - entries.len());
     }
@@ -106,7 +106,7 @@
     gateway: &UnboundedSender<Input>,
 ) -> Result<()> {
     let tell = |line: &[u8]| {
-        let list: HostList = serde_json::from_slice(line).context("not a list of hosts")?;
+        let list: Membership = serde_json::from_slice(line).context("not a list of hosts")?;
         let generation = list.generation;
         gateway.send(Input::Hosts(list)).context("the gateway has stopped")?;
         anyhow::Ok(generation)
--- a/src/net/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,17 +1,17 @@
 //! The gateway: owns the decision module, tells it what happens and carries out what it asks for. Each
 //! request is kept here until its one final answer has left and its attempts have ended.
 
-use super::call::Call;
-use super::clients::{Answer, Incoming, Phase, ReplyTo};
-use super::clock::Clock;
-use super::config::Config;
-use super::counter::{CallId, Counted, Counter, CounterEvent};
-use super::discovery::HostList;
-use super::hosts::{AttemptKey, Finished, HostEvent, Hosts};
+use crate::call::Call;
+use crate::clients::{Answer, Incoming, Phase, ReplyTo};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counter::{CallId, Counted, Counter, CounterEvent};
+use crate::discovery::Membership;
+use crate::hosts::{AttemptKey, Finished, HostEvent, Hosts};
 use bytes::Bytes;
-use fennelbeam::api::*;
-use fennelbeam::policy::Policy;
-use fennelbeam::wire::Site;
+use fennelbeam_policy::api::*;
+use fennelbeam_policy::policy::Policy;
+use fennelbeam_settings::Site;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     Left(RequestId),
     Host(HostEvent),
     Counter(CounterEvent),
-    Hosts(HostList),
+    Hosts(Membership),
     /// Where the counter is from now on.
     CounterAt(Option<SocketAddr>),
 }
@@ -50,7 +50,7 @@
     Ready,
 }
 
-struct Held {
+struct InHand {
     call: Arc<Call>,
     reply: Option<ReplyTo>,
     deadline: Time,
@@ -64,8 +64,8 @@
     policy: Policy,
     hosts: Hosts,
     counter: Counter,
-    requests: HashMap<RequestId, Held>,
-    /// Ids that clients gave to the requests held.
+    requests: HashMap<RequestId, InHand>,
+    /// Ids that clients gave to the requests call.
     open: HashSet<u64>,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
     actions: Vec<Action>,
@@ -166,8 +166,8 @@
             return reply.answer(Answer::Failed);
         }
         let (id, deadline) = (request.id, at.saturating_add(request.patience));
-        let held = Held { call: Arc::new(call), reply: Some(reply), deadline, attempts: 0, out: 0 };
-        self.requests.insert(id, held);
+        let call = InHand { call: Arc::new(call), reply: Some(reply), deadline, attempts: 0, out: 0 };
+        self.requests.insert(id, call);
         self.unanswered.send_modify(|n| *n += 1);
         self.set_timer(deadline + OVERDUE, Timer::Overdue(id));
         self.tell(Event::Request(request));
@@ -188,9 +188,9 @@
         Some(reply)
     }
 
-    fn on_hosts(&mut self, list: &HostList, kind: ListKind) {
+    fn on_hosts(&mut self, list: &Membership, kind: ListKind) {
         let entries = self.hosts.update(list, kind);
-        self.tell(Event::Servers { kind, entries });
+        self.tell(Event::Hosts { kind, entries });
         self.report_finished();
     }
 
@@ -216,15 +216,15 @@
         if let Some((value, reply)) = value.and_then(|value| Some((value, self.take_reply(id)?))) {
             reply.answer(Answer::Served(value));
         }
-        let Some(held) = self.requests.get_mut(&id) else { return true };
-        held.out -= 1;
-        held.reply.is_none()
+        let Some(call) = self.requests.get_mut(&id) else { return true };
+        call.out -= 1;
+        call.reply.is_none()
     }
 
     fn forget(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|held| held.reply.is_none() && held.out == 0) {
-            if let Some(held) = self.requests.remove(&id) {
-                self.open.remove(&held.call.client_id);
+        if self.requests.get(&id).is_some_and(|call| call.reply.is_none() && call.out == 0) {
+            if let Some(call) = self.requests.remove(&id) {
+                self.open.remove(&call.call.client_id);
             }
         }
     }
@@ -244,7 +244,7 @@
 
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { id, server, until } => self.send(id, server, until),
+            Action::Send { id, host, until } => self.send(id, host, until),
             Action::Withdraw { id, attempt } => self.hosts.stop((id, attempt), true),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Busy(retry_after)),
             Action::Fail { id } => self.answer(id, Answer::Failed),
@@ -260,12 +260,12 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, until: Time) {
-        let Some(held) = self.requests.get_mut(&id).filter(|held| held.reply.is_some()) else { return };
-        let (key, until) = ((id, held.attempts), until.min(held.deadline));
-        held.attempts += 1;
-        held.out += 1;
-        self.hosts.start(key, server, until, held.call.clone());
+    fn send(&mut self, id: RequestId, host: HostId, until: Time) {
+        let Some(call) = self.requests.get_mut(&id).filter(|call| call.reply.is_some()) else { return };
+        let (key, until) = ((id, call.attempts), until.min(call.deadline));
+        call.attempts += 1;
+        call.out += 1;
+        self.hosts.start(key, host, until, call.call.clone());
         self.set_timer(until, Timer::Attempt(key));
     }
 
--- a/src/net/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -1,15 +1,15 @@
 //! Hosts: their connections and the attempts on them. One request at a time on a connection, since one
 //! behind a slow one would wait for it and giving one up means closing.
 
-use super::call::Call;
-use super::clock::Clock;
-use super::discovery::{HostList, Lifecycle};
-use super::gateway::Input;
-use super::resp::{self, Frame, RespError};
+use crate::call::Call;
+use crate::clock::Clock;
+use crate::discovery::{Lifecycle, Membership};
+use crate::gateway::Input;
+use crate::resp::{self, Frame, RespError};
 use bytes::{Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam::api::{Ended, ListKind, Outcome, RequestId, ServerEntry, ServerId, ServerState, Span, Time};
-use fennelbeam::wire::Site;
+use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, RequestId, Span, Time};
+use fennelbeam_settings::Site;
 use socket2::SockRef;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, VecDeque};
@@ -64,7 +64,7 @@
 }
 
 struct Attempt {
-    server: ServerId,
+    host_id: HostId,
     sent: Time,
     until: Time,
     call: Arc<Call>,
@@ -86,7 +86,7 @@
 }
 
 struct Conn {
-    server: ServerId,
+    host_id: HostId,
     era: u32,
     up: bool,
     /// It has carried a request before.
@@ -116,7 +116,7 @@
     most: usize,
     /// How long an idle connection is trusted: hosts, or what stands between, may drop one unseen.
     keep: Span,
-    hosts: HashMap<ServerId, Host>,
+    hosts: HashMap<HostId, Host>,
     conns: HashMap<ConnId, Conn>,
     attempts: HashMap<AttemptKey, Attempt>,
     next_conn: ConnId,
@@ -145,28 +145,28 @@
     }
 
     /// Takes in a list and gives it in the module's terms.
-    pub fn update(&mut self, list: &HostList, kind: ListKind) -> Vec<ServerEntry> {
+    pub fn update(&mut self, list: &Membership, kind: ListKind) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
             self.hosts.values_mut().for_each(|host| host.ready = false);
         }
         let mut entries = Vec::with_capacity(list.instances.len());
         for line in &list.instances {
-            let id = server_id(&line.instance_id);
+            let id = host_id_of(&line.instance_id);
             let host = self.hosts.entry(id).or_default();
             if host.addr != Some(line.host_port) || host.started != line.started_at_ms {
                 host.era += 1;
             }
             (host.addr, host.started) = (Some(line.host_port), line.started_at_ms);
             host.ready = line.lifecycle == Lifecycle::InService;
-            entries.push(ServerEntry {
+            entries.push(HostEntry {
                 id,
                 zone: position(&self.site.zones, &line.zone),
                 kind: position(&self.site.kinds, &line.machine_type),
                 cell: line.cell,
                 state: match line.lifecycle {
-                    Lifecycle::InService => ServerState::Ready,
-                    Lifecycle::Terminating => ServerState::Draining,
-                    Lifecycle::Terminated => ServerState::Gone,
+                    Lifecycle::InService => HostState::Ready,
+                    Lifecycle::Terminating => HostState::Draining,
+                    Lifecycle::Terminated => HostState::Gone,
                 },
                 size: line.weight,
                 started: line.started_at_ms.saturating_mul(MS),
@@ -195,28 +195,28 @@
         }
         unsent.into_iter().for_each(|key| self.finish(key, Outcome::Moot));
         let conns = &self.conns;
-        let used = |id: &ServerId| conns.values().any(|c| c.server == *id);
+        let used = |id: &HostId| conns.values().any(|c| c.host_id == *id);
         self.hosts.retain(|id, host| host.ready || used(id));
     }
 
     /// Starts an attempt: on the newest idle connection, or on the first that comes free or up.
-    pub fn start(&mut self, key: AttemptKey, server: ServerId, until: Time, call: Arc<Call>) {
+    pub fn start(&mut self, key: AttemptKey, host_id: HostId, until: Time, call: Arc<Call>) {
         let sent = self.clock.now();
-        self.attempts.insert(key, Attempt { server, sent, until, call, conn: None });
-        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) else {
+        self.attempts.insert(key, Attempt { host_id, sent, until, call, conn: None });
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) else {
             return self.finish(key, Outcome::Moot);
         };
         host.waiting.push_back(key);
-        self.serve_waiting(server);
-        let Some(host) = self.hosts.get(&server) else { return };
+        self.serve_waiting(host_id);
+        let Some(host) = self.hosts.get(&host_id) else { return };
         if host.dialing < host.waiting.len() {
-            self.dial(server, key);
+            self.dial(host_id, key);
         }
     }
 
     /// Gives waiting attempts the idle connections that there are.
-    fn serve_waiting(&mut self, server: ServerId) {
-        while let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) {
+    fn serve_waiting(&mut self, host_id: HostId) {
+        while let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) {
             let Some(key) = host.waiting.front().copied() else { return };
             let Some(conn) = host.idle.pop() else { return };
             let stood = |c: &Conn| self.clock.now().saturating_sub(c.idle_since);
@@ -228,7 +228,7 @@
                 return;
             }
             if self.write(conn, key) {
-                self.unqueue(server, key);
+                self.unqueue(host_id, key);
             } else {
                 self.conns.remove(&conn);
             }
@@ -252,19 +252,19 @@
         true
     }
 
-    fn dial(&mut self, server: ServerId, key: AttemptKey) {
+    fn dial(&mut self, host_id: HostId, key: AttemptKey) {
         if self.conns.len() >= self.most && !self.close_an_idle_one() {
-            self.unqueue(server, key);
+            self.unqueue(host_id, key);
             return self.finish(key, Outcome::Moot);
         }
-        let Some(host) = self.hosts.get_mut(&server) else { return };
+        let Some(host) = self.hosts.get_mut(&host_id) else { return };
         let Some(addr) = host.addr else { return };
         host.dialing += 1;
         let id = self.next_conn;
         self.next_conn += 1;
         let (jobs, inbox) = mpsc::unbounded_channel();
         let sent = Arc::new(AtomicBool::new(false));
-        let link = Link {
+        let link = Carrier {
             id,
             dial: Duration::from_nanos(self.site.dial_timeout.max(MS)),
             idle: Duration::from_nanos(longest_idle(&self.site)),
@@ -273,7 +273,7 @@
         };
         let task = tokio::spawn(link.run(addr, inbox)).abort_handle();
         let conn = Conn {
-            server,
+            host_id,
             era: host.era,
             up: false,
             used: false,
@@ -292,20 +292,20 @@
         oldest.map(|host| host.idle.remove(0)).is_some_and(|conn| self.conns.remove(&conn).is_some())
     }
 
-    fn unqueue(&mut self, server: ServerId, key: AttemptKey) {
-        self.hosts.entry(server).and_modify(|host| host.waiting.retain(|k| *k != key));
+    fn unqueue(&mut self, host_id: HostId, key: AttemptKey) {
+        self.hosts.entry(host_id).and_modify(|host| host.waiting.retain(|k| *k != key));
     }
 
     /// Stops waiting for an attempt: its time is up, or (`withdrawn`) it is wanted no more. Closing the
     /// connection is what tells the host.
     pub fn stop(&mut self, key: AttemptKey, withdrawn: bool) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        let (server, attempt_sent) = (attempt.server, attempt.sent);
+        let (host_id, attempt_sent) = (attempt.host_id, attempt.sent);
         let conn = attempt.conn.and_then(|id| self.conns.remove(&id));
         let sent = conn.is_some_and(|conn| conn.sent.load(Ordering::Relaxed));
-        self.unqueue(server, key);
+        self.unqueue(host_id, key);
         if sent && !withdrawn {
-            self.distrust(server, attempt_sent);
+            self.distrust(host_id, attempt_sent);
         }
         let outcome = match (withdrawn, sent) {
             (true, true) => Outcome::Cancelled,
@@ -319,8 +319,8 @@
     /// A host cut off leaves its connections open and silent. One that has said nothing since an attempt that
     /// timed out keeps no idle ones: a new one that fails to come up proves that a request never ran, which
     /// an unsafe one survives; one written to a dead connection does not.
-    fn distrust(&mut self, server: ServerId, since: Time) {
-        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.heard < since) else { return };
+    fn distrust(&mut self, host_id: HostId, since: Time) {
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.heard < since) else { return };
         for conn in host.idle.drain(..) {
             self.conns.remove(&conn);
         }
@@ -332,8 +332,8 @@
             HostEvent::Up(id) => {
                 let Some(conn) = self.conns.get_mut(&id) else { return };
                 conn.up = true;
-                let server = conn.server;
-                self.hosts.entry(server).and_modify(|host| host.dialing -= 1);
+                let host_id = conn.host_id;
+                self.hosts.entry(host_id).and_modify(|host| host.dialing -= 1);
                 self.free(id);
             }
             HostEvent::Answered { id, frame, clean } => {
@@ -342,14 +342,14 @@
                     self.keep = ((self.keep as f64 * KEEP_GROWS) as Span).min(longest_idle(&self.site));
                 }
                 conn.used = true;
-                let (server, Some(key)) = (conn.server, conn.busy.take()) else { return };
+                let (host_id, Some(key)) = (conn.host_id, conn.busy.take()) else { return };
                 let now = self.clock.now();
-                self.hosts.entry(server).and_modify(|host| host.heard = now);
+                self.hosts.entry(host_id).and_modify(|host| host.heard = now);
                 if self.answered(key, frame) && clean {
                     self.free(id);
                 } else {
                     self.conns.remove(&id);
-                    self.redial(server);
+                    self.redial(host_id);
                 }
             }
             HostEvent::Down(id) => {
@@ -367,11 +367,11 @@
                 self.keep = self.keep.min(conn.rested / 2).max(KEEP_LEAST);
             }
             if !sent && conn.used {
-                return self.again(conn.server, key);
+                return self.again(conn.host_id, key);
             }
             return self.finish(key, if sent { Outcome::Reset } else { Outcome::NoConnection });
         }
-        let Some(host) = self.hosts.get_mut(&conn.server) else { return };
+        let Some(host) = self.hosts.get_mut(&conn.host_id) else { return };
         host.idle.retain(|idle| *idle != id);
         if conn.up {
             return;
@@ -387,38 +387,38 @@
 
     /// An old connection turned out to be of no use before the request was whole on it. That says nothing of
     /// the host, and no attempt was made: another connection takes it.
-    fn again(&mut self, server: ServerId, key: AttemptKey) {
-        let Some(host) = self.hosts.get_mut(&server).filter(|host| host.ready) else {
+    fn again(&mut self, host_id: HostId, key: AttemptKey) {
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) else {
             return self.finish(key, Outcome::Moot);
         };
         if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.conn = None;
             host.waiting.push_front(key);
-            self.serve_waiting(server);
-            self.redial(server);
+            self.serve_waiting(host_id);
+            self.redial(host_id);
         }
     }
 
     /// A connection can carry a request: the first that waits, else it is idle.
     fn free(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        let (server, era) = (conn.server, conn.era);
-        match self.hosts.get_mut(&server).filter(|host| host.ready && host.era == era) {
+        let (host_id, era) = (conn.host_id, conn.era);
+        match self.hosts.get_mut(&host_id).filter(|host| host.ready && host.era == era) {
             Some(host) => {
                 host.idle.push(id);
                 conn.idle_since = self.clock.now();
-                self.serve_waiting(server);
+                self.serve_waiting(host_id);
             }
             None => drop(self.conns.remove(&id)),
         }
-        self.redial(server);
+        self.redial(host_id);
     }
 
     /// An attempt whose dial went to an address that is no more needs another.
-    fn redial(&mut self, server: ServerId) {
-        let Some(host) = self.hosts.get(&server) else { return };
+    fn redial(&mut self, host_id: HostId) {
+        let Some(host) = self.hosts.get(&host_id) else { return };
         if let Some(key) = host.waiting.back().copied().filter(|_| host.dialing < host.waiting.len()) {
-            self.dial(server, key);
+            self.dial(host_id, key);
         }
     }
 
@@ -447,7 +447,7 @@
         let ended = Ended {
             id: key.0,
             attempt: key.1,
-            server: attempt.server,
+            host: attempt.host_id,
             outcome,
             took: 0,
             closed: false,
@@ -509,10 +509,10 @@
 }
 
 /// A host's number for the module: from its name, so nothing need be kept for hosts that are gone.
-fn server_id(name: &str) -> ServerId {
+fn host_id_of(name: &str) -> HostId {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
-    ServerId(hasher.finish())
+    HostId(hasher.finish())
 }
 
 fn position(names: &[String], name: &str) -> u32 {
@@ -520,7 +520,7 @@
 }
 
 /// One connection to a host.
-struct Link {
+struct Carrier {
     id: ConnId,
     dial: Duration,
     idle: Duration,
@@ -528,7 +528,7 @@
     gateway: UnboundedSender<Input>,
 }
 
-impl Link {
+impl Carrier {
     async fn run(self, addr: SocketAddr, jobs: UnboundedReceiver<SegmentedBuf<Bytes>>) {
         if let Ok(Ok(stream)) = timeout(self.dial, TcpStream::connect(addr)).await {
             let _ = stream.set_nodelay(true);
@@ -600,7 +600,7 @@
         let (jobs, inbox) = mpsc::unbounded_channel();
         let sent = Arc::new(AtomicBool::new(false));
         let limit = Duration::from_secs(20);
-        let link = Link { id: 7, dial: limit, idle: limit, sent: sent.clone(), gateway };
+        let link = Carrier { id: 7, dial: limit, idle: limit, sent: sent.clone(), gateway };
         tokio::spawn(link.run(listener.local_addr().unwrap(), inbox));
         let mut host = listener.accept().await.unwrap().0;
         assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Up(7)))));
--- a/src/net/mod.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,4 +1,6 @@
-//! The gateway on real sockets. Everything here carries out what the decision module asks for.
+//! The network side of the gateway. Everything here carries out what the decision module asks for.
+
+#![allow(missing_docs)]
 
 pub mod call;
 pub mod clients;
--- a/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -17,7 +17,7 @@
     /// One try of a client.
     RequestId,
     /// One machine of the back end.
-    ServerId,
+    HostId,
     /// A customer, whose quota holds over all gateways together.
     CustomerId,
     /// The name of a number kept by the counter service.
@@ -30,13 +30,13 @@
     /// May be repeated and refused at will.
     #[default]
     Safe,
-    /// Repeats are dropped by the servers of one scope while they remember the key.
+    /// Repeats are dropped by the hosts of one scope while they remember the key.
     Keyed(Scope, Span),
     /// Never again once it may have run.
     Unsafe,
 }
 
-/// Which servers drop repeats of a keyed request.
+/// Which hosts drop repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     /// All of them.
@@ -112,19 +112,19 @@
     pub counter: bool,
     /// A call to it is given up after this.
     pub counter_timeout: Span,
-    /// The server list must be subscribed to.
+    /// The host list must be subscribed to.
     pub must_subscribe: bool,
     /// Without news or a question for this long, the list counts as told.
     pub must_ask_in: Span,
-    /// A fresh server starts at this share of its capacity or above.
+    /// A fresh host starts at this share of its capacity or above.
     pub cold_share: f64,
-    /// A fresh server is warm after this.
+    /// A fresh host is warm after this.
     pub cold: Span,
 }
 
-/// State of a server in the list.
+/// State of a host in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ServerState {
+pub enum HostState {
     /// Takes work.
     #[default]
     Ready,
@@ -134,19 +134,19 @@
     Gone,
 }
 
-/// One line of the server list.
+/// One line of the host list.
 #[derive(Clone, Debug, Default)]
-pub struct ServerEntry {
-    /// The server.
-    pub id: ServerId,
+pub struct HostEntry {
+    /// The host.
+    pub id: HostId,
     /// Its zone.
     pub zone: u32,
     /// Its kind of machine.
     pub kind: u32,
-    /// Its cell: servers that share the keys they have seen.
+    /// Its cell: hosts that share the keys they have seen.
     pub cell: u32,
     /// Its state.
-    pub state: ServerState,
+    pub state: HostState,
     /// Its size, without a unit.
     pub size: f64,
     /// Its latest start; zero: long past.
@@ -192,7 +192,7 @@
 pub enum Outcome {
     /// Served, or answered.
     Ok,
-    /// An error of the server; it may have run.
+    /// An error of the host; it may have run.
     Error,
     /// Turned away unseen.
     Full,
@@ -208,7 +208,7 @@
     Moot,
 }
 
-/// A server's load report; what it does not carry is `None`.
+/// A host's load report; what it does not carry is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
     /// Requests in hand.
@@ -225,6 +225,22 @@
     pub errors: Option<f64>,
 }
 
+impl Report {
+    /// Takes in one value by the name that the settings give it; unknown names are skipped.
+    pub fn set(&mut self, name: &str, value: f64) {
+        let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+        match name {
+            "busy_reqs" => self.inflight = value,
+            "pending" => self.queue = value,
+            "cpu_share" => self.util = value,
+            "svc_ms" => self.latency_ms = value,
+            "served_ps" => self.served = value,
+            "failed_ps" => self.errors = value,
+            _ => {}
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -233,7 +249,7 @@
     /// Number of the attempt.
     pub attempt: u32,
     /// Where it was sent.
-    pub server: ServerId,
+    pub host: HostId,
     /// How it ended.
     pub outcome: Outcome,
     /// How long ago it was sent.
@@ -244,19 +260,19 @@
     pub used: Option<f64>,
     /// True units.
     pub true_units: Option<f64>,
-    /// The server's load report.
+    /// The host's load report.
     pub report: Option<Report>,
 }
 
 /// What a gateway tells the module.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// News of the server list.
-    Servers {
+    /// News of the host list.
+    Hosts {
         /// What the lines are.
         kind: ListKind,
         /// The lines.
-        entries: Vec<ServerEntry>,
+        entries: Vec<HostEntry>,
     },
     /// A request has come in.
     Request(Request),
@@ -281,11 +297,11 @@
     },
     /// A probe has come back.
     Probed {
-        /// The server.
-        server: ServerId,
+        /// The host.
+        host: HostId,
         /// How it went.
         outcome: Outcome,
-        /// The server's load report.
+        /// The host's load report.
         report: Option<Report>,
     },
     /// The counter service has answered a call.
@@ -316,7 +332,7 @@
         /// The request.
         id: RequestId,
         /// Where to.
-        server: ServerId,
+        host: HostId,
         /// When to give it up.
         until: Time,
     },
@@ -355,6 +371,6 @@
         /// How long a new number is kept.
         keep: Span,
     },
-    /// Subscribe to the server list.
+    /// Subscribe to the host list.
     Subscribe,
 }
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,23 +4,20 @@
 //! [`api::Action`]s it gets back. The library does no I/O, reads no clock and has no global state.
 //!
 //! ```
-//! use fennelbeam::api::*;
-//! use fennelbeam::policy::Policy;
+//! use fennelbeam_policy::api::*;
+//! use fennelbeam_policy::policy::Policy;
 //!
 //! let class = Class { aim: 500_000_000, deadline: 2_000_000_000, worth: 1.0, ..Class::default() };
 //! let settings = Settings { classes: vec![class], plans: vec![Plan::default()], ..Settings::default() };
 //! let mut gateway = Policy::new(settings, 7);
 //! let mut todo = Vec::new();
 //!
-//! let server = ServerEntry { id: ServerId(1), size: 1.0, ..ServerEntry::default() };
-//! gateway.handle(0, Event::Servers { kind: ListKind::Full, entries: vec![server] }, &mut todo);
+//! let host = HostEntry { id: HostId(1), size: 1.0, ..HostEntry::default() };
+//! gateway.handle(0, Event::Hosts { kind: ListKind::Full, entries: vec![host] }, &mut todo);
 //! let request = Request { id: RequestId(9), patience: 2_000_000_000, units: 1.0, ..Request::default() };
 //! gateway.handle(1_000_000, Event::Request(request), &mut todo);
-//! assert!(todo.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
+//! assert!(todo.iter().any(|a| matches!(a, Action::Send { host: HostId(1), .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![deny(missing_docs)]
 
 pub mod api;
 pub mod policy;
-pub mod wire;
--- a/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -24,7 +24,7 @@
 const RULES: [[usize; 5]; 5] =
     [[0, 1, 1, 2, 3], [1, 2, 3, 4, 5], [3, 4, 4, 4, 5], [3, 4, 5, 6, 7], [5, 6, 7, 7, 8]];
 const ENOUGH_WAITS: f64 = 5.0; // waits that make a mean; with fewer, the error counts in proportion
-const SLOTS_PER_SERVER: f64 = 4.0; // shared among gateways: well above ordinary use
+const SLOTS_PER_HOST: f64 = 4.0; // shared among gateways: well above ordinary use
 const SAVED: f64 = 2.0; // seconds for which a part below two slots is saved up
 const REST: f64 = 0.15; // share of the slots that is the least-worth class's own, so it never starves
 const EPOCH: Span = 50_000 * MS; // names of counts change this often: they are kept for 60 s at most
@@ -42,10 +42,10 @@
 const RETRY_COUNTER: Span = 500 * MS; // a silent counter is asked again after this
 const MEAN_BY_GEOMETRIC: f64 = 1.78; // of exponential times: makes a geometric mean read as a mean
 const HANGS: f64 = 8.0; // mean latencies without an answer: e^-8 by chance
-const DROWNING: f64 = 0.3; // share of a class's attempts that fail when it is not single servers
+const DROWNING: f64 = 0.3; // share of a class's attempts that fail when it is not single hosts
 const RISK: f64 = 1.0; // requests in hand that a sure failure weighs; four where it cannot be repeated
-const MEMORY: f64 = 10.0; // seconds over which what a server did fades
-const COLD_PART: f64 = 0.8; // of a warm server's requests, times present capacity, for a cold one
+const MEMORY: f64 = 10.0; // seconds over which what a host did fades
+const COLD_PART: f64 = 0.8; // of a warm host's requests, times present capacity, for a cold one
 const RETRY_PART: f64 = 0.15; // further attempts for each request, so that trouble is not multiplied
 
 // ---- Quota leases
@@ -250,7 +250,7 @@
         }
     }
 
-    /// Fills free slots with held requests; those that find no server now stay in front.
+    /// Fills free slots with held requests; those that find no host now stay in front.
     fn dispatch(&mut self, now: Time) {
         let mut stuck = Vec::new();
         while self.out() < self.slots() {
@@ -259,7 +259,7 @@
             let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Queued) else { continue };
             let start_by = r.start_by(self.classes[c].latency);
             match self.pick(now, id).filter(|_| now < start_by) {
-                Some(server) => self.send(now, id, server),
+                Some(host) => self.send(now, id, host),
                 None => stuck.push((c, id)),
             }
         }
@@ -267,24 +267,24 @@
     }
 }
 
-// ---- Server choice and health
+// ---- Host choice and health
 
 #[derive(Default)]
-struct Server {
-    entry: ServerEntry,
+struct Host {
+    entry: HostEntry,
     out: Vec<(RequestId, u32, Time)>,
     slow: f64, // logarithm of its latency against the class's, smoothed
     heard: Time,
     told: Option<(Time, f64)>, // the load it reported last
     cold: Option<Time>,        // when its ramp from cold began
-    tokens: f64,               // sends a cold server may get now, filled up to `fed`
+    tokens: f64,               // sends a cold host may get now, filled up to `fed`
     fed: Time,
     did: Vec<(f64, Time)>, // from 1 (failed) to -1 (served), for each class, and as a whole last
 }
 
-impl Server {
+impl Host {
     fn ready(&self) -> bool {
-        self.entry.state == ServerState::Ready
+        self.entry.state == HostState::Ready
     }
 
     /// Cold since then. `tokens` is drawn from 0 to 1: so the first sends of all gateways are spread out.
@@ -299,14 +299,14 @@
 }
 
 impl Policy {
-    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<ServerEntry>) {
+    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<HostEntry>) {
         match kind {
             ListKind::Failed => self.pace.ask_at = now + self.s.must_ask_in / 8,
             ListKind::Delta => {}
-            _ => self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone),
+            _ => self.hosts.values_mut().for_each(|s| s.entry.state = HostState::Gone),
         }
         for entry in entries {
-            let s = self.servers.entry(entry.id).or_default();
+            let s = self.hosts.entry(entry.id).or_default();
             if entry.started > s.entry.started && entry.started.saturating_add(self.s.cold) > now {
                 // Freshly started: cold, and what was known of it is void.
                 s.chill(now, entry.started, self.rng.random());
@@ -315,14 +315,14 @@
             }
             (s.entry, s.fed) = (entry, now);
         }
-        let all = self.servers.values().filter(|s| s.ready()).count().max(1) as f64;
-        self.pace.total = SLOTS_PER_SERVER * all / self.s.gateways.max(1) as f64;
+        let all = self.hosts.values().filter(|s| s.ready()).count().max(1) as f64;
+        self.pace.total = SLOTS_PER_HOST * all / self.s.gateways.max(1) as f64;
     }
 
-    /// Whether a request may go to this server, after what may already have run of it.
-    fn legal(&self, now: Time, r: &Held, entry: &ServerEntry) -> bool {
+    /// Whether a request may go to this host, after what may already have run of it.
+    fn legal(&self, now: Time, r: &Pending, entry: &HostEntry) -> bool {
         let Some(first) = r.ran() else { return true };
-        let there = self.servers.get(&first.server).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
+        let there = self.hosts.get(&first.host).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
         match self.s.classes[r.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
@@ -334,10 +334,10 @@
         }
     }
 
-    /// Feeds cold servers our part of what they can do now, so that all gateways together push none over.
+    /// Feeds cold hosts our part of what they can do now, so that all gateways together push none over.
     fn warm_up(&mut self, now: Time) {
-        let warm = self.servers.values().filter(|s| s.ready() && s.cold.is_none()).count().max(1) as f64;
-        for s in self.servers.values_mut() {
+        let warm = self.hosts.values().filter(|s| s.ready() && s.cold.is_none()).count().max(1) as f64;
+        for s in self.hosts.values_mut() {
             let Some(since) = s.cold else { continue };
             let age = seconds(since, now) * SECOND / self.s.cold.max(1) as f64;
             let ramp = self.s.cold_share + (1.0 - self.s.cold_share) * age;
@@ -348,14 +348,14 @@
         }
     }
 
-    /// The server with the least expected wait among those that may take this request.
-    fn pick(&mut self, now: Time, id: RequestId) -> Option<ServerId> {
+    /// The host with the least expected wait among those that may take this request.
+    fn pick(&mut self, now: Time, id: RequestId) -> Option<HostId> {
         let r = self.requests.get(&id)?;
         let (class, all) = (r.class, self.s.classes.len());
         let usual = self.classes[r.class].failing;
         let weight = RISK * if self.s.classes[r.class].effect == Effect::Safe { 1.0 } else { 4.0 };
-        let mut best: Option<(f64, ServerId)> = None;
-        for (sid, s) in &self.servers {
+        let mut best: Option<(f64, HostId)> = None;
+        for (sid, s) in &self.hosts {
             if (s.cold.is_some() && s.tokens < 1.0) || !s.ready() || !self.legal(now, r, &s.entry) {
                 continue;
             }
@@ -368,7 +368,7 @@
             let feared = if own < 0.0 { usual * (1.0 + own) } else { own.max(usual) };
             cost += weight * feared.max(s.lately(all, now));
             cost += if s.entry.zone != self.s.zone { 0.1 } else { 0.0 };
-            cost += if r.attempts.iter().any(|a| a.server == *sid) { 100.0 } else { 0.0 };
+            cost += if r.attempts.iter().any(|a| a.host == *sid) { 100.0 } else { 0.0 };
             if best.is_none_or(|(b, _)| cost < b) {
                 best = Some((cost, *sid));
             }
@@ -376,13 +376,13 @@
         best.map(|(_, sid)| sid)
     }
 
-    /// Remembers how a server did with a class; `whole`: it failed as a whole, until it answers.
-    fn remember(&mut self, now: Time, id: RequestId, sid: ServerId, failed: bool, whole: bool) {
+    /// Remembers how a host did with a class; `whole`: it failed as a whole, until it answers.
+    fn remember(&mut self, now: Time, id: RequestId, sid: HostId, failed: bool, whole: bool) {
         let Some(r) = self.requests.get(&id) else { return };
         let (class, all) = (r.class, self.s.classes.len());
         let k = &mut self.classes[class];
         k.failing += 0.05 * (f64::from(u8::from(failed)) - k.failing);
-        let Some(s) = self.servers.get_mut(&sid) else { return };
+        let Some(s) = self.hosts.get_mut(&sid) else { return };
         s.did.resize(all + 1, (0.0, now));
         for grain in [class, all] {
             let before = s.lately(grain, now);
@@ -394,10 +394,10 @@
         }
     }
 
-    /// An attempt long without an answer counts as failed; the server as a whole if it was silent to all.
+    /// An attempt long without an answer counts as failed; the host as a whole if it was silent to all.
     fn watch(&mut self, now: Time) {
         let mut hanging = Vec::new();
-        for (sid, s) in &self.servers {
+        for (sid, s) in &self.hosts {
             for (id, attempt, sent) in &s.out {
                 let Some(r) = self.requests.get(id) else { continue };
                 let latency = self.classes[r.class].latency;
@@ -415,12 +415,12 @@
         }
     }
 
-    /// Learns from an answer how quick its server is against its peers.
-    fn learn(&mut self, class: usize, sid: ServerId, took: Span) {
+    /// Learns from an answer how quick its host is against its peers.
+    fn learn(&mut self, class: usize, sid: HostId, took: Span) {
         let (t, k) = ((took as f64 / SECOND).max(1e-6), &mut self.classes[class]);
         k.latency = if k.latency == 0.0 { t } else { k.latency };
         k.latency *= (MEAN_BY_GEOMETRIC * t / k.latency).powf(0.05);
-        if let Some(s) = self.servers.get_mut(&sid) {
+        if let Some(s) = self.hosts.get_mut(&sid) {
             s.slow += 0.1 * ((MEAN_BY_GEOMETRIC * t / k.latency).clamp(0.1, 10.0).ln() - s.slow);
         }
     }
@@ -440,7 +440,7 @@
 
 #[derive(Default)]
 struct Attempt {
-    server: ServerId,
+    host: HostId,
     sent: Time,
     open: bool,
     harmless: bool, // proven never to have run
@@ -450,7 +450,7 @@
 }
 
 #[derive(Default)]
-struct Held {
+struct Pending {
     class: usize,
     customer: CustomerId,
     units: f64,
@@ -464,7 +464,7 @@
     attempts: Vec<Attempt>,
 }
 
-impl Held {
+impl Pending {
     /// Later than this an answer is not to be expected within the aim; a first attempt keeps half of it.
     fn start_by(&self, latency: f64) -> Time {
         let aim = (self.aim_at - self.arrived) as f64;
@@ -482,8 +482,8 @@
 }
 
 impl Policy {
-    fn send(&mut self, now: Time, id: RequestId, server: ServerId) {
-        let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else { return };
+    fn send(&mut self, now: Time, id: RequestId, host: HostId) {
+        let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.hosts.get_mut(&host)) else { return };
         let (class, k) = (&self.s.classes[r.class], &mut self.classes[r.class]);
         let until = if class.late_worth > 0.0 || class.stream { r.deadline } else { r.aim_at };
         if r.attempts.is_empty() {
@@ -494,14 +494,14 @@
         r.stage = Stage::Out;
         s.out.push((id, r.attempts.len() as u32, now));
         s.tokens -= 1.0;
-        r.attempts.push(Attempt { server, sent: now, open: true, slot: true, ..Attempt::default() });
-        self.actions.push(Action::Send { id, server, until });
+        r.attempts.push(Attempt { host, sent: now, open: true, slot: true, ..Attempt::default() });
+        self.actions.push(Action::Send { id, host, until });
     }
 
     /// Whether another attempt is worth it: in time, within the limit and the budget.
-    fn may_retry(&self, now: Time, r: &Held) -> bool {
+    fn may_retry(&self, now: Time, r: &Pending) -> bool {
         let more = (r.attempts.len() as u32) < self.s.max_attempts.max(1) && self.pace.retries >= 1.0;
-        let legal = || self.servers.values().any(|s| s.ready() && self.legal(now, r, &s.entry));
+        let legal = || self.hosts.values().any(|s| s.ready() && self.legal(now, r, &s.entry));
         more && now < r.start_by(self.classes[r.class].latency) && legal()
     }
 
@@ -572,19 +572,19 @@
     }
 
     fn on_ended(&mut self, now: Time, end: Ended) {
-        self.on_report(now, end.server, end.outcome, end.report);
+        self.on_report(now, end.host, end.outcome, end.report);
         let Some(r) = self.requests.get_mut(&end.id) else { return };
         let at = r.attempts.get_mut(end.attempt as usize);
-        let Some(a) = at.filter(|a| a.open && a.server == end.server) else { return };
+        let Some(a) = at.filter(|a| a.open && a.host == end.host) else { return };
         use Outcome::*;
         (a.open, a.harmless) = (false, matches!(end.outcome, Full | NoConnection | Moot));
         let (class, unasked) = (r.class, end.outcome == Cancelled && !a.withdrawn);
         self.classes[class].out -= usize::from(std::mem::take(&mut a.slot));
         let over = |(id, n, _): &(RequestId, u32, Time)| (*id, *n) == (end.id, end.attempt);
-        self.servers.entry(end.server).and_modify(|s| s.out.retain(|out| !over(out)));
+        self.hosts.entry(end.host).and_modify(|s| s.out.retain(|out| !over(out)));
         if !matches!(end.outcome, Cancelled | Moot | Timeout) {
             let whole = matches!(end.outcome, NoConnection | Reset);
-            self.remember(now, end.id, end.server, end.outcome != Ok, whole);
+            self.remember(now, end.id, end.host, end.outcome != Ok, whole);
         }
         if let Some(r) = self.requests.get(&end.id).filter(|_| end.outcome == Ok) {
             // What was guessed is settled: the store of the quota, not the ceiling's.
@@ -592,7 +592,7 @@
             if let Some(store) = self.customers.get_mut(&r.customer).and_then(|c| c.stores.first_mut()) {
                 store.held += if store.strict { 0.0 } else { r.units - units };
             }
-            self.learn(class, end.server, end.took);
+            self.learn(class, end.host, end.took);
         }
         let Some(r) = self.requests.get(&end.id) else { return };
         if end.closed || r.stage == Stage::Closed || end.outcome == Ok {
@@ -627,7 +627,7 @@
     sends: f64,
     send_rate: f64,
     saved: f64, // slots times seconds not used, where the part of the fleet is below two slots
-    load: f64,  // usual load that servers report
+    load: f64,  // usual load that hosts report
     retries: f64,
     total: f64,
     call_odds: f64,
@@ -642,8 +642,8 @@
     rng: SmallRng,
     by_worth: Vec<usize>,
     classes: Vec<ClassState>,
-    servers: BTreeMap<ServerId, Server>,
-    requests: BTreeMap<RequestId, Held>,
+    hosts: BTreeMap<HostId, Host>,
+    requests: BTreeMap<RequestId, Pending>,
     customers: BTreeMap<CustomerId, Customer>,
     names: BTreeMap<CountName, (CustomerId, usize, u64)>,
     freed: Vec<CustomerId>,
@@ -661,7 +661,7 @@
             rng: SmallRng::seed_from_u64(seed),
             by_worth,
             classes: s.classes.iter().map(|_| ClassState::default()).collect(),
-            servers: BTreeMap::new(),
+            hosts: BTreeMap::new(),
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -681,13 +681,13 @@
             self.actions.push(Action::Timer { after: TICK, token: 0 });
         }
         match event {
-            Event::Servers { kind, entries } => self.on_list(now, kind, entries),
+            Event::Hosts { kind, entries } => self.on_list(now, kind, entries),
             Event::Request(request) => self.on_request(now, request),
             Event::Started { id, .. } => drop(self.requests.entry(id).and_modify(|r| r.stage = Stage::Begun)),
             Event::Ended(end) => self.on_ended(now, end),
             Event::Left { id } => self.close(id),
             Event::Timer { .. } => self.on_tick(now),
-            Event::Probed { server, outcome, report } => self.on_report(now, server, outcome, report),
+            Event::Probed { host, outcome, report } => self.on_report(now, host, outcome, report),
             Event::Counted { name, outcome, total, took } => self.on_counted(now, name, outcome, total, took),
             Event::PeerMessage { .. } => {}
         }
@@ -696,13 +696,13 @@
         actions.append(&mut self.actions);
     }
 
-    /// Records held: requests, customers, servers and calls that are out.
+    /// Records held: requests, customers, hosts and calls that are out.
     pub fn size(&self) -> usize {
-        self.requests.len() + self.customers.len() + self.servers.len() + self.names.len()
+        self.requests.len() + self.customers.len() + self.hosts.len() + self.names.len()
     }
 
-    fn on_report(&mut self, now: Time, server: ServerId, outcome: Outcome, report: Option<Report>) {
-        let Some(s) = self.servers.get_mut(&server) else { return };
+    fn on_report(&mut self, now: Time, host: HostId, outcome: Outcome, report: Option<Report>) {
+        let Some(s) = self.hosts.get_mut(&host) else { return };
         if let Some(report) = report {
             let load = report.queue.or(report.inflight).unwrap_or(0.0) + report.util.unwrap_or(0.0);
             self.pace.load += 0.05 * (load - self.pace.load);
@@ -721,7 +721,7 @@
         let units = if units.is_finite() { units.max(0.0) } else { 1.0 };
         let deadline = now.saturating_add(patience);
         let aim_at = now.saturating_add(c.aim).min(deadline);
-        let held = Held { class, customer, units, arrived: now, aim_at, deadline, ..Held::default() };
+        let held = Pending { class, customer, units, arrived: now, aim_at, deadline, ..Pending::default() };
         self.requests.insert(id, held);
         self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
         // No time for an answer, nor for a later look at it.
@@ -896,17 +896,17 @@
         self.watch(now);
         let waiting = self.customers.iter().filter(|(_, c)| !c.waiting.is_empty()).map(|(k, _)| *k);
         waiting.collect::<Vec<_>>().into_iter().for_each(|customer| self.settle(now, customer));
-        let late = |r: &Held| r.stage == Stage::Queued && now >= r.start_by(self.classes[r.class].latency);
+        let late = |r: &Pending| r.stage == Stage::Queued && now >= r.start_by(self.classes[r.class].latency);
         let late: Vec<_> = self.requests.iter().filter(|(_, r)| late(r)).map(|(id, _)| *id).collect();
         late.into_iter().for_each(|id| self.give_up(id));
         if now >= self.pace.control_at {
             self.pace.send_rate += 0.3 * (self.pace.sends - self.pace.send_rate);
             (self.pace.control_at, self.pace.sends) = (now + PERIOD, 0.0);
             self.control(now);
-            // Customers and servers without news for an epoch are forgotten, so that state stays bounded.
+            // Customers and hosts without news for an epoch are forgotten, so that state stays bounded.
             let busy = |c: &Customer| c.open > 0 || c.stores.iter().any(|a| a.call.is_some());
             self.customers.retain(|_, c| busy(c) || now < c.asked + EPOCH);
-            self.servers.retain(|_, s| s.ready() || !s.out.is_empty() || now < s.fed.max(s.heard) + EPOCH);
+            self.hosts.retain(|_, s| s.ready() || !s.out.is_empty() || now < s.fed.max(s.heard) + EPOCH);
         }
     }
 }
--- a/tests/answers.rs
+++ b/crates/policy/tests/answers.rs
@@ -1,7 +1,7 @@
-//! Final answers, effects, drains, cold and silent servers, and odd input.
+//! Final answers, effects, drains, cold and silent hosts, and odd input.
 mod common;
 use common::*;
-use fennelbeam::api::*;
+use fennelbeam_policy::api::*;
 
 fn open() -> Settings {
     let mut settings = settings();
@@ -11,75 +11,75 @@
 
 #[test]
 fn a_try_with_no_time_left_is_answered_at_once() {
-    let mut g = Gateway::new(open(), 3);
+    let mut g = Harness::new(open(), 3);
     let request = Request { id: RequestId(1), patience: 5 * MS, units: 1.0, ..Request::default() };
     assert!(refused(&g.on(Event::Request(request)), 1));
 }
 
 #[test]
 fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
-    let mut g = Gateway::new(open(), 3);
-    let (_, server) = sends(&g.request(1, 1, 1, 1.0))[0];
-    let actions = g.ended(1, 0, server, Outcome::Reset);
+    let mut g = Harness::new(open(), 3);
+    let (_, host) = sends(&g.request(1, 1, 1, 1.0))[0];
+    let actions = g.ended(1, 0, host, Outcome::Reset);
     assert!(failed(&actions, 1) && sends(&actions).is_empty());
 }
 
 #[test]
 fn an_unsafe_request_that_never_ran_goes_elsewhere() {
-    let mut g = Gateway::new(open(), 3);
-    let (_, server) = sends(&g.request(1, 1, 1, 1.0))[0];
-    let again = sends(&g.ended(1, 0, server, Outcome::NoConnection));
+    let mut g = Harness::new(open(), 3);
+    let (_, host) = sends(&g.request(1, 1, 1, 1.0))[0];
+    let again = sends(&g.ended(1, 0, host, Outcome::NoConnection));
     assert_eq!(again.len(), 1);
-    assert_ne!(again[0].1, server);
+    assert_ne!(again[0].1, host);
 }
 
 #[test]
 fn a_keyed_request_is_repeated_only_in_its_scope() {
     let mut settings = open();
     settings.classes[1].effect = Effect::Keyed(Scope::Cell, 8_000 * MS);
-    let mut g = Gateway::new(settings, 0);
-    let cell = |id, cell| ServerEntry { cell, ..entry(id) };
+    let mut g = Harness::new(settings, 0);
+    let cell = |id, cell| HostEntry { cell, ..entry(id) };
     g.list(ListKind::Full, vec![cell(1, 1), cell(2, 1), cell(3, 2), cell(4, 2)]);
     for id in 1..20 {
-        let (_, server) = sends(&g.request(id, 1, id, 1.0))[0];
-        let again = sends(&g.ended(id, 0, server, Outcome::Error));
+        let (_, host) = sends(&g.request(id, 1, id, 1.0))[0];
+        let again = sends(&g.ended(id, 0, host, Outcome::Error));
         for (_, other) in again {
-            assert_eq!((other.0 - 1) / 2, (server.0 - 1) / 2);
+            assert_eq!((other.0 - 1) / 2, (host.0 - 1) / 2);
             g.ended(id, 1, other, Outcome::Ok);
         }
     }
 }
 
 #[test]
-fn nothing_new_goes_to_a_draining_or_removed_server() {
-    let mut g = Gateway::new(open(), 3);
-    g.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Draining, ..entry(1) }]);
-    g.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Gone, ..entry(2) }]);
-    assert!((1..12).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == ServerId(3)));
+fn nothing_new_goes_to_a_draining_or_removed_host() {
+    let mut g = Harness::new(open(), 3);
+    g.list(ListKind::Delta, vec![HostEntry { state: HostState::Draining, ..entry(1) }]);
+    g.list(ListKind::Delta, vec![HostEntry { state: HostState::Gone, ..entry(2) }]);
+    assert!((1..12).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == HostId(3)));
     g.list(ListKind::Full, vec![entry(1)]);
-    assert!((20..24).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == ServerId(1)));
+    assert!((20..24).flat_map(|id| sends(&g.request(id, 0, id, 1.0))).all(|(_, s)| s == HostId(1)));
 }
 
 #[test]
-fn a_fresh_server_gets_its_part_and_no_burst() {
-    let mut g = Gateway::new(open(), 3);
+fn a_fresh_host_gets_its_part_and_no_burst() {
+    let mut g = Harness::new(open(), 3);
     g.pass(2_000 * MS);
-    g.list(ListKind::Delta, vec![ServerEntry { started: g.now, ..entry(9) }]);
+    g.list(ListKind::Delta, vec![HostEntry { started: g.now, ..entry(9) }]);
     let mut cold = 0;
     for id in 1..100 {
         let sent = sends(&g.request(id, 0, id, 1.0));
-        cold += sent.iter().filter(|(_, s)| *s == ServerId(9)).count();
-        for (request, server) in sent {
-            g.ended(request.0, 0, server, Outcome::Ok);
+        cold += sent.iter().filter(|(_, s)| *s == HostId(9)).count();
+        for (request, host) in sent {
+            g.ended(request.0, 0, host, Outcome::Ok);
         }
         g.pass(20 * MS);
     }
-    assert!(cold <= 8, "33 a second over three warm servers, a fifth of that for the cold one: {cold}");
+    assert!(cold <= 8, "33 a second over three warm hosts, a fifth of that for the cold one: {cold}");
 }
 
 #[test]
-fn a_silent_server_is_left_and_safe_requests_move_away() {
-    let mut g = Gateway::new(open(), 4);
+fn a_silent_host_is_left_and_safe_requests_move_away() {
+    let mut g = Harness::new(open(), 4);
     let mut id = 0;
     let mut silent = Vec::new();
     let mut late = Vec::new();
@@ -89,32 +89,32 @@
         actions.extend(g.pass(20 * MS));
         for action in &actions {
             if let Action::Withdraw { id, attempt } = action {
-                late.extend(sends(&g.ended(id.0, *attempt, ServerId(1), Outcome::Cancelled)));
+                late.extend(sends(&g.ended(id.0, *attempt, HostId(1), Outcome::Cancelled)));
             }
         }
-        for (request, server) in sends(&actions) {
-            if server != ServerId(1) {
-                g.ended(request.0, 0, server, Outcome::Ok);
+        for (request, host) in sends(&actions) {
+            if host != HostId(1) {
+                g.ended(request.0, 0, host, Outcome::Ok);
             } else {
                 silent.push(round);
             }
         }
     }
     assert!(!silent.is_empty() && silent.len() < 10, "a trial now and then, not a flood: {silent:?}");
-    assert!(late.iter().any(|(_, server)| *server != ServerId(1)), "what hung there was tried elsewhere");
+    assert!(late.iter().any(|(_, host)| *host != HostId(1)), "what hung there was tried elsewhere");
 }
 
 #[test]
 fn odd_input_is_taken_without_harm() {
-    let mut g = Gateway::new(settings(), 2);
-    g.ended(99, 0, ServerId(1), Outcome::Ok);
-    g.ended(99, 7, ServerId(77), Outcome::Timeout);
+    let mut g = Harness::new(settings(), 2);
+    g.ended(99, 0, HostId(1), Outcome::Ok);
+    g.ended(99, 7, HostId(77), Outcome::Timeout);
     g.counted(CountName(5), Outcome::Ok, f64::NAN);
     g.on(Event::Timer { token: 12345 });
     g.on(Event::Left { id: RequestId(3) });
     g.on(Event::Started { id: RequestId(3), attempt: 0 });
     let report = Some(Report { queue: Some(f64::INFINITY), ..Report::default() });
-    g.on(Event::Probed { server: ServerId(77), outcome: Outcome::Ok, report });
+    g.on(Event::Probed { host: HostId(77), outcome: Outcome::Ok, report });
     g.on(Event::Request(Request { id: RequestId(4), class: 9, ..Request::default() }));
     let actions = g.request(5, 0, 1, f64::NAN);
     let (name, _) = calls(&actions)[0];
@@ -139,7 +139,7 @@
             _ => (s.plans[0].open, s.plans[0].rate, s.plans[0].ceiling_rate) = (1, 0.0, 1e9),
         }
         let classes = s.classes.len();
-        let mut g = Gateway::new(s, 1);
+        let mut g = Harness::new(s, 1);
         let mut all = Vec::new();
         for id in 1..=40 {
             all.extend(g.request(id, id as usize % classes, id % 3, 30.0 * (id % 2) as f64));
@@ -148,8 +148,8 @@
             }
             all.extend(g.pass(7 * MS));
         }
-        for (request, server) in sends(&all) {
-            all.extend(g.ended(request.0, 0, server, Outcome::Ok));
+        for (request, host) in sends(&all) {
+            all.extend(g.ended(request.0, 0, host, Outcome::Ok));
         }
         all.extend(g.pass(10_000 * MS));
         for id in 1..=40 {
@@ -161,46 +161,36 @@
 }
 
 #[test]
-fn a_server_that_fails_one_class_keeps_the_other() {
-    let mut g = Gateway::new(Settings { gateways: 1, ..open() }, 2);
+fn a_host_that_fails_one_class_keeps_the_other() {
+    let mut g = Harness::new(Settings { gateways: 1, ..open() }, 2);
     for id in 1..100 {
-        for (request, server) in sends(&g.request(id, (id % 2) as usize, id, 1.0)) {
-            let bad = id % 2 == 1 && server == ServerId(1);
-            g.ended(request.0, 0, server, if bad { Outcome::Error } else { Outcome::Ok });
+        for (request, host) in sends(&g.request(id, (id % 2) as usize, id, 1.0)) {
+            let bad = id % 2 == 1 && host == HostId(1);
+            g.ended(request.0, 0, host, if bad { Outcome::Error } else { Outcome::Ok });
         }
         g.pass(40 * MS);
     }
-    // With an attempt out at the other server, the class that is served goes to the idle one, the failing not.
+    // With an attempt out at the other host, the class that is served goes to the idle one, the failing not.
     let to = |actions: Vec<Action>| sends(&actions)[0].1;
-    assert_eq!(to(g.request(201, 1, 201, 1.0)), ServerId(2));
-    assert_eq!(to(g.request(202, 0, 202, 1.0)), ServerId(1));
-    assert_eq!(to(g.request(203, 1, 203, 1.0)), ServerId(2));
+    assert_eq!(to(g.request(201, 1, 201, 1.0)), HostId(2));
+    assert_eq!(to(g.request(202, 0, 202, 1.0)), HostId(1));
+    assert_eq!(to(g.request(203, 1, 203, 1.0)), HostId(2));
 }
 
 #[test]
-fn a_server_never_heard_of_is_not_taken_for_idle() {
-    let mut g = Gateway::new(Settings { gateways: 1, ..open() }, 20);
+fn a_host_never_heard_of_is_not_taken_for_idle() {
+    let mut g = Harness::new(Settings { gateways: 1, ..open() }, 20);
     for id in 1..200 {
-        for (id, server) in sends(&g.request(id, 0, id, 1.0)) {
+        for (id, host) in sends(&g.request(id, 0, id, 1.0)) {
             let report = Some(Report { queue: Some(2.0), ..Report::default() });
             let (outcome, took) = (Outcome::Ok, 50 * MS);
             let (attempt, closed, used, true_units) = (0, true, None, None);
-            g.on(Event::Ended(Ended {
-                id,
-                attempt,
-                server,
-                outcome,
-                took,
-                closed,
-                used,
-                true_units,
-                report,
-            }));
+            g.on(Event::Ended(Ended { id, attempt, host, outcome, took, closed, used, true_units, report }));
         }
         g.pass(20 * MS);
     }
     g.list(ListKind::Delta, (21..=25).map(entry).collect());
     let next = (201..206).flat_map(|id| sends(&g.request(id, 0, id, 1.0)));
-    let strangers = next.filter(|(_, server)| server.0 > 20).count();
-    assert!(strangers < 5, "five busy-looking servers are not all passed over for five unknown ones");
+    let strangers = next.filter(|(_, host)| host.0 > 20).count();
+    assert!(strangers < 5, "five busy-looking hosts are not all passed over for five unknown ones");
 }
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway under test: settings with plain defaults, and helpers to feed it events.
 #![allow(dead_code)]
-use fennelbeam::api::*;
-use fennelbeam::policy::Policy;
+use fennelbeam_policy::api::*;
+use fennelbeam_policy::policy::Policy;
 
 pub const MS: Span = 1_000_000;
 
@@ -24,19 +24,19 @@
     }
 }
 
-pub fn entry(id: u64) -> ServerEntry {
-    ServerEntry { id: ServerId(id), size: 1.0, ..ServerEntry::default() }
+pub fn entry(id: u64) -> HostEntry {
+    HostEntry { id: HostId(id), size: 1.0, ..HostEntry::default() }
 }
 
-pub struct Gateway {
+pub struct Harness {
     pub policy: Policy,
     pub now: Time,
 }
 
-impl Gateway {
-    pub fn new(settings: Settings, servers: u64) -> Self {
-        let mut gateway = Gateway { policy: Policy::new(settings, 1), now: 1_000_000 * MS };
-        gateway.list(ListKind::Cached, (1..=servers).map(entry).collect());
+impl Harness {
+    pub fn new(settings: Settings, hosts: u64) -> Self {
+        let mut gateway = Harness { policy: Policy::new(settings, 1), now: 1_000_000 * MS };
+        gateway.list(ListKind::Cached, (1..=hosts).map(entry).collect());
         gateway
     }
     pub fn on(&mut self, event: Event) -> Vec<Action> {
@@ -44,8 +44,8 @@
         self.policy.handle(self.now, event, &mut actions);
         actions
     }
-    pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Vec<Action> {
-        self.on(Event::Servers { kind, entries })
+    pub fn list(&mut self, kind: ListKind, entries: Vec<HostEntry>) -> Vec<Action> {
+        self.on(Event::Hosts { kind, entries })
     }
     pub fn request(&mut self, id: u64, class: usize, customer: u64, units: f64) -> Vec<Action> {
         let (id, customer) = (RequestId(id), CustomerId(customer));
@@ -60,12 +60,12 @@
             ..Request::default()
         }))
     }
-    pub fn ended(&mut self, id: u64, attempt: u32, server: ServerId, outcome: Outcome) -> Vec<Action> {
+    pub fn ended(&mut self, id: u64, attempt: u32, host: HostId, outcome: Outcome) -> Vec<Action> {
         let closed = outcome == Outcome::Ok;
         let end = Ended {
             id: RequestId(id),
             attempt,
-            server,
+            host,
             outcome,
             took: 50 * MS,
             closed,
@@ -99,9 +99,9 @@
     actions.iter().filter_map(call).collect()
 }
 
-pub fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
+pub fn sends(actions: &[Action]) -> Vec<(RequestId, HostId)> {
     let send = |a: &Action| match a {
-        Action::Send { id, server, .. } => Some((*id, *server)),
+        Action::Send { id, host, .. } => Some((*id, *host)),
         _ => None,
     };
     actions.iter().filter_map(send).collect()
--- a/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -1,10 +1,10 @@
 //! Leases: blocks, return, settlement, and a counter that is silent, empty or slow.
 mod common;
 use common::*;
-use fennelbeam::api::*;
+use fennelbeam_policy::api::*;
 
 /// Sends a request and answers its call with the total that other gateways leave.
-fn lease(g: &mut Gateway, id: u64, units: f64, others: f64, total: &mut f64) -> Vec<Action> {
+fn lease(g: &mut Harness, id: u64, units: f64, others: f64, total: &mut f64) -> Vec<Action> {
     let mut actions = g.request(id, 0, 7, units);
     for (name, amount) in calls(&actions) {
         *total += amount + others;
@@ -15,7 +15,7 @@
 
 #[test]
 fn units_are_leased_before_the_first_send_and_a_block_serves_several() {
-    let (mut g, mut total) = (Gateway::new(settings(), 60), 0.0);
+    let (mut g, mut total) = (Harness::new(settings(), 60), 0.0);
     let first = g.request(1, 0, 7, 2.0);
     assert!(sends(&first).is_empty(), "nothing goes out before the lease");
     let (name, amount) = calls(&first)[0];
@@ -32,7 +32,7 @@
 
 #[test]
 fn beyond_what_the_store_holds_requests_are_refused() {
-    let (mut g, mut total) = (Gateway::new(settings(), 60), 0.0);
+    let (mut g, mut total) = (Harness::new(settings(), 60), 0.0);
     let mut sent = 0;
     for id in 1..=60 {
         sent += sends(&lease(&mut g, id, 1.0, 0.0, &mut total)).len();
@@ -51,7 +51,7 @@
 
 #[test]
 fn units_used_by_other_gateways_are_not_there_for_us() {
-    let (mut g, mut total) = (Gateway::new(settings(), 60), 0.0);
+    let (mut g, mut total) = (Harness::new(settings(), 60), 0.0);
     let actions = lease(&mut g, 1, 2.0, 40.0, &mut total);
     assert!(sends(&actions).is_empty());
     assert!(refused(&g.pass(400 * MS), 1) || refused(&actions, 1));
@@ -60,15 +60,15 @@
 #[test]
 fn true_units_are_settled_through_the_lease() {
     let settings = settings();
-    let (mut g, mut total) = (Gateway::new(settings, 60), 0.0);
+    let (mut g, mut total) = (Harness::new(settings, 60), 0.0);
     let mut sent = 0;
     for id in 1..=40 {
-        for (request, server) in sends(&lease(&mut g, id, 1.0, 0.0, &mut total)) {
+        for (request, host) in sends(&lease(&mut g, id, 1.0, 0.0, &mut total)) {
             sent += 1;
             let end = Ended {
                 id: request,
                 attempt: 0,
-                server,
+                host,
                 outcome: Outcome::Ok,
                 took: 50 * MS,
                 closed: true,
@@ -84,7 +84,7 @@
 
 #[test]
 fn a_refusing_counter_leaves_a_local_part_to_every_customer() {
-    let mut g = Gateway::new(settings(), 60);
+    let mut g = Harness::new(settings(), 60);
     let mut sent = 0;
     for id in 1..=60 {
         let actions = g.request(id, 0, id % 6, 1.0);
@@ -102,7 +102,7 @@
 
 #[test]
 fn a_total_that_went_backwards_leaves_no_debt() {
-    let (mut g, mut total) = (Gateway::new(settings(), 60), 0.0);
+    let (mut g, mut total) = (Harness::new(settings(), 60), 0.0);
     let mut sent = 0;
     for id in 1..=80 {
         g.pass(200 * MS);
@@ -119,7 +119,7 @@
     let mut settings = settings();
     settings.plans[0].ceiling_rate = 20.0;
     settings.plans[0].ceiling_burst = 40.0;
-    let mut g = Gateway::new(settings, 60);
+    let mut g = Harness::new(settings, 60);
     let mut sent = 0;
     for id in 1..=20 {
         let actions = g.request(id, 0, 7, 1.0);
@@ -135,7 +135,7 @@
 fn without_a_counter_a_customer_gets_its_even_part() {
     let mut settings = settings();
     settings.counter = false;
-    let mut g = Gateway::new(settings, 60);
+    let mut g = Harness::new(settings, 60);
     let sent: usize = (1..=60).map(|id| sends(&g.request(id, 0, 7, 1.0)).len()).sum();
     assert!((7..=12).contains(&sent), "about half of a burst of 20 for a spread of 2: {sent}");
 }
@@ -145,7 +145,7 @@
 fn let_in_when_spread(use_of_rate: f64) -> usize {
     let many = Settings { gateways: 200, ..settings() };
     let rate = many.plans[0].rate;
-    let mut g = Gateway::new(many, 60);
+    let mut g = Harness::new(many, 60);
     let (start, mut sent, mut ran) = (g.now, 0, 0.0);
     for id in 1..=200 {
         let request = Request {
@@ -164,9 +164,9 @@
             let total = if mine { use_of_rate * rate * age + 20.0 * use_of_rate } else { ran };
             actions.extend(g.counted(name, Outcome::Ok, total));
         }
-        for (request, server) in sends(&actions) {
+        for (request, host) in sends(&actions) {
             sent += 1;
-            g.ended(request.0, 0, server, Outcome::Ok);
+            g.ended(request.0, 0, host, Outcome::Ok);
         }
         g.pass(100 * MS);
     }
@@ -182,8 +182,8 @@
 
 #[test]
 fn calls_fall_while_the_counter_has_no_room_and_rise_again() {
-    let mut g = Gateway::new(Settings { gateways: 200, ..settings() }, 60);
-    let asked = |g: &mut Gateway, ids: std::ops::Range<u64>, outcome: Outcome| {
+    let mut g = Harness::new(Settings { gateways: 200, ..settings() }, 60);
+    let asked = |g: &mut Harness, ids: std::ops::Range<u64>, outcome: Outcome| {
         let mut count = 0;
         for id in ids {
             let request = Request {
@@ -198,8 +198,8 @@
                 count += 1;
                 actions.extend(g.counted(name, outcome, 1.0));
             }
-            for (request, server) in sends(&actions) {
-                g.ended(request.0, 0, server, Outcome::Ok);
+            for (request, host) in sends(&actions) {
+                g.ended(request.0, 0, host, Outcome::Ok);
             }
             g.pass(200 * MS);
         }
@@ -213,11 +213,11 @@
 }
 
 #[test]
-fn customers_and_servers_that_come_and_go_leave_nothing_behind() {
-    let mut g = Gateway::new(Settings { gateways: 200, ..settings() }, 0);
+fn customers_and_hosts_that_come_and_go_leave_nothing_behind() {
+    let mut g = Harness::new(Settings { gateways: 200, ..settings() }, 0);
     let (mut id, mut most) = (0, 0);
     for round in 0..40 {
-        g.list(ListKind::Full, (1..=20).map(|server| entry(1_000 * round + server)).collect());
+        g.list(ListKind::Full, (1..=20).map(|host| entry(1_000 * round + host)).collect());
         for _ in 0..100 {
             id += 1;
             let request = Request {
@@ -231,16 +231,16 @@
             for (name, amount) in calls(&actions) {
                 actions.extend(g.counted(name, Outcome::Ok, amount));
             }
-            for (request, server) in sends(&actions) {
-                g.ended(request.0, 0, server, Outcome::Ok);
+            for (request, host) in sends(&actions) {
+                g.ended(request.0, 0, host, Outcome::Ok);
             }
             g.pass(100 * MS);
         }
         most = most.max(g.policy.size());
     }
-    assert!(most < 1_500, "4,000 customers and 800 servers came and went: {most} records at the most");
+    assert!(most < 1_500, "4,000 customers and 800 hosts came and went: {most} records at the most");
     g.pass(120_000 * MS);
-    assert!(g.policy.size() <= 20, "only the servers of the last list are left: {}", g.policy.size());
+    assert!(g.policy.size() <= 20, "only the hosts of the last list are left: {}", g.policy.size());
 }
 
 #[test]
@@ -248,7 +248,7 @@
     for (gateways, spread) in
         [(1, 0), (1, 1), (1, 10_000), (3, 0), (3, 3), (5_000, 1), (5_000, 4_000), (5_000, u32::MAX)]
     {
-        let mut g = Gateway::new(Settings { gateways, ..settings() }, 60);
+        let mut g = Harness::new(Settings { gateways, ..settings() }, 60);
         let (mut sent, mut refusals) = (0, 0);
         for id in 1..=100 {
             let request =
@@ -262,9 +262,9 @@
                 actions.extend(g.counted(name, Outcome::Ok, amount));
             }
             actions.extend(g.pass(1_000 * MS));
-            for (request, server) in sends(&actions) {
+            for (request, host) in sends(&actions) {
                 sent += 1;
-                g.ended(request.0, 0, server, Outcome::Ok);
+                g.ended(request.0, 0, host, Outcome::Ok);
             }
             refusals += (1..=id).filter(|id| refused(&actions, *id)).count();
         }
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules under random legal events, with a fixed seed.
 mod common;
 use common::*;
-use fennelbeam::api::*;
-use fennelbeam::policy::Policy;
+use fennelbeam_policy::api::*;
+use fennelbeam_policy::policy::Policy;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
@@ -13,7 +13,7 @@
     End { pick: usize, outcome: u8 },
     Count { pick: usize },
     Leave { pick: usize },
-    Server { id: u64, state: u8, fresh: bool },
+    Host { id: u64, state: u8, fresh: bool },
     Pass { ms: u16 },
 }
 
@@ -25,7 +25,7 @@
         4 => (any::<usize>(), 0..7u8).prop_map(|(pick, outcome)| Step::End { pick, outcome }),
         4 => any::<usize>().prop_map(|pick| Step::Count { pick }),
         1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
-        1 => (1..7u64, 0..3u8, any::<bool>()).prop_map(|(id, state, fresh)| Step::Server { id, state, fresh }),
+        1 => (1..7u64, 0..3u8, any::<bool>()).prop_map(|(id, state, fresh)| Step::Host { id, state, fresh }),
         3 => (1..300u16).prop_map(|ms| Step::Pass { ms }),
     ]
 }
@@ -36,8 +36,8 @@
     deadline: Time,
     answers: u32,
     left: bool,
-    /// Server, when sent, when it times out, outcome once known.
-    attempts: Vec<(ServerId, Time, Time, Option<Outcome>)>,
+    /// Host, when sent, when it times out, outcome once known.
+    attempts: Vec<(HostId, Time, Time, Option<Outcome>)>,
 }
 
 struct World {
@@ -45,7 +45,7 @@
     policy: Policy,
     now: Time,
     requests: BTreeMap<RequestId, Seen>,
-    servers: BTreeMap<ServerId, ServerEntry>,
+    hosts: BTreeMap<HostId, HostEntry>,
     counts: Vec<(CountName, f64)>,
     totals: BTreeMap<CountName, f64>,
     timers: Vec<Time>,
@@ -68,14 +68,14 @@
             policy,
             now: 1_000_000 * MS,
             requests: BTreeMap::new(),
-            servers: BTreeMap::new(),
+            hosts: BTreeMap::new(),
             counts: Vec::new(),
             totals: BTreeMap::new(),
             timers: Vec::new(),
         };
-        let entries: Vec<_> = (1..=6).map(|id| ServerEntry { cell: id as u32 / 3, ..entry(id) }).collect();
-        world.servers = entries.iter().map(|e| (e.id, e.clone())).collect();
-        world.tell(Event::Servers { kind: ListKind::Cached, entries });
+        let entries: Vec<_> = (1..=6).map(|id| HostEntry { cell: id as u32 / 3, ..entry(id) }).collect();
+        world.hosts = entries.iter().map(|e| (e.id, e.clone())).collect();
+        world.tell(Event::Hosts { kind: ListKind::Cached, entries });
         world
     }
 
@@ -87,9 +87,9 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, until } => {
-                let to = self.servers.get(&server).expect("a listed server");
-                assert_eq!(to.state, ServerState::Ready, "drains are kept");
+            Action::Send { id, host, until } => {
+                let to = self.hosts.get(&host).expect("a listed host");
+                assert_eq!(to.state, HostState::Ready, "drains are kept");
                 let r = self.requests.get_mut(&id).expect("a known request");
                 assert!(r.answers == 0 && !r.left, "nothing goes out after the final answer");
                 assert!(self.settings.may_duplicate || r.attempts.iter().all(|a| a.3.is_some()));
@@ -100,12 +100,12 @@
                         Effect::Unsafe => panic!("an unsafe request may have run twice"),
                         Effect::Keyed(scope, ttl) => {
                             assert!(self.now < first.1 + ttl);
-                            let there = &self.servers[&first.0];
+                            let there = &self.hosts[&first.0];
                             assert!(scope == Scope::All || there.cell == to.cell);
                         }
                     }
                 }
-                r.attempts.push((server, self.now, until.min(r.deadline), None));
+                r.attempts.push((host, self.now, until.min(r.deadline), None));
             }
             Action::Refuse { id, .. } | Action::Fail { id } => {
                 let r = self.requests.get_mut(&id).expect("a known request");
@@ -134,7 +134,7 @@
 
     fn end(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
         let r = self.requests.get_mut(&id).expect("known");
-        let (server, sent, ..) = r.attempts[attempt];
+        let (host, sent, ..) = r.attempts[attempt];
         r.attempts[attempt].3 = Some(outcome);
         if outcome == Outcome::Ok && r.answers == 0 && !r.left {
             r.answers += 1;
@@ -142,7 +142,7 @@
         let closed = r.answers > 0 || r.left;
         let took = self.now - sent;
         let (used, true_units, report, attempt) = (None, Some(2.0), None, attempt as u32);
-        let end = Ended { id, attempt, server, outcome, took, closed, used, true_units, report };
+        let end = Ended { id, attempt, host, outcome, took, closed, used, true_units, report };
         self.tell(Event::Ended(end));
     }
 
@@ -206,13 +206,13 @@
                 r.left |= r.answers == 0;
                 self.tell(Event::Left { id });
             }
-            Step::Server { id, state, fresh } => {
-                let state = [ServerState::Ready, ServerState::Draining, ServerState::Gone][state as usize];
-                let entry = self.servers.get_mut(&ServerId(id)).expect("listed");
+            Step::Host { id, state, fresh } => {
+                let state = [HostState::Ready, HostState::Draining, HostState::Gone][state as usize];
+                let entry = self.hosts.get_mut(&HostId(id)).expect("listed");
                 entry.state = state;
                 entry.started = if fresh { self.now } else { entry.started };
                 let entries = vec![entry.clone()];
-                self.tell(Event::Servers { kind: ListKind::Delta, entries });
+                self.tell(Event::Hosts { kind: ListKind::Delta, entries });
             }
             Step::Pass { ms } => self.pass(ms as u64),
             _ => {}
@@ -241,13 +241,13 @@
 }
 
 #[test]
-fn many_gateways_together_feed_a_cold_server_no_more_than_its_part() {
-    // Each of 200 gateways sees two requests a second; 20 servers, one of them restarts.
+fn many_gateways_together_feed_a_cold_host_no_more_than_its_part() {
+    // Each of 200 gateways sees two requests a second; 20 hosts, one of them restarts.
     let open = Settings { gateways: 200, plans: vec![Plan::default()], ..settings() };
     let mut gateways: Vec<_> = (0..200)
         .map(|seed| {
-            let mut g = Gateway::new(open.clone(), 20);
-            g.policy = fennelbeam::policy::Policy::new(open.clone(), seed);
+            let mut g = Harness::new(open.clone(), 20);
+            g.policy = fennelbeam_policy::policy::Policy::new(open.clone(), seed);
             g.list(ListKind::Full, (1..=20).map(entry).collect());
             g
         })
@@ -256,13 +256,13 @@
     for half in 0..24 {
         for g in &mut gateways {
             if half == 12 {
-                g.list(ListKind::Delta, vec![ServerEntry { started: g.now, ..entry(1) }]);
+                g.list(ListKind::Delta, vec![HostEntry { started: g.now, ..entry(1) }]);
             }
             id += 1;
             let sent = sends(&g.request(id, 0, id, 1.0));
-            for (request, server) in &sent {
-                g.ended(request.0, 0, *server, Outcome::Ok);
-                cold += usize::from(half >= 12 && *server == ServerId(1));
+            for (request, host) in &sent {
+                g.ended(request.0, 0, *host, Outcome::Ok);
+                cold += usize::from(half >= 12 && *host == HostId(1));
                 all += usize::from(half >= 12);
             }
             g.pass(500 * MS);
@@ -275,7 +275,7 @@
 
 #[test]
 fn a_try_that_gets_its_units_too_late_is_still_answered_in_time() {
-    let mut g = Gateway::new(settings(), 3);
+    let mut g = Harness::new(settings(), 3);
     let request = Request { id: RequestId(1), patience: 43 * MS, units: 1.0, ..Request::default() };
     let actions = g.on(Event::Request(request));
     assert_eq!(calls(&actions).len(), 1);
--- a/tests/slots.rs
+++ b/crates/policy/tests/slots.rs
@@ -1,8 +1,8 @@
 //! The fuzzy table, reserves, and the order in which slots are given.
 mod common;
 use common::*;
-use fennelbeam::api::*;
-use fennelbeam::policy::fuzzy;
+use fennelbeam_policy::api::*;
+use fennelbeam_policy::policy::fuzzy;
 
 /// Table 1 of the paper, rows E and columns dE, with terms as the paper names them.
 const TABLE: [[&str; 5]; 5] = [
@@ -47,7 +47,7 @@
 fn when_slots_bind_the_worthier_class_leaves_first() {
     let mut settings = settings();
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 1);
+    let mut g = Harness::new(settings, 1);
     let mut out = Vec::new();
     let mut id = 0;
     // Fill every slot, then queue one of each class, the cheaper one first.
@@ -57,15 +57,15 @@
     }
     let worthy = id + 1;
     assert!(sends(&g.request(worthy, 1, worthy, 1.0)).is_empty());
-    let freed = sends(&g.ended(1, 0, ServerId(1), Outcome::Ok));
-    assert_eq!(freed, vec![(RequestId(worthy), ServerId(1))]);
+    let freed = sends(&g.ended(1, 0, HostId(1), Outcome::Ok));
+    assert_eq!(freed, vec![(RequestId(worthy), HostId(1))]);
 }
 
 #[test]
 fn a_request_held_past_half_its_aim_is_refused_in_time() {
     let mut settings = settings();
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 0);
+    let mut g = Harness::new(settings, 0);
     assert!(sends(&g.request(1, 1, 1, 1.0)).is_empty());
     let actions = g.pass(600 * MS);
     assert!(refused(&actions, 1));
@@ -76,14 +76,14 @@
 fn a_class_whose_answers_were_slow_is_still_tried() {
     let mut settings = settings();
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 6);
+    let mut g = Harness::new(settings, 6);
     for id in 1..60 {
-        for (request, server) in sends(&g.request(id, 1, id, 1.0)) {
+        for (request, host) in sends(&g.request(id, 1, id, 1.0)) {
             g.now += 3_900 * MS;
             let end = Ended {
                 id: request,
                 attempt: 0,
-                server,
+                host,
                 outcome: Outcome::Ok,
                 took: 3_900 * MS,
                 closed: true,
@@ -102,7 +102,7 @@
 fn hung_attempts_do_not_hold_the_slots() {
     let mut settings = settings();
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 1);
+    let mut g = Harness::new(settings, 1);
     let sent: usize = (1..=40).map(|id| sends(&g.request(id, 1, id, 1.0)).len()).sum();
     assert!(sent < 40, "slots bind");
     g.pass(1_200 * MS);
@@ -114,19 +114,19 @@
 fn a_part_below_two_slots_is_saved_up_and_not_exceeded_for_long() {
     let mut settings = Settings { gateways: 40, ..settings() };
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 5); // twenty slots in all, half a slot here
+    let mut g = Harness::new(settings, 5); // twenty slots in all, half a slot here
     assert_eq!(sends(&g.request(1, 1, 1, 1.0)).len(), 1, "an idle gateway sends at once");
-    let mut out = vec![(0, 0, ServerId(0)); 0];
+    let mut out = vec![(0, 0, HostId(0)); 0];
     let (mut held_for, mut id) = (0, 1);
     for _ in 0..1_000 {
         id += 1;
         let mut actions = g.request(id, 0, id, 1.0);
         actions.extend(g.pass(20 * MS));
-        out.extend(sends(&actions).into_iter().map(|(request, server)| (request.0, 0, server)));
+        out.extend(sends(&actions).into_iter().map(|(request, host)| (request.0, 0, host)));
         held_for += out.len();
         out.iter_mut().for_each(|o| o.1 += 1);
-        for (request, _, server) in out.extract_if_over(10) {
-            g.ended(request, 0, server, Outcome::Ok);
+        for (request, _, host) in out.extract_if_over(10) {
+            g.ended(request, 0, host, Outcome::Ok);
         }
     }
     let mean = held_for as f64 / 1_000.0;
@@ -134,23 +134,23 @@
 }
 
 trait ExtractOver {
-    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, ServerId)>;
+    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, HostId)>;
 }
 
-impl ExtractOver for Vec<(u64, u32, ServerId)> {
-    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, ServerId)> {
+impl ExtractOver for Vec<(u64, u32, HostId)> {
+    fn extract_if_over(&mut self, age: u32) -> Vec<(u64, u32, HostId)> {
         let (over, rest) = self.iter().copied().partition(|o| o.1 >= age);
         *self = rest;
         over
     }
 }
 
-/// Where every server is silent, leaving slots would only pile more on them.
+/// Where every host is silent, leaving slots would only pile more on them.
 #[test]
-fn where_all_servers_drown_hung_attempts_keep_their_slots() {
+fn where_all_hosts_drown_hung_attempts_keep_their_slots() {
     let mut settings = Settings { gateways: 1, ..settings() };
     settings.plans[0].rate = 0.0;
-    let mut g = Gateway::new(settings, 2); // eight slots
+    let mut g = Harness::new(settings, 2); // eight slots
     let mut sent = 0;
     for id in 1..=400 {
         sent += sends(&g.request(id, 1, id, 1.0)).len();
--- /dev/null
+++ b/crates/simhost/src/lib.rs
@@ -0,0 +1,5 @@
+//! Decision modules on the simulator's wire.
+
+mod wire;
+
+pub use wire::{Adapter, WireError};
--- a/src/bin/fennelbeam-simhost.rs
+++ b/crates/simhost/src/main.rs
@@ -1,14 +1,14 @@
 //! Hosts decision modules on the simulator's wire: standard input to standard output.
-use fennelbeam::wire::{Host, WireError};
+use fennelbeam_simhost::{Adapter, WireError};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
 
 fn serve() -> Result<(), WireError> {
     let mut input = BufReader::with_capacity(1 << 20, io::stdin().lock());
     let mut output = BufWriter::new(io::stdout().lock());
-    let mut host = Host::default();
+    let mut adapter = Adapter::default();
     while let Some(frame) = read_frame(&mut input)? {
-        output.write_all(&host.answer(&frame)?)?;
+        output.write_all(&adapter.answer(&frame)?)?;
         output.flush()?;
     }
     Ok(())
--- a/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter: frames in and out, and plain messages on malformed input.
-use fennelbeam::wire::Host;
+use fennelbeam_simhost::Adapter;
 
 fn batch(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
     let size = 16 + 56 * records.len() + tail.len();
@@ -23,13 +23,13 @@
 
 #[test]
 fn an_empty_batch_gets_an_empty_reply() {
-    let reply = Host::default().answer(&batch(&[], &[])).unwrap();
+    let reply = Adapter::default().answer(&batch(&[], &[])).unwrap();
     assert_eq!(reply, [0, 0, 0, 0, 8, 0, 0, 0]);
 }
 
 #[test]
 fn malformed_input_gets_a_plain_message() {
-    let say = |frame: &[u8]| Host::default().answer(frame).unwrap_err().to_string();
+    let say = |frame: &[u8]| Adapter::default().answer(frame).unwrap_err().to_string();
     assert!(say(&batch(&[], &[])[..12]).contains("cut short"));
     assert!(say(&batch(&[vec![99, 0]], &[])).contains("event code at byte 16 cannot be 99"));
     assert!(say(&batch(&[vec![12, 0, 3]], &[])).contains("has not been started"));
@@ -49,5 +49,5 @@
 #[test]
 fn unknown_settings_are_skipped() {
     let text = r#"{"new": [1], "services": [{"semantics": "safe", "other": {}}]}"#;
-    assert!(Host::default().answer(&batch(&[attach(text.len())], text.as_bytes())).is_ok());
+    assert!(Adapter::default().answer(&batch(&[attach(text.len())], text.as_bytes())).is_ok());
 }
