Add the seam between the network side and its world, and the model's vocabulary

Need: a rehearsal runs the real network side in virtual time, and stand-ins both there and on sockets.

Change: crate env (clock, timers, tasks, streams as a trait, with the machine's own behind it), crate resp out of the gateway, crate model with what a scenario and a sighting are. Nothing uses the seam yet.

--- /dev/null
+++ b/crates/env/src/real.rs
@@ -0,0 +1,205 @@
+//! The machine's own clock and sockets, on the runtime that runs the caller.
+
+use crate::{Env, Listener, Reader, Sleep, Span, Stream, Task, Time, Writer};
+use socket2::SockRef;
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::Instant;
+
+/// The real world. Its clock reads as Unix time, so that moments told by others compare with it, and is
+/// carried on from the start by the monotonic one.
+#[derive(Clone, Copy, Debug)]
+pub struct Real {
+    base: Time,
+    started: Instant,
+}
+
+impl Real {
+    /// Takes the time, once.
+    pub fn start() -> Real {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Real { base: unix.as_nanos() as Time, started: Instant::now() }
+    }
+
+    fn instant(&self, time: Time) -> Instant {
+        self.started + Duration::from_nanos(time.saturating_sub(self.base))
+    }
+
+    fn time(&self, instant: Instant) -> Time {
+        self.base + instant.saturating_duration_since(self.started).as_nanos() as Time
+    }
+}
+
+impl Env for Real {
+    type Stream = TcpStream;
+    type Listener = RealListener;
+    type Sleep = RealSleep;
+    type Task = RealTask;
+
+    fn now(&self) -> Time {
+        self.base + self.started.elapsed().as_nanos() as Time
+    }
+
+    fn sleep_until(&self, at: Time) -> RealSleep {
+        RealSleep { env: *self, sleep: tokio::time::sleep_until(self.instant(at)) }
+    }
+
+    fn spawn<F: Future<Output = ()> + Send + 'static>(&self, task: F) -> RealTask {
+        RealTask(tokio::spawn(task).abort_handle())
+    }
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    fn listen(&self, on: SocketAddr, backlog: u32) -> io::Result<RealListener> {
+        let socket = if on.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(on)?;
+        Ok(RealListener(socket.listen(backlog)?))
+    }
+
+    fn sleep(&self, span: Span) -> RealSleep {
+        let far = Duration::from_nanos(span);
+        RealSleep { env: *self, sleep: tokio::time::sleep_until(Instant::now() + far) }
+    }
+}
+
+pin_project_lite::pin_project! {
+    /// A timer of the runtime.
+    pub struct RealSleep {
+        env: Real,
+        #[pin]
+        sleep: tokio::time::Sleep,
+    }
+}
+
+impl Future for RealSleep {
+    type Output = ();
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.project().sleep.poll(cx)
+    }
+}
+
+impl Sleep for RealSleep {
+    fn deadline(&self) -> Time {
+        self.env.time(self.sleep.deadline())
+    }
+    fn reset(self: Pin<&mut Self>, at: Time) {
+        let at = self.env.instant(at);
+        self.project().sleep.reset(at);
+    }
+}
+
+/// A task of the runtime.
+#[derive(Debug)]
+pub struct RealTask(tokio::task::AbortHandle);
+
+impl Task for RealTask {
+    fn abort(&self) {
+        self.0.abort();
+    }
+}
+
+/// A listening socket.
+#[derive(Debug)]
+pub struct RealListener(TcpListener);
+
+impl Listener for RealListener {
+    type Stream = TcpStream;
+    async fn accept(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
+        let (stream, from) = self.0.accept().await?;
+        // A connection that is gone already says so when it is read.
+        let _ = stream.set_nodelay(true);
+        Ok((stream, from))
+    }
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
+impl Stream for TcpStream {
+    type Reader = RealReader;
+    type Writer = RealWriter;
+    fn into_split(self) -> (RealReader, RealWriter) {
+        TcpStream::into_split(self)
+    }
+    fn peer_addr(&self) -> io::Result<SocketAddr> {
+        TcpStream::peer_addr(self)
+    }
+}
+
+/// The receiving half of a socket.
+pub type RealReader = OwnedReadHalf;
+/// The sending half of a socket.
+pub type RealWriter = OwnedWriteHalf;
+
+impl Reader for OwnedReadHalf {
+    fn is_quiet(&self) -> bool {
+        let found = SockRef::from(self.as_ref()).peek(&mut [MaybeUninit::uninit()]);
+        found.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Writer for OwnedWriteHalf {
+    fn reset(self) {
+        let _ = SockRef::from(self.as_ref()).set_linger(Some(Duration::ZERO));
+        self.forget();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    async fn pair(env: Real) -> (TcpStream, TcpStream) {
+        let mut listener = env.listen("127.0.0.1:0".parse().unwrap(), 8).unwrap();
+        let near = env.connect(listener.local_addr().unwrap()).await.unwrap();
+        (near, listener.accept().await.unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn a_reset_is_seen_as_one() {
+        let (near, far) = pair(Real::start()).await;
+        let (reader, writer) = Stream::into_split(far);
+        writer.reset();
+        drop(reader);
+        let (mut reader, _writer) = Stream::into_split(near);
+        let error = reader.read_u8().await.unwrap_err();
+        assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+    }
+
+    #[tokio::test]
+    async fn bytes_and_an_end_both_disturb_the_quiet() {
+        let (near, mut far) = pair(Real::start()).await;
+        let (mut reader, _writer) = Stream::into_split(near);
+        assert!(reader.is_quiet());
+        far.write_all(b"x").await.unwrap();
+        far.shutdown().await.unwrap();
+        while reader.is_quiet() {
+            tokio::task::yield_now().await;
+        }
+        reader.read_u8().await.unwrap();
+        while reader.is_quiet() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(reader.read_u8().await.unwrap_err().kind(), io::ErrorKind::UnexpectedEof);
+    }
+
+    #[tokio::test]
+    async fn a_time_out_ends_what_takes_too_long_and_nothing_else() {
+        let env = Real::start();
+        assert_eq!(env.timeout(1_000_000, std::future::pending::<()>()).await, Err(crate::Elapsed));
+        assert_eq!(env.timeout(Span::MAX / 2, async { 7 }).await, Ok(7));
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,8 +1,8 @@
 //! A client's call: read from its command, written on to a host with a `d` of our own.
 
-use crate::resp::{self, Frame};
 use bytes::{Bytes, BytesMut};
 use fennelbeam_policy::api::{CustomerId, Effect, Request, RequestId, Span};
+use fennelbeam_resp::{self as resp, Frame};
 use fennelbeam_settings::Site;
 
 const MS: Span = 1_000_000;
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -4,10 +4,10 @@
 use crate::call::{self, Call};
 use crate::clock::Clock;
 use crate::gateway::Input;
-use crate::resp::{self, Frame, RespError};
 use bytes::{Buf, Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
 use fennelbeam_policy::api::{Request, RequestId, Span, Time};
+use fennelbeam_resp::{self as resp, Frame, RespError};
 use fennelbeam_settings::Site;
 use std::collections::VecDeque;
 use std::io;
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -3,9 +3,9 @@
 
 use crate::clock::Clock;
 use crate::gateway::Input;
-use crate::resp::{self, Frame, RespError};
 use bytes::{Buf, Bytes, BytesMut};
 use fennelbeam_policy::api::{CountName, Outcome, Span, Time};
+use fennelbeam_resp::{self as resp, Frame, RespError};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,4 +10,3 @@
 pub mod discovery;
 pub mod gateway;
 pub mod hosts;
-pub mod resp;
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,17 @@
+//! A model of a whole site: hosts, the shared counter, discovery and clients. It does no I/O, reads no clock
+//! and draws all chance from seeds, so that the same seed gives the same run on every machine: floating-point
+//! numbers are only added, multiplied and divided, or go through `libm`, which does not ask the processor.
+
+pub mod rng;
+pub mod scenario;
+pub mod seen;
+
+/// A moment in nanoseconds.
+pub type Time = u64;
+/// A span of time in nanoseconds.
+pub type Span = u64;
+
+/// A millisecond.
+pub const MS: Span = 1_000_000;
+/// A second.
+pub const SECOND: Span = 1_000 * MS;
--- /dev/null
+++ b/crates/model/src/seen.rs
@@ -0,0 +1,216 @@
+//! What passed on the wires, as the stand-ins at their far ends saw it, and the facts of the site that the
+//! rules speak of. Nothing here comes from a gateway's own books.
+
+use crate::{Span, Time};
+
+/// Something seen, and when. Sightings come in the order of time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// When, on the clock of the rehearsal.
+    pub at: Time,
+    /// What.
+    pub what: What,
+}
+
+/// State of a host, as discovery tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It takes work.
+    InService,
+    /// It wants nothing new.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// What a client got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// A value; true: it is the one that a host made for this request.
+    Served(bool),
+    /// Turned away, perhaps with advice when to come back.
+    Busy(Option<Span>),
+    /// Failed: any other whole answer.
+    Failed,
+    /// The connection ended, or was reset, before a whole answer.
+    Broken,
+    /// Nothing came, up to a while after the client's time.
+    Nothing,
+}
+
+/// How a host dealt with a command that had come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dealt {
+    /// It ran and was answered with a value.
+    Served,
+    /// It ran and was answered with an error or a spoilt answer.
+    Failed,
+    /// It was turned away and never ran.
+    TurnedAway,
+    /// It was dropped before it ran: its connection ended first.
+    Dropped,
+    /// It ran, or ran in part, and nobody was there for the answer.
+    Unheard,
+}
+
+/// What was seen. Requests are numbered by the ids that stand in their commands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// A client wrote the last byte of a request.
+    Asked {
+        /// Its id.
+        request: u64,
+        /// The id of the client's first try of the same thing.
+        first_try: u64,
+        /// Where.
+        gateway: u32,
+        /// Who.
+        customer: u64,
+        /// Position of its class in the site.
+        class: u32,
+        /// Position of its plan in the site.
+        plan: u32,
+        /// Units, as the request names them.
+        units: f64,
+        /// How long the client waits.
+        patience: Span,
+    },
+    /// A client got the end of a request: the one answer, or none.
+    Answered {
+        /// Its id.
+        request: u64,
+        /// From where.
+        gateway: u32,
+        /// What.
+        got: Got,
+    },
+    /// A client closed its connection with the request unanswered.
+    Left {
+        /// Its id.
+        request: u64,
+    },
+    /// A client got bytes that belong to no request of its own.
+    Unasked {
+        /// From where.
+        gateway: u32,
+    },
+    /// A command has come whole to a host.
+    Received {
+        /// Its id.
+        request: u64,
+        /// Number of the host, in the order of their coming, from 0.
+        host: u32,
+        /// From where.
+        gateway: u32,
+        /// When the first byte was sent (as far as the host can tell).
+        first_byte: Time,
+        /// Work that it costs, in nanoseconds of one core at speed 1.
+        work: Span,
+    },
+    /// A host is through with a command.
+    Ended {
+        /// Its id.
+        request: u64,
+        /// The host.
+        host: u32,
+        /// From where it had come.
+        gateway: u32,
+        /// How.
+        dealt: Dealt,
+        /// The true units, where the answer told them.
+        units: Option<f64>,
+    },
+    /// The connection that carried a command has ended, or its answer is written: the attempt is out no more.
+    Out {
+        /// Its id.
+        request: u64,
+        /// The host.
+        host: u32,
+        /// From where.
+        gateway: u32,
+    },
+    /// A connection to a host was opened.
+    Connected {
+        /// The host.
+        host: u32,
+        /// From where.
+        gateway: u32,
+    },
+    /// A host started. It can do `full` nanoseconds of work a second when warm; it starts at `share` of that
+    /// and rises evenly to it over `cold`.
+    Started {
+        /// The host.
+        host: u32,
+        /// Work a second when warm.
+        full: f64,
+        /// Share at the start, 1 if it is warm.
+        share: f64,
+        /// Span of the rise.
+        cold: Span,
+    },
+    /// A host works this many times slower from now on; 1: as usual.
+    Slowed {
+        /// The host.
+        host: u32,
+        /// How many times.
+        times: f64,
+    },
+    /// A host was pushed over while it was cold, and stays down.
+    Fell {
+        /// The host.
+        host: u32,
+    },
+    /// A host died, or went in the ordinary way.
+    Stopped {
+        /// The host.
+        host: u32,
+    },
+    /// Discovery wrote this to a gateway's agent.
+    Told {
+        /// The gateway.
+        gateway: u32,
+        /// The host.
+        host: u32,
+        /// Its state.
+        state: Told,
+        /// When the host had started by what was told; 0: long ago.
+        started: Time,
+    },
+    /// A gateway took a counter call to the counter.
+    Counted {
+        /// From where.
+        gateway: u32,
+        /// Amount.
+        amount: f64,
+        /// It was added.
+        added: bool,
+        /// An answer with the total was written.
+        answered: bool,
+    },
+    /// A gateway's process came up and answered that it is ready.
+    GatewayUp {
+        /// The gateway.
+        gateway: u32,
+    },
+    /// A gateway's process ended; true: it was killed by the scenario, or ended after SIGTERM as asked.
+    GatewayDown {
+        /// The gateway.
+        gateway: u32,
+        /// It was meant to.
+        meant: bool,
+    },
+    /// An event of the scenario, in words.
+    Event {
+        /// Its words.
+        text: String,
+    },
+    /// Load of a host, taken once a second for the plots.
+    Load {
+        /// The host.
+        host: u32,
+        /// Requests in work and waiting.
+        held: u32,
+        /// Share of its present capacity in use since the last one.
+        busy: f64,
+    },
+}
--- a/crates/gateway/src/resp.rs
+++ b/crates/resp/src/lib.rs
@@ -18,12 +18,16 @@
 /// What was wrong with the bytes of a peer.
 #[derive(Debug, thiserror::Error)]
 pub enum RespError {
+    /// Reading or writing failed.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The peer has ended the connection.
     #[error("connection closed")]
     Closed,
+    /// This part cannot be read.
     #[error("malformed {0}")]
     Malformed(&'static str),
+    /// This part is beyond its bound.
     #[error("too long a {0}")]
     TooLong(&'static str),
 }
@@ -31,11 +35,17 @@
 /// One frame; arrays hold no arrays.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Frame {
+    /// `+`: a status line.
     Simple(Bytes),
+    /// `-`: an error line.
     Error(Bytes),
+    /// `:`: a number, as it was written.
     Integer(Bytes),
+    /// `$`: a value.
     Bulk(Bytes),
+    /// A missing value or array.
     Null,
+    /// `*`: several of the others.
     Array(Vec<Frame>),
 }
 
