--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,9 +2,15 @@
 //! and draws all chance from seeds, so that the same seed gives the same run on every machine: floating-point
 //! numbers are only added, multiplied and divided, or go through `libm`, which does not ask the processor.
 
+pub mod agent;
+pub mod counter;
+pub mod draw;
+pub mod file;
+pub mod host;
 pub mod rng;
 pub mod scenario;
 pub mod seen;
+pub mod traffic;
 
 /// A moment in nanoseconds.
 pub type Time = u64;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,28 @@
-//! x
+//! Stand-ins for the outside systems: hosts, the counter, discovery and clients. They speak the platform's
+//! protocols over any [`fennelbeam_env::Env`], on loopback sockets or on a simulated network, keep what they
+//! decide in the I/O-free model, and write down what passes on the wires.
+
+pub mod agent;
+pub mod client;
+pub mod counter;
+pub mod host;
+
+use fennelbeam_model::seen::{Seen, What};
+use fennelbeam_model::Time;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Where stand-ins write down what they see, in the order of time.
+#[derive(Clone, Debug, Default)]
+pub struct Recorder(Arc<Mutex<Vec<Seen>>>);
+
+impl Recorder {
+    /// Writes down a sighting.
+    pub fn see(&self, at: Time, what: What) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(Seen { at, what });
+    }
+
+    /// All that has been written down since this was last asked.
+    pub fn take(&self) -> Vec<Seen> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
