End a connection that never spoke without an error line

Cause: a new connection that says nothing for 2 s got an unasked -ERR; a first command that crossed it read that as its answer and failed, where a plain end makes the client send it again (clients.rs, the owed branch of run).

Change: with nothing come and nothing owed, the connection ends without a word.

Measured: a_client_that_never_spoke_gets_a_plain_end fails without the change.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -401,6 +401,11 @@
                     self.take_commands();
                 }
                 () = sleep_until(owed.unwrap_or_else(Instant::now)), if owed.is_some() => {
+                    // Nothing has come at all: an error would pass for the answer to a command that crosses it,
+                    // while a plain end makes the client send that one again.
+                    if self.input.is_empty() && self.slots.is_empty() {
+                        return Ok(End::MadeRoom);
+                    }
                     self.refuse_protocol("command not whole in time");
                 }
                 () = seat.leave.notified() => match used {
