Count values that clients have not read, and leave places to those who read

Change: an answer keeps its place until it has left whole; commands wait while 16 are unanswered or unread; a connection takes another place only while it holds under a quarter of those left, so deaf clients leave some to others; the system's own buffer for answers is held to 128 KiB a connection; an answer not taken whole within 10 s ends the connection.

Tests: clients_that_never_read_*, a_value_that_is_not_read_keeps_its_place, a_connection_that_takes_many_places_*.

--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -2,10 +2,11 @@
 //! and for each thing that may go wrong on a socket.
 mod sockets;
 
-use serde_json::Value;
+use serde_json::{json, Value};
 use sockets::*;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Where nobody listens.
@@ -456,6 +457,40 @@
     assert!(start.elapsed() < Duration::from_secs(6), "the aim is 8 s");
 }
 
+#[test]
+fn clients_that_never_read_do_not_fill_the_memory() {
+    let hosts = Peers::start(4);
+    let discovery = Discovery::start();
+    let line = |(i, addr): (usize, &SocketAddr)| host_line(&format!("s-{i}"), *addr, "in_service", 0);
+    let lines: Vec<Value> = hosts.addrs.iter().enumerate().map(line).collect();
+    let limits = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
+    let mut settings = settings();
+    settings["tariffs"][0]["refill"] = 1e6.into();
+    settings["tariffs"][0]["burst"] = 1e6.into();
+    let gateway = Program::within(limits, settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
+    let served = hosts.serve_all("x".repeat(65_000));
+    let deaf: Vec<Client> = (0..32)
+        .map(|client| {
+            let mut deaf = gateway.deaf_client();
+            (0..100).for_each(|call| deaf.get(1000 * client + call));
+            deaf
+        })
+        .collect();
+    // Others are served all the while; when they have been, the deaf ones have had their turns too.
+    let mut usual = gateway.client();
+    for id in 0..200 {
+        usual.get(1_000_000 + id);
+        let answer = usual.answer();
+        assert!(answer == "-BUSY" || answer.len() == 65_000, "{answer}");
+    }
+    usual.get(2_000_000);
+    assert_eq!(usual.answer().len(), 65_000, "no place is left for those who read");
+    let (peak, sent) = (gateway.peak_memory(), served.load(Ordering::Relaxed));
+    assert!(peak < 32 << 20, "{} MB", peak >> 20);
+    assert!(sent < 800, "{sent} of 3401 calls were sent to hosts, most of them for nobody");
+    drop(deaf);
+}
+
 #[test]
 fn beyond_the_quota_is_refused_at_once_with_the_advice_that_is_allowed() {
     for (advice, wanted) in [(false, "-BUSY"), (true, "-BUSY 1500")] {
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -5,8 +5,9 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -63,10 +64,21 @@
         known: &[Value],
         discovery: SocketAddr,
         counter: SocketAddr,
+    ) -> Self {
+        let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": sockets});
+        Self::within(limits, settings, known, discovery, counter)
+    }
+
+    pub fn within(
+        limits: Value,
+        settings: Value,
+        known: &[Value],
+        discovery: SocketAddr,
+        counter: SocketAddr,
     ) -> Self {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "counter": counter.to_string(),
+            "limits": limits, "counter": counter.to_string(),
             "known": list(1, true, known), "settings": settings,
         });
         static NUMBER: AtomicU32 = AtomicU32::new(0);
@@ -97,6 +109,14 @@
         self.try_client().unwrap()
     }
 
+    /// One whose system takes few bytes that it has not read.
+    pub fn deaf_client(&self) -> Client {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.connect(&self.addr.into()).unwrap();
+        Client { stream: BufReader::new(socket.into()) }
+    }
+
     pub fn try_client(&self) -> std::io::Result<Client> {
         let stream = TcpStream::connect(self.addr)?;
         stream.set_read_timeout(Some(LONG))?;
@@ -117,6 +137,13 @@
         self.signal("HUP");
     }
 
+    /// The most memory it has held, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() << 10
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
@@ -287,6 +314,21 @@
         while !matches!(next(&self.saw, "the end of a connection"), Saw::Ended(ended) if ended == conn) {}
     }
 
+    /// Serves all commands that come, from now on, and counts them.
+    pub fn serve_all(self, value: String) -> Arc<AtomicUsize> {
+        let served = Arc::new(AtomicUsize::new(0));
+        let count = served.clone();
+        thread::spawn(move || {
+            for saw in self.saw {
+                if let Saw::Command(mut seen) = saw {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    seen.write_late(&format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()));
+                }
+            }
+        });
+        served
+    }
+
     /// Commands that have come and were not asked for.
     pub fn others(&self) -> usize {
         self.saw.try_iter().filter(|saw| matches!(saw, Saw::Command(_))).count()
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Commands of one connection that may wait for their answers; then no more are taken.
 const MAX_PIPELINE: usize = 16;
@@ -33,12 +33,20 @@
 const FREE_BYTES: usize = 4 * 1024;
 /// A client that takes nothing of its answers for this long has gone.
 const STALLED: Duration = Duration::from_secs(3);
+/// So has one that has not taken the next of them whole after this: it may not hold its place by a byte now
+/// and then.
+const TAKEN: Duration = Duration::from_secs(10);
+/// A connection may take another place while it holds fewer than one in so many of those left: however many
+/// clients do not read, some places stay for those that do.
+const PLACES_LEFT: usize = 4;
 /// A client that has said nothing for this long after it connected is not about to.
 const FRESH: Span = 100_000_000;
 const LINGER: Duration = Duration::from_millis(500);
 /// Bytes read and dropped of a client that goes on sending after its last answer.
 const MAX_SCRAP: usize = 256 * 1024;
 const BACKLOG: u32 = 1024;
+/// Bytes that the system takes of the answers to a client that does not read; on its own it takes megabytes.
+const SEND_BUFFER: u32 = 128 * 1024;
 
 /// The one final answer of a request.
 #[derive(Debug)]
@@ -186,6 +194,8 @@
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    // Connections have it from their listener.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -286,6 +296,11 @@
     seat: Arc<Seat>,
     input: BytesMut,
     output: SegmentedBuf<Bytes>,
+    /// Answers in the output that have not left whole: the bytes up to the end of each, counted from the
+    /// first one written on this connection.
+    unsent: VecDeque<u64>,
+    /// Bytes that have been put into the output, ever.
+    put: u64,
     slots: VecDeque<Slot>,
     first_slot: u64,
     answers: UnboundedSender<(u64, Answer)>,
@@ -311,6 +326,8 @@
         seat: seat.clone(),
         input: BytesMut::new(),
         output: SegmentedBuf::new(),
+        unsent: VecDeque::new(),
+        put: 0,
         slots: VecDeque::new(),
         first_slot: 0,
         answers,
@@ -360,7 +377,7 @@
     ) -> Result<End, RespError> {
         let (mut phase, seat) = (self.context.phase.clone(), self.seat.clone());
         let (mut reader, mut writer) = stream.split();
-        let mut noted = Use::Fresh;
+        let (mut noted, mut taken_by) = (Use::Fresh, Instant::now() + TAKEN);
         loop {
             self.flush_ready();
             let writing = self.output.has_remaining();
@@ -383,8 +400,12 @@
                 return Ok(End::MadeRoom);
             }
             // A client that is slow to read its answers is not read from either.
-            let ahead = self.slots.len() < MAX_PIPELINE || self.input.len() < READ_AHEAD;
+            let ahead = self.unanswered() < MAX_PIPELINE || self.input.len() < READ_AHEAD;
             let (reading, owed) = (!self.broken && !writing && ahead, self.owed);
+            if !writing {
+                taken_by = Instant::now() + TAKEN;
+            }
+            let stalled = taken_by.min(Instant::now() + STALLED);
             tokio::select! {
                 biased;
                 Some((slot, answer)) = inbox.recv() => {
@@ -393,8 +414,11 @@
                         self.settle(slot, answer);
                     }
                 }
-                wrote = timeout(STALLED, writer.write_buf(&mut self.output)), if writing => {
+                wrote = timeout_at(stalled, writer.write_buf(&mut self.output)), if writing => {
                     wrote.map_err(|_| RespError::Closed)??;
+                    if self.count_sent() {
+                        taken_by = Instant::now() + TAKEN;
+                    }
                 }
                 read = resp::fill(&mut reader, &mut self.input), if reading => {
                     read?;
@@ -433,34 +457,57 @@
             let Some(Slot::Ready(reply)) = self.slots.pop_front() else { return };
             self.first_slot += 1;
             match reply {
-                Reply::Text(text) => self.output.push(text),
+                Reply::Text(text) => self.put(text),
                 Reply::Value(value) => {
                     let mut header = BytesMut::with_capacity(16);
                     resp::put_header(&mut header, b'$', value.len());
-                    self.output.push(header.freeze());
-                    self.output.push(value);
-                    self.output.push(Bytes::from_static(b"\r\n"));
+                    self.put(header.freeze());
+                    self.put(value);
+                    self.put(Bytes::from_static(b"\r\n"));
                 }
             }
+            self.unsent.push_back(self.put);
         }
-        if !self.output.has_remaining() {
-            self.give_back();
-        }
+        self.give_back();
         self.take_commands();
     }
 
-    /// Permits beyond those of commands that still wait go back once their answers have left.
+    fn put(&mut self, bytes: Bytes) {
+        self.put += bytes.len() as u64;
+        self.output.push(bytes);
+    }
+
+    /// Takes note of the answers that have left whole; whether there were any.
+    fn count_sent(&mut self) -> bool {
+        let (before, left) = (self.unsent.len(), self.put - self.output.remaining() as u64);
+        while self.unsent.front().is_some_and(|end| *end <= left) {
+            self.unsent.pop_front();
+        }
+        self.unsent.len() < before
+    }
+
+    /// Commands whose answers have not left whole.
+    fn unanswered(&self) -> usize {
+        self.slots.len() + self.unsent.len()
+    }
+
+    /// Permits beyond those of commands whose answers have not left whole go back.
     fn give_back(&mut self) {
+        let unanswered = self.unanswered();
         if let Some(places) = &mut self.places {
-            drop(places.split(places.num_permits().saturating_sub(self.slots.len())));
+            drop(places.split(places.num_permits().saturating_sub(unanswered)));
         }
     }
 
-    /// Whether there is a place for one more command.
+    /// Whether there is a place for one more command: each may have a value of the greatest length coming,
+    /// which stays here until the client has taken it.
     fn reserve(&mut self) -> bool {
         let held = self.places.as_ref().map_or(0, |places| places.num_permits());
-        let want = u32::from(held <= self.slots.len());
-        extend(&mut self.places, &self.context.room.places, want)
+        if held > self.unanswered() {
+            return true;
+        }
+        let fair = held == 0 || held * PLACES_LEFT < self.context.room.places.available_permits();
+        fair && extend(&mut self.places, &self.context.room.places, 1)
     }
 
     /// Whether there is room for the bytes that this connection makes us hold.
@@ -478,7 +525,7 @@
         if !self.fits() {
             return self.refuse_protocol("no room for so long a command");
         }
-        while !self.broken && self.slots.len() < MAX_PIPELINE && !self.input.is_empty() {
+        while !self.broken && self.unanswered() < MAX_PIPELINE && !self.input.is_empty() {
             match resp::decode(&mut self.input) {
                 Ok(None) => {
                     self.owed = self.owed.or_else(|| Some(Instant::now() + OWED));
@@ -591,13 +638,7 @@
         }
     }
 
-    #[tokio::test]
-    async fn commands_in_hand_are_bounded_over_all_connections() {
-        let (_phase, phases) = watch::channel(Phase::Ready);
-        let (context, mut inbox) = context(2, phases);
-        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        tokio::spawn(accept(listener, Limits { connections: 8, callers: 8 }, context));
+    fn a_call() -> BytesMut {
         let mut call = BytesMut::new();
         resp::put_header(&mut call, b'*', 4);
         for word in [
@@ -608,23 +649,104 @@
         ] {
             resp::put_bulk(&mut call, word.as_bytes());
         }
-        let mut client = TcpStream::connect(address).await.unwrap();
-        client.write_all(&call.repeat(2)).await.unwrap();
-        let (first, second) = (request(&mut inbox).await, request(&mut inbox).await);
+        call
+    }
+
+    /// Accepts connections with this room for their commands.
+    fn accepting(context: Context) -> SocketAddr {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(accept(listener, Limits { connections: 16, callers: 16 }, context));
+        address
+    }
+
+    async fn expect(client: &mut TcpStream, wanted: &[u8]) {
+        let mut got = vec![0; wanted.len()];
+        timeout(Duration::from_secs(20), client.read_exact(&mut got)).await.expect("starved").unwrap();
+        assert_eq!(String::from_utf8_lossy(&got), String::from_utf8_lossy(wanted));
+    }
+
+    #[tokio::test]
+    async fn commands_in_hand_are_bounded_over_all_connections() {
+        let (_phase, phases) = watch::channel(Phase::Ready);
+        let (context, mut inbox) = context(2, phases);
+        let (address, call) = (accepting(context), a_call());
+        let (mut clients, mut taken) = (Vec::new(), Vec::new());
+        for _ in 0..2 {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            client.write_all(&call).await.unwrap();
+            taken.push(request(&mut inbox).await);
+            clients.push(client);
+        }
         let mut other = TcpStream::connect(address).await.unwrap();
         other.write_all(&call).await.unwrap();
-        let mut answer = [0; 7];
-        timeout(Duration::from_secs(20), other.read_exact(&mut answer)).await.expect("starved").unwrap();
-        assert_eq!(&answer, b"-BUSY\r\n");
-        first.reply.answer(Answer::Failed);
-        second.reply.answer(Answer::Failed);
-        let mut answers = [0; 26];
-        client.read_exact(&mut answers).await.unwrap();
-        assert_eq!(&answers, b"-ERR failed\r\n-ERR failed\r\n");
+        expect(&mut other, b"-BUSY\r\n").await;
+        taken.pop().unwrap().reply.answer(Answer::Failed);
+        expect(&mut clients[1], b"-ERR failed\r\n").await;
         other.write_all(&call).await.unwrap();
         request(&mut inbox).await.reply.answer(Answer::Failed);
     }
 
+    #[tokio::test]
+    async fn a_connection_that_takes_many_places_leaves_some_to_others() {
+        let (_phase, phases) = watch::channel(Phase::Ready);
+        let (context, mut inbox) = context(8, phases);
+        let (address, call) = (accepting(context), a_call());
+        let mut greedy = TcpStream::connect(address).await.unwrap();
+        greedy.write_all(&call.repeat(8)).await.unwrap();
+        // The first holds none of eight, the second one of seven left; two are not fewer than a quarter of six.
+        let (first, second) = (request(&mut inbox).await, request(&mut inbox).await);
+        let mut others = Vec::new();
+        for _ in 0..6 {
+            let mut other = TcpStream::connect(address).await.unwrap();
+            other.write_all(&call).await.unwrap();
+            request(&mut inbox).await.reply.answer(Answer::Served(Bytes::from_static(b"v")));
+            expect(&mut other, b"$1\r\nv\r\n").await;
+            others.push(other);
+        }
+        first.reply.answer(Answer::Failed);
+        second.reply.answer(Answer::Failed);
+        expect(&mut greedy, b"-ERR failed\r\n-ERR failed\r\n-BUSY\r\n-BUSY\r\n").await;
+    }
+
+    #[tokio::test]
+    async fn a_value_that_is_not_read_keeps_its_place() {
+        let (_phase, phases) = watch::channel(Phase::Ready);
+        let (context, mut inbox) = context(1, phases);
+        let (address, call) = (accepting(context), a_call());
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut deaf = socket.connect(address).await.unwrap();
+        // So many values that some are not taken by the system's buffers.
+        let mut unread = 0;
+        let mut other = TcpStream::connect(address).await.unwrap();
+        loop {
+            deaf.write_all(&call).await.unwrap();
+            let next = timeout(Duration::from_secs(20), inbox.recv());
+            let Ok(Some(Input::Request(incoming))) = next.await else { panic!("no request") };
+            incoming.reply.answer(Answer::Served(Bytes::from(vec![b'x'; resp::MAX_VALUE])));
+            unread += 1;
+            other.write_all(&call).await.unwrap();
+            let busy = async {
+                let mut answer = [0; 7];
+                other.read_exact(&mut answer).await.unwrap();
+                answer
+            };
+            tokio::select! {
+                biased;
+                answer = busy => {
+                    assert_eq!(&answer, b"-BUSY\r\n");
+                    break;
+                }
+                Some(Input::Request(incoming)) = inbox.recv() => {
+                    incoming.reply.answer(Answer::Served(Bytes::from_static(b"v")));
+                }
+            }
+            expect(&mut other, b"$1\r\nv\r\n").await;
+            assert!(unread < 1000, "unread values take no places");
+        }
+    }
+
     #[tokio::test]
     async fn long_commands_beyond_the_room_are_an_error_not_a_wait() {
         let (_phase, phases) = watch::channel(Phase::Ready);
