Answer each whole command where the room for bytes is out

Cause: with no room left, take_commands gave one -ERR for all that lay in the buffer (clients.rs, refuse_protocol), however many whole commands that was: the rest were lost.

Change: each whole command is refused by itself, PING is answered, and the connection ends only if what is left still finds no room.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -523,7 +523,10 @@
 
     fn take_commands(&mut self) {
         if !self.fits() {
-            return self.refuse_protocol("no room for so long a command");
+            self.refuse_whole_commands();
+            if !self.broken && !self.fits() {
+                self.refuse_protocol("no room for so long a command");
+            }
         }
         while !self.broken && self.unanswered() < MAX_PIPELINE && !self.input.is_empty() {
             match resp::decode(&mut self.input) {
@@ -538,6 +541,23 @@
         }
     }
 
+    /// There is no room for what lies here: each command that has come whole gets an answer of its own, and
+    /// what is left may fit.
+    fn refuse_whole_commands(&mut self) {
+        while !self.broken && !self.input.is_empty() {
+            match resp::decode(&mut self.input) {
+                Ok(None) => return,
+                Ok(Some(Frame::Array(words))) if !words.is_empty() => {
+                    self.owed = None;
+                    let reply = if is_ping(&words) { self.ping() } else { Answer::Busy(None).into() };
+                    self.slots.push_back(Slot::Ready(reply));
+                }
+                Ok(Some(_)) => self.refuse_protocol("commands are arrays of bulk strings"),
+                Err(error) => self.refuse_protocol(error),
+            }
+        }
+    }
+
     /// The stream cannot be followed any more: says so, answers what came before, then closes.
     fn refuse_protocol(&mut self, error: impl std::fmt::Display) {
         self.slots.push_back(Slot::Ready(Reply::error(format_args!("protocol error: {error}"))));
@@ -548,7 +568,7 @@
     fn take_command(&mut self, words: &[Frame]) {
         self.owed = None;
         let slot = match words {
-            [Frame::Bulk(name)] if name.eq_ignore_ascii_case(b"PING") => Slot::Ready(self.ping()),
+            _ if is_ping(words) => Slot::Ready(self.ping()),
             _ => self.take_call(words),
         };
         self.slots.push_back(slot);
@@ -594,6 +614,10 @@
     }
 }
 
+fn is_ping(words: &[Frame]) -> bool {
+    matches!(words, [Frame::Bulk(name)] if name.eq_ignore_ascii_case(b"PING"))
+}
+
 /// Takes so many more permits, if there are any to be had.
 fn extend(held: &mut Option<OwnedSemaphorePermit>, from: &Arc<Semaphore>, count: u32) -> bool {
     if count == 0 {
@@ -747,6 +771,31 @@
         }
     }
 
+    #[tokio::test]
+    async fn without_room_each_whole_command_gets_an_answer_of_its_own() {
+        let (_phase, phases) = watch::channel(Phase::Ready);
+        let (mut context, mut inbox) = context(2, phases);
+        context.room = Room { places: Arc::new(Semaphore::new(64)), bytes: Arc::new(Semaphore::new(1)) };
+        tokio::spawn(async move {
+            while let Some(Input::Request(incoming)) = inbox.recv().await {
+                incoming.reply.answer(Answer::Failed);
+            }
+        });
+        let mut client = TcpStream::connect(accepting(context)).await.unwrap();
+        // More than the free bytes, in one go.
+        let mut all = a_call().repeat(200);
+        all.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
+        client.write_all(&all).await.unwrap();
+        let mut answers = String::new();
+        while !answers.ends_with("+PONG\r\n") {
+            let byte = timeout(Duration::from_secs(20), client.read_u8()).await.expect("no PONG").unwrap();
+            answers.push(char::from(byte));
+        }
+        let count = |what: &str| answers.matches(what).count();
+        assert_eq!(count("-BUSY\r\n") + count("-ERR failed\r\n"), 200, "{answers}");
+        assert!(count("-BUSY\r\n") > 0, "there was room");
+    }
+
     #[tokio::test]
     async fn long_commands_beyond_the_room_are_an_error_not_a_wait() {
         let (_phase, phases) = watch::channel(Phase::Ready);
