Let no attempt start for a request that is over

Cause: an attempt that waited for a connection was written after the final answer or after the client had left, where the settings do not allow withdrawing (gateway.rs answer and on_left; the module only withdraws). Its body stayed in memory without a permit.

Change: whoever takes the reply lets go of the attempts that are on no connection yet; the module is told that they were never made.

Measured: a client posts to a host whose backlog is full and leaves; when the backlog is free the first command to come is the next client's. Without the change the host gets the order of the one who left.

--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -533,6 +533,27 @@
     assert_eq!(client.answer(), "elsewhere");
 }
 
+#[test]
+fn an_attempt_that_waits_for_its_connection_does_not_start_after_its_client_left() {
+    let (stuck, listener, full) = full_backlog();
+    let discovery = Discovery::start();
+    let mut settings = settings();
+    settings["allowed"]["dial-timeout"] = 60_000_000_000u64.into();
+    let line = [host_line("s-0", stuck, "in_service", 0)];
+    let gateway = Program::start(settings, &line, discovery.addr, NOWHERE.parse().unwrap());
+    let (mut leaver, mut stayer) = (gateway.client(), gateway.client());
+    leaver.post(1, "of one who left");
+    leaver.leave();
+    stayer.post(2, "of one who stays");
+    drop(full);
+    let host = Peers::behind(listener.into());
+    let mut seen = host.command();
+    assert_eq!(seen.words[4], "of one who stays");
+    seen.serve("served");
+    assert_eq!(stayer.answer(), "served");
+    assert_eq!(host.others(), 0);
+}
+
 #[test]
 fn a_host_that_started_anew_gets_a_new_connection() {
     let host = Peers::start(1);
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -212,6 +212,11 @@
         let mut byte = [0];
         matches!(self.stream.read(&mut byte), Ok(0))
     }
+    /// Goes, and waits until the gateway has taken note.
+    pub fn leave(mut self) {
+        self.stream.get_mut().shutdown(Shutdown::Write).unwrap();
+        assert!(self.ended());
+    }
     pub fn until_ready(&mut self) {
         let end = Instant::now() + LONG;
         while Instant::now() < end {
@@ -275,10 +280,19 @@
 
 impl Peers {
     pub fn start(count: usize) -> Self {
+        Self::listen((0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()))
+    }
+
+    /// One that takes over a listener.
+    pub fn behind(listener: TcpListener) -> Self {
+        Self::listen([listener].into_iter())
+    }
+
+    fn listen(listeners: impl Iterator<Item = TcpListener>) -> Self {
         let (tell, saw) = channel();
-        let listen = |peer| {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            let (addr, tell) = (listener.local_addr().unwrap(), tell.clone());
+        let start = |(peer, listener): (usize, TcpListener)| {
+            let addr = listener.local_addr().unwrap();
+            let tell = tell.clone();
             thread::spawn(move || {
                 for (number, stream) in (0..).zip(listener.incoming()) {
                     let (Ok(stream), tell) = (stream, tell.clone()) else { return };
@@ -287,7 +301,7 @@
             });
             addr
         };
-        Peers { addrs: (0..count).map(listen).collect(), saw }
+        Peers { addrs: listeners.enumerate().map(start).collect(), saw }
     }
 
     pub fn command(&self) -> Seen {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -181,9 +181,12 @@
         }
     }
 
-    /// Whoever takes this gives the one final answer; there is no second.
+    /// Whoever takes this gives the one final answer; there is no second. Attempts that still wait for a
+    /// connection are never made: a request that is over goes to no host.
     fn take_reply(&mut self, id: RequestId) -> Option<ReplyTo> {
-        let reply = self.requests.get_mut(&id)?.reply.take()?;
+        let call = self.requests.get_mut(&id)?;
+        let reply = call.reply.take()?;
+        (0..call.attempts).for_each(|attempt| self.hosts.drop_unsent((id, attempt)));
         self.unanswered.send_modify(|n| *n -= 1);
         Some(reply)
     }
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -316,6 +316,15 @@
         self.finish(key, outcome);
     }
 
+    /// Lets go of an attempt that still waits for a connection.
+    pub fn drop_unsent(&mut self, key: AttemptKey) {
+        let unsent = self.attempts.get(&key).filter(|attempt| attempt.conn.is_none());
+        if let Some(host_id) = unsent.map(|attempt| attempt.host_id) {
+            self.unqueue(host_id, key);
+            self.finish(key, Outcome::Moot);
+        }
+    }
+
     /// A host cut off leaves its connections open and silent. One that has said nothing since an attempt that
     /// timed out keeps no idle ones: a new one that fails to come up proves that a request never ran, which
     /// an unsafe one survives; one written to a dead connection does not.
