Hold to a drain whose entry is half unreadable; speak of lost discovery rarely

Cause: an entry with one unreadable field was skipped whole while the version went on (discovery.rs, readable), so a host told to drain stayed in service for good. And while discovery was away each of five attempts a second was a warning, without its address (discovery.rs, watch).

Change: terminating and terminated count as soon as the id and the state can be read.

Both tests fail without the change.

--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -58,7 +58,7 @@
     let unanswered = gateway.unanswered();
     tokio::spawn(gateway.run(inbox));
     let (agent, agents) = watch::channel(config.discovery);
-    tokio::spawn(discovery::watch(agents, config.known.generation, inputs.clone()));
+    tokio::spawn(discovery::watch(agents, config.known.generation, clock, inputs.clone()));
     tokio::spawn(reload(hangup, agent, inputs.clone()));
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let (ids, crowd) = Default::default();
--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -676,6 +676,51 @@
     served(&mut client, &host, 1, "served");
 }
 
+#[test]
+fn a_host_that_drains_gets_nothing_new_whatever_else_its_entry_holds() {
+    for field in ["hostPort", "weight", "startedAtMs", "zone"] {
+        let hosts = Peers::start(2);
+        let discovery = Discovery::start();
+        let line = [host_line("s-0", hosts.addrs[0], "in_service", 0)];
+        let gateway = Program::start(settings(), &line, discovery.addr, NOWHERE.parse().unwrap());
+        let mut watch = discovery.watch();
+        let mut draining = host_line("s-0", hosts.addrs[0], "terminating", 0);
+        draining[field] = json!({"no": "such thing"});
+        watch.tell(&list(3, false, &[host_line("s-1", hosts.addrs[1], "in_service", 0), draining]));
+        let mut client = gateway.client();
+        let mut ids = 0..;
+        let mut call = || {
+            client.get(ids.next().unwrap());
+            let mut seen = hosts.command();
+            seen.serve("served");
+            assert_eq!(client.answer(), "served");
+            seen.conn.0
+        };
+        // The other host is told of in the same message: from its first call on the news has been taken in.
+        while call() == 0 {}
+        for _ in 0..8 {
+            assert_eq!(call(), 1, "a call to the host that drains, with a bad {field}");
+        }
+    }
+}
+
+#[test]
+fn discovery_that_is_away_is_told_once_with_its_address() {
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let host = Peers::start(1);
+    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
+    let mut gateway = Program::start(settings(), &line, gone, NOWHERE.parse().unwrap());
+    let mut client = gateway.client();
+    // Ready after a second without news: by then discovery has been asked some eight times.
+    client.until_ready();
+    gateway.terminate();
+    gateway.exit();
+    let log = gateway.log();
+    let told: Vec<&String> = log.iter().filter(|line| line.contains("discovery")).collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].contains(&gone.to_string()), "{told:?}");
+}
+
 // New configurations
 
 #[test]
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,7 @@
     child: Child,
     path: PathBuf,
     config: Value,
+    log: Arc<Mutex<Vec<String>>>,
     pub addr: SocketAddr,
 }
 
@@ -92,9 +93,12 @@
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (told, port) = channel();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
         thread::spawn(move || {
             let mut line = String::new();
             while log.read_line(&mut line).is_ok_and(|n| n > 0) {
+                kept.lock().unwrap().push(line.trim_end().to_owned());
                 if let Some((_, addr)) = line.trim_end().rsplit_once("listens on ") {
                     let _ = told.send(addr.parse().unwrap());
                 }
@@ -102,7 +106,7 @@
             }
         });
         let addr = next(&port, "the gateway to listen");
-        Program { child, path, config, addr }
+        Program { child, path, config, log: lines, addr }
     }
 
     pub fn client(&self) -> Client {
@@ -137,6 +141,11 @@
         self.signal("HUP");
     }
 
+    /// What it has written to its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     /// The most memory it has held, in bytes.
     pub fn peak_memory(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,6 +1,8 @@
 //! The list of hosts: one watch on the discovery agent, resumed where it broke off.
 
+use crate::clock::Clock;
 use crate::gateway::Input;
+use crate::outage::Outage;
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -40,7 +42,8 @@
 #[serde(rename_all = "camelCase")]
 pub struct Member {
     pub instance_id: String,
-    pub host_port: SocketAddr,
+    /// `None`: what is told is that it wants nothing new, and nothing else of it could be read.
+    pub host_port: Option<SocketAddr>,
     pub lifecycle: Lifecycle,
     #[serde(default)]
     pub zone: String,
@@ -63,13 +66,23 @@
     Terminated,
 }
 
-/// Entries one by one: what cannot be read of one says nothing of the others.
+/// Entries one by one: what cannot be read of one says nothing of the others. That a host drains or is gone
+/// counts whatever else its entry holds: the version goes on, and nobody would say it again.
 fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
     let all = Vec::<Value>::deserialize(from)?;
-    let count = all.len();
-    let entries: Vec<Member> = all.into_iter().filter_map(|e| Member::deserialize(e).ok()).collect();
-    if entries.len() < count {
-        tracing::warn!("discovery: {} of {count} entries cannot be read", count - entries.len());
+    let (count, mut whole) = (all.len(), 0);
+    let mut entries = Vec::with_capacity(count);
+    for entry in all {
+        match Member::deserialize(&entry).ok().filter(|member| member.host_port.is_some()) {
+            Some(member) => {
+                whole += 1;
+                entries.push(member);
+            }
+            None => entries.extend(end_of(&entry)),
+        }
+    }
+    if whole < count {
+        tracing::warn!("discovery: {} of {count} entries cannot be read whole", count - whole);
     }
     if entries.is_empty() && count > 0 {
         return Err(D::Error::custom("no entry can be read"));
@@ -77,15 +90,48 @@
     Ok(entries)
 }
 
+/// What an entry that cannot be read whole says of a host that wants nothing new.
+fn end_of(entry: &Value) -> Option<Member> {
+    let lifecycle = Lifecycle::deserialize(entry.get("lifecycle")?).ok()?;
+    let instance_id = entry.get("instanceId")?.as_str()?.to_owned();
+    (lifecycle != Lifecycle::InService).then(|| Member {
+        instance_id,
+        host_port: None,
+        lifecycle,
+        zone: String::new(),
+        machine_type: String::new(),
+        cell: 0,
+        weight: 0.0,
+        started_at_ms: 0,
+    })
+}
+
 /// Watches for as long as the gateway runs; the last list stays in force while discovery is away. At a new
 /// address the whole list is asked for: its versions need not compare with those of the old one.
-pub async fn watch(mut agents: watch::Receiver<SocketAddr>, known: u64, gateway: UnboundedSender<Input>) {
+pub async fn watch(
+    mut agents: watch::Receiver<SocketAddr>,
+    known: u64,
+    clock: Clock,
+    gateway: UnboundedSender<Input>,
+) {
     let (mut after, mut pause) = (Some(known), BACKOFF.0);
+    let mut outage = Outage::default();
     loop {
         let (agent, before) = (*agents.borrow_and_update(), after);
         let turn = async {
-            if let Err(error) = watch_once(agent, &mut after, &gateway).await {
-                tracing::warn!("discovery: {error:#}");
+            if let Err(error) = watch_once(agent, &mut after, &gateway, &mut || {
+                if let Some(away) = outage.back(clock.now()) {
+                    tracing::info!("discovery at {agent} is back after {:.1} s", away as f64 / 1e9);
+                }
+            })
+            .await
+            {
+                if let Some(away) = outage.failed(clock.now()) {
+                    let away = away as f64 / 1e9;
+                    tracing::warn!(
+                        "discovery at {agent}: {error:#}; away for {away:.1} s, the last list stays"
+                    );
+                }
             }
             pause = if after == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
             tokio::time::sleep(pause).await;
@@ -104,6 +150,7 @@
     agent: SocketAddr,
     after: &mut Option<u64>,
     gateway: &UnboundedSender<Input>,
+    heard: &mut (dyn FnMut() + Send),
 ) -> Result<()> {
     let tell = |line: &[u8]| {
         let list: Membership = serde_json::from_slice(line).context("not a list of hosts")?;
@@ -126,6 +173,7 @@
     loop {
         let frame = timeout(SILENCE, body.frame()).await.context("silent")?.context("watch ended")??;
         let Ok(data) = frame.into_data() else { continue };
+        heard();
         buf.extend_from_slice(&data);
         while let Some(end) = buf.iter().position(|b| *b == b'\n') {
             let line = buf.split_to(end);
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -153,10 +153,12 @@
         for line in &list.instances {
             let id = host_id_of(&line.instance_id);
             let host = self.hosts.entry(id).or_default();
-            if host.addr != Some(line.host_port) || host.started != line.started_at_ms {
+            if line.host_port.is_some() && (host.addr != line.host_port || host.started != line.started_at_ms)
+            {
                 host.era += 1;
+                host.addr = line.host_port;
+                host.started = line.started_at_ms;
             }
-            (host.addr, host.started) = (Some(line.host_port), line.started_at_ms);
             host.ready = line.lifecycle == Lifecycle::InService;
             entries.push(HostEntry {
                 id,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod discovery;
 pub mod gateway;
 pub mod hosts;
+pub mod outage;
