--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -1,10 +1,12 @@
 //! One real gateway: configuration, start and stop.
 #![forbid(unsafe_code)]
 
+mod descriptors;
+
 use anyhow::{Context as _, Result};
 use fennelbeam_gateway::clients::{self, Context, Phase, Room};
 use fennelbeam_gateway::clock::Clock;
-use fennelbeam_gateway::config::Config;
+use fennelbeam_gateway::config::{self, Config};
 use fennelbeam_gateway::counter;
 use fennelbeam_gateway::discovery;
 use fennelbeam_gateway::gateway::{Gateway, Input};
@@ -43,7 +45,14 @@
 async fn serve() -> Result<()> {
     // Before all else: without a handler either signal ends the process.
     let (mut terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let config = Config::from_env()?;
+    let mut config = Config::from_env()?;
+    config.sockets = descriptors::granted(config.sockets);
+    anyhow::ensure!(
+        config.sockets >= config::MIN_SOCKETS,
+        "{} descriptors are too few: {} are the least (see ulimit -n)",
+        config.sockets,
+        config::MIN_SOCKETS
+    );
     let listener =
         clients::listen(config.listen).with_context(|| format!("cannot listen on {}", config.listen))?;
     let address = listener.local_addr()?;
--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -457,6 +457,25 @@
     assert!(start.elapsed() < Duration::from_secs(6), "the aim is 8 s");
 }
 
+#[test]
+fn fewer_descriptors_than_configured_are_told_and_kept_to() {
+    let host = Peers::start(1);
+    let discovery = Discovery::start();
+    let line = [host_line("s-0", host.addrs[0], "in_service", 0)];
+    let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024});
+    let nowhere = NOWHERE.parse().unwrap();
+    let gateway = Program::within(limits, Some(100), settings(), &line, discovery.addr, nowhere);
+    // More of those that say nothing than there are descriptors.
+    let silent: Vec<Client> = (0..150).map(|_| gateway.client()).collect();
+    let mut usual = gateway.client();
+    served(&mut usual, &host, 1, "served");
+    drop(silent);
+    let log = gateway.log();
+    assert!(log.iter().any(|line| line.contains("grants 100 descriptors")), "{log:?}");
+    let failed = log.iter().filter(|line| line.contains("accept")).count();
+    assert_eq!(failed, 0, "out of descriptors all the same: {log:?}");
+}
+
 #[test]
 fn clients_that_never_read_do_not_fill_the_memory() {
     let hosts = Peers::start(4);
@@ -467,7 +486,7 @@
     let mut settings = settings();
     settings["tariffs"][0]["refill"] = 1e6.into();
     settings["tariffs"][0]["burst"] = 1e6.into();
-    let gateway = Program::within(limits, settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
+    let gateway = Program::within(limits, None, settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
     let served = hosts.serve_all("x".repeat(65_000));
     let deaf: Vec<Client> = (0..32)
         .map(|client| {
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -67,11 +67,13 @@
         counter: SocketAddr,
     ) -> Self {
         let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": sockets});
-        Self::within(limits, settings, known, discovery, counter)
+        Self::within(limits, None, settings, known, discovery, counter)
     }
 
+    /// Within these limits of its configuration, and so many descriptors of the system.
     pub fn within(
         limits: Value,
+        descriptors: Option<u32>,
         settings: Value,
         known: &[Value],
         discovery: SocketAddr,
@@ -86,11 +88,13 @@
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("fennelbeam-test-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelbeam"))
-            .env("ROUTER_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fennelbeam"));
+        if let Some(descriptors) = descriptors {
+            command = Command::new("sh");
+            let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_fennelbeam"));
+            command.args(["-c", &run]);
+        }
+        let mut child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (told, port) = channel();
         let lines = Arc::new(Mutex::new(Vec::new()));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,6 +7,9 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// With fewer descriptors there is no room for clients beside hosts, discovery and the counter.
+pub const MIN_SOCKETS: usize = 64;
+
 #[derive(Debug, Deserialize)]
 struct Document {
     name: String,
@@ -54,7 +57,7 @@
     fn parse(text: &[u8]) -> Result<Config> {
         let document: Document = serde_json::from_slice(text)?;
         let site = Site::parse(&document.settings)?;
-        anyhow::ensure!(document.limits.sockets >= 64, "limits.sockets is under 64");
+        anyhow::ensure!(document.limits.sockets >= MIN_SOCKETS, "limits.sockets is under {MIN_SOCKETS}");
         anyhow::ensure!(
             document.counter.is_some() || !site.settings.counter,
             "the settings allow the counter, but `counter` gives no address"
--- a/crates/judge/src/verdict.rs
+++ b/crates/judge/src/verdict.rs
@@ -191,4 +191,7 @@
     pub timeline: Vec<SecondFigures>,
     /// Events of the scenario: seconds from the first request, and words.
     pub events: Vec<(f64, String)>,
+    /// What the judge could not make sense of, in words: sightings that do not fit together, and hosts that fell,
+    /// or did not, against its own count. Empty when the model and the judge agree.
+    pub notes: Vec<String>,
 }
--- a/crates/model/src/agent.rs
+++ b/crates/model/src/agent.rs
@@ -1,1 +1,288 @@
-//! To come.
+//! Discovery: the truth about the hosts, and an agent on each gateway's machine that hears of changes late.
+//!
+//! Each agent draws its own delay for each change, and hears of changes in their order. What it has heard it
+//! tells to the watches that are open on it, and to whoever asks for the list. Agents are numbered from 0, as
+//! the gateways whose machines they are on.
+
+mod line;
+mod watch;
+
+pub use line::{Entry, Line};
+pub use watch::{Watch, BEAT};
+
+use crate::rng::Rng;
+use crate::scenario::{DiscoveryFault, DiscoverySpec};
+use crate::seen::Told;
+use crate::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// Generation of the list that all agents have at the start.
+pub const FIRST: u64 = 1;
+
+/// A host, as discovery knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its id, the same at every gateway.
+    pub id: String,
+    /// Its number, in the order of the hosts' coming. Lists are in this order.
+    pub host: u32,
+    /// Where each gateway reaches it; one without an address here is not told of it.
+    pub addrs: Vec<SocketAddr>,
+    /// Its building.
+    pub zone: String,
+    /// What kind of machine it is.
+    pub machine_type: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub lifecycle: Told,
+    /// Its size beside others.
+    pub weight: f64,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    pub started_ms: u64,
+}
+
+/// How discovery gets to know of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// The host says so itself.
+    Given,
+    /// The host died without a word, and is missed after a while.
+    Missed,
+}
+
+/// A change as it was told.
+#[derive(Clone, Debug)]
+struct Change {
+    generation: u64,
+    member: Member,
+}
+
+/// A change that an agent has not heard of yet.
+#[derive(Debug)]
+struct Waiting {
+    due: Time,
+    change: Change,
+    /// It has changed places with its neighbour.
+    swapped: bool,
+}
+
+#[derive(Debug, Default)]
+struct Agent {
+    waiting: VecDeque<Waiting>,
+    /// The latest that it has heard of each host, also of those that are gone.
+    known: BTreeMap<String, Change>,
+    /// All that it has heard since the first list, in the order in which it heard it.
+    log: Vec<Change>,
+    /// The latest generation that it has heard of.
+    generation: u64,
+}
+
+#[derive(Debug)]
+struct Active {
+    fault: DiscoveryFault,
+    until: Time,
+}
+
+/// The truth about the hosts, and what each agent has heard of it.
+#[derive(Debug)]
+pub struct Registry {
+    spec: DiscoverySpec,
+    seed: u64,
+    generation: u64,
+    truth: BTreeMap<String, Member>,
+    agents: Vec<Agent>,
+    faults: Vec<Active>,
+}
+
+impl Registry {
+    /// With these hosts, of which the agents of so many gateways know from the start.
+    pub fn new(spec: &DiscoverySpec, seed: u64, gateways: u32, members: Vec<Member>) -> Registry {
+        let truth: BTreeMap<_, _> = members.into_iter().map(|member| (member.id.clone(), member)).collect();
+        let first = |member: &Member| Change { generation: FIRST, member: member.clone() };
+        let known: BTreeMap<_, _> = truth.iter().map(|(id, member)| (id.clone(), first(member))).collect();
+        let agent = |_| Agent { known: known.clone(), generation: FIRST, ..Agent::default() };
+        Registry {
+            spec: spec.clone(),
+            seed,
+            generation: FIRST,
+            agents: (0..gateways).map(agent).collect(),
+            truth,
+            faults: Vec::new(),
+        }
+    }
+
+    /// How many agents there are.
+    pub fn agents(&self) -> u32 {
+        self.agents.len() as u32
+    }
+
+    /// All hosts as they are, those that are gone left out, by number.
+    pub fn members(&self) -> Vec<&Member> {
+        let mut members: Vec<_> = self.truth.values().collect();
+        members.sort_by_key(|member| member.host);
+        members
+    }
+
+    /// A host is new, or is no longer what it was: all of it as it is from now on. Gives the generation.
+    pub fn change(&mut self, now: Time, member: Member, notice: Notice) -> u64 {
+        self.generation += 1;
+        if member.lifecycle == Told::Gone {
+            self.truth.remove(&member.id);
+        } else {
+            self.truth.insert(member.id.clone(), member.clone());
+        }
+        let late = self.late(now);
+        let reordered = self.fails(now, |fault| matches!(fault, DiscoveryFault::Reordered));
+        for number in 0..self.agents.len() {
+            let due = now.saturating_add(self.delay(number, notice)).saturating_add(late);
+            let change = Change { generation: self.generation, member: member.clone() };
+            self.agents[number].wait(now, due, change, reordered);
+        }
+        self.generation
+    }
+
+    /// Discovery fails until `until`, beside what fails already. [`DiscoveryFault::Late`] and
+    /// [`DiscoveryFault::Reordered`] are for the changes that come meanwhile, the others for what is told
+    /// meanwhile.
+    pub fn fail(&mut self, now: Time, fault: DiscoveryFault, until: Time) {
+        self.faults.retain(|active| active.until > now);
+        self.faults.push(Active { fault, until });
+    }
+
+    /// All faults are over. Delays that were drawn meanwhile stay.
+    pub fn heal(&mut self) {
+        self.faults.clear();
+    }
+
+    /// Until when agents are sent nothing and say nothing, if that is so now.
+    pub fn silent_until(&self, now: Time) -> Option<Time> {
+        let silences = self.active(now).filter(|active| matches!(active.fault, DiscoveryFault::Silent));
+        silences.map(|active| active.until).max()
+    }
+
+    /// When an agent hears of something next, if it does.
+    pub fn next_due(&self, now: Time, agent: u32) -> Option<Time> {
+        let due = self.agents[agent as usize].waiting.front()?.due;
+        Some(due.max(self.silent_until(now).unwrap_or(due)))
+    }
+
+    /// Lets an agent hear of what is due, and gives the lines that it has to tell. It tells them to its
+    /// watches as well, which need not be open yet.
+    pub fn take_due(&mut self, now: Time, agent: u32) -> Vec<Line> {
+        let heard = self.agents[agent as usize].log.len();
+        self.hear(now, agent);
+        self.lines_from(agent, heard)
+    }
+
+    /// The whole list that an agent has; `None`: it is silent.
+    pub fn list(&mut self, now: Time, agent: u32) -> Option<Line> {
+        self.hear(now, agent);
+        self.silent_until(now).is_none().then(|| self.agents[agent as usize].list(agent))
+    }
+
+    /// What an agent has heard of after it had heard of this generation, or the whole list if it never has;
+    /// `None`: it is silent.
+    pub fn changes_after(&mut self, now: Time, agent: u32, generation: u64) -> Option<Line> {
+        self.hear(now, agent);
+        let known = &self.agents[agent as usize];
+        let line = || known.changes_after(agent, generation).unwrap_or_else(|| known.list(agent));
+        self.silent_until(now).is_none().then(line)
+    }
+
+    fn hear(&mut self, now: Time, agent: u32) {
+        if self.silent_until(now).is_some() {
+            return;
+        }
+        let repeats = self.fails(now, |fault| matches!(fault, DiscoveryFault::Repeats));
+        let agent = &mut self.agents[agent as usize];
+        while agent.waiting.front().is_some_and(|waiting| waiting.due <= now) {
+            if let Some(waiting) = agent.waiting.pop_front() {
+                agent.hear(waiting.change, repeats);
+            }
+        }
+    }
+
+    /// Lines from this place in the log of an agent on.
+    fn lines_from(&self, agent: u32, place: usize) -> Vec<Line> {
+        let heard = &self.agents[agent as usize].log[place..];
+        let line = |change: &Change| Line::new(agent, change.generation, false, &[&change.member]);
+        heard.iter().map(line).collect()
+    }
+
+    fn log_length(&self, agent: u32) -> usize {
+        self.agents[agent as usize].log.len()
+    }
+
+    fn active(&self, now: Time) -> impl Iterator<Item = &Active> {
+        self.faults.iter().filter(move |active| active.until > now)
+    }
+
+    fn fails(&self, now: Time, which: impl Fn(&DiscoveryFault) -> bool) -> bool {
+        self.active(now).any(|active| which(&active.fault))
+    }
+
+    fn late(&self, now: Time) -> Span {
+        let late = self.active(now).filter_map(|active| match active.fault {
+            DiscoveryFault::Late(by) => Some(by),
+            _ => None,
+        });
+        late.max().unwrap_or(0)
+    }
+
+    fn delay(&self, agent: usize, notice: Notice) -> Span {
+        let (from, to) = match notice {
+            Notice::Given => self.spec.notice,
+            Notice::Missed => self.spec.silent_notice,
+        };
+        let mut rng = Rng::stream(self.seed, "notice", self.generation << 32 | agent as u64);
+        from + rng.below(to.saturating_sub(from).saturating_add(1))
+    }
+}
+
+impl Agent {
+    /// Will hear of a change, after those before it.
+    fn wait(&mut self, now: Time, due: Time, change: Change, reordered: bool) {
+        let due = self.waiting.back().map_or(due, |last| last.due.max(due));
+        let mut waiting = Waiting { due, change, swapped: false };
+        let last = self.waiting.back_mut().filter(|last| reordered && last.due > now && !last.swapped);
+        if let Some(last) = last {
+            std::mem::swap(&mut last.change, &mut waiting.change);
+            last.swapped = true;
+            waiting.swapped = true;
+        }
+        self.waiting.push_back(waiting);
+    }
+
+    fn hear(&mut self, change: Change, repeats: bool) {
+        self.generation = self.generation.max(change.generation);
+        let older = |known: &Change| known.generation < change.generation;
+        if self.known.get(&change.member.id).is_none_or(older) {
+            self.known.insert(change.member.id.clone(), change.clone());
+        }
+        if repeats {
+            self.log.push(change.clone());
+        }
+        self.log.push(change);
+    }
+
+    fn list(&self, agent: u32) -> Line {
+        let members: Vec<_> = self.known.values().map(|change| &change.member).collect();
+        Line::new(agent, self.generation, true, &members)
+    }
+
+    /// `None`: it has never heard of this generation. Changes that were told out of order may be told again.
+    fn changes_after(&self, agent: u32, generation: u64) -> Option<Line> {
+        let heard = self.log.iter().rposition(|change| change.generation == generation);
+        let place = match heard {
+            Some(place) => place + 1,
+            None if generation == FIRST => 0,
+            None => return None,
+        };
+        let later: BTreeSet<&String> = self.log[place..].iter().map(|change| &change.member.id).collect();
+        let changed = |change: &&Change| change.generation > generation || later.contains(&change.member.id);
+        let members: Vec<_> = self.known.values().filter(changed).map(|change| &change.member).collect();
+        Some(Line::new(agent, self.generation, false, &members))
+    }
+}
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -199,6 +199,20 @@
         /// It was meant to.
         meant: bool,
     },
+    /// The scenario sent a gateway a signal. Without this sighting a meant end is held for a kill.
+    GatewaySignalled {
+        /// The gateway.
+        gateway: u32,
+        /// True: SIGKILL; else SIGTERM, after which it owes an answer to all that it has taken.
+        kill: bool,
+    },
+    /// From now on nothing passes between the clients and a gateway, or it passes again.
+    ClientsCut {
+        /// The gateway.
+        gateway: u32,
+        /// Nothing passes.
+        cut: bool,
+    },
     /// An event of the scenario, in words.
     Event {
         /// Its words.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,4 +20,5 @@
 //! ```
 
 pub mod api;
+mod chance;
 pub mod policy;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -2,7 +2,8 @@
 //! Slots follow the fuzzy delay controller of Wei et al.; quotas rest on leased units; see docs/design.md.
 
 use crate::api::*;
-use rand::{rngs::SmallRng, Rng, SeedableRng};
+use crate::chance::Chance;
+use libm::{exp, log, pow};
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Constants, each relative to aims, rates or the fleet
@@ -86,7 +87,7 @@
     /// Lets the store fill; what is leased here and unspent is still in the customer's store.
     fn refill(&mut self, now: Time) {
         let gain = self.rate * seconds(self.at, now);
-        self.mine *= (-seconds(self.at, now) / RATE_SPAN).exp();
+        self.mine *= exp(-seconds(self.at, now) / RATE_SPAN);
         self.level = (self.level + gain).min(self.burst - self.held.max(0.0));
         self.local = (self.local + gain * self.part).min(self.burst * self.part);
         self.at = now;
@@ -294,7 +295,7 @@
 
     /// What it did in one respect, fading with time.
     fn lately(&self, grain: usize, now: Time) -> f64 {
-        self.did.get(grain).map_or(0.0, |(did, at)| did * (-seconds(*at, now) / MEMORY).exp())
+        self.did.get(grain).map_or(0.0, |(did, at)| did * exp(-seconds(*at, now) / MEMORY))
     }
 }
 
@@ -309,7 +310,7 @@
             let s = self.hosts.entry(entry.id).or_default();
             if entry.started > s.entry.started && entry.started.saturating_add(self.s.cold) > now {
                 // Freshly started: cold, and what was known of it is void.
-                s.chill(now, entry.started, self.rng.random());
+                s.chill(now, entry.started, self.rng.unit());
                 (s.slow, s.told) = (0.0, None);
                 s.did.clear();
             }
@@ -360,9 +361,9 @@
                 continue;
             }
             // A stranger is taken to be as busy as the others say they are, not idle.
-            let told = s.told.map_or(0.0, |(at, load)| (load - self.pace.load) * (-seconds(at, now)).exp());
+            let told = s.told.map_or(0.0, |(at, load)| (load - self.pace.load) * exp(-seconds(at, now)));
             let load = 1.0 + s.out.len() as f64 + self.pace.load + told;
-            let mut cost = s.slow.exp() * load + self.rng.random::<f64>() * 0.05;
+            let mut cost = exp(s.slow) * load + self.rng.unit() * 0.05;
             // Of a stranger to this class, what the class meets elsewhere is feared.
             let own = s.lately(class, now);
             let feared = if own < 0.0 { usual * (1.0 + own) } else { own.max(usual) };
@@ -402,7 +403,7 @@
                 let Some(r) = self.requests.get(id) else { continue };
                 let latency = self.classes[r.class].latency;
                 let aim = self.s.classes[r.class].aim as f64 / SECOND;
-                let usual = if latency > 0.0 { HANGS * latency * s.slow.max(0.0).exp() } else { aim };
+                let usual = if latency > 0.0 { HANGS * latency * exp(s.slow.max(0.0)) } else { aim };
                 let hangs = seconds(*sent, now) > usual.min(aim);
                 if hangs && r.attempts.get(*attempt as usize).is_some_and(|a| !a.hung) {
                     hanging.push((*id, *attempt, *sid, s.heard < *sent));
@@ -419,9 +420,9 @@
     fn learn(&mut self, class: usize, sid: HostId, took: Span) {
         let (t, k) = ((took as f64 / SECOND).max(1e-6), &mut self.classes[class]);
         k.latency = if k.latency == 0.0 { t } else { k.latency };
-        k.latency *= (MEAN_BY_GEOMETRIC * t / k.latency).powf(0.05);
+        k.latency *= pow(MEAN_BY_GEOMETRIC * t / k.latency, 0.05);
         if let Some(s) = self.hosts.get_mut(&sid) {
-            s.slow += 0.1 * ((MEAN_BY_GEOMETRIC * t / k.latency).clamp(0.1, 10.0).ln() - s.slow);
+            s.slow += 0.1 * (log((MEAN_BY_GEOMETRIC * t / k.latency).clamp(0.1, 10.0)) - s.slow);
         }
     }
 }
@@ -639,7 +640,7 @@
 /// The decisions of one gateway.
 pub struct Policy {
     s: Settings,
-    rng: SmallRng,
+    rng: Chance,
     by_worth: Vec<usize>,
     classes: Vec<ClassState>,
     hosts: BTreeMap<HostId, Host>,
@@ -658,7 +659,7 @@
         let mut by_worth: Vec<usize> = (0..s.classes.len()).collect();
         by_worth.sort_by(|a, b| s.classes[*b].worth.total_cmp(&s.classes[*a].worth));
         Policy {
-            rng: SmallRng::seed_from_u64(seed),
+            rng: Chance::seeded(seed),
             by_worth,
             classes: s.classes.iter().map(|_| ClassState::default()).collect(),
             hosts: BTreeMap::new(),
@@ -736,7 +737,7 @@
                 .collect::<Vec<_>>();
             for a in &mut stores {
                 a.thin &= p.ceiling_rate <= 0.0;
-                a.credit = units * self.rng.random::<f64>();
+                a.credit = units * self.rng.unit();
             }
             Customer { plan, stores, ..Customer::default() }
         });
@@ -810,7 +811,7 @@
     /// A customer spread too thin for blocks: some requests ask the counter, each for several (the block);
     /// the ration that comes back, or the one last known, decides: (let in, should wait).
     fn ration(&mut self, now: Time, id: RequestId, late: bool) -> (bool, bool) {
-        let (down, lot, odds) = (self.counter_down(now), self.rng.random::<f64>(), self.pace.call_odds);
+        let (down, lot, odds) = (self.counter_down(now), self.rng.unit(), self.pace.call_odds);
         if now >= self.pace.beat.1 + BEAT && !down {
             let name = count_name(ALL, false, now / EPOCH);
             let from = self.pace.beat.0.max(now / EPOCH * EPOCH);
@@ -832,7 +833,7 @@
         }
         self.pace.top += 0.01 * units.min(10.0) * (f64::from(u8::from(worthiest)) - self.pace.top);
         // The class worth most a unit goes first, as far as the ration reaches.
-        let ration = c.stores[0].ration.unwrap_or(self.rations[c.plan]).powf(SHADE);
+        let ration = pow(c.stores[0].ration.unwrap_or(self.rations[c.plan]), SHADE);
         let top = self.pace.top.clamp(0.01, 0.99);
         let odds = if worthiest { ration / top } else { (ration - top) / (1.0 - top) };
         (c.stores[0].grant(units, odds), false)
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A gateway under test: settings with plain defaults, and helpers to feed it events.
 #![allow(dead_code)]
+pub mod cold;
+
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::policy::Policy;
 
@@ -114,3 +116,28 @@
 pub fn failed(actions: &[Action], id: u64) -> bool {
     actions.contains(&Action::Fail { id: RequestId(id) })
 }
+
+/// Chance for the tests' own worlds: SplitMix64, stated here so that no release changes it.
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn bits(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let x = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+    /// Evenly from 0 up to but not 1.
+    pub fn unit(&mut self) -> f64 {
+        (self.bits() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+    pub fn below(&mut self, count: u64) -> u64 {
+        self.bits() % count
+    }
+    pub fn chance(&mut self, probability: f64) -> bool {
+        self.unit() < probability
+    }
+    pub fn exponential(&mut self, mean: f64) -> f64 {
+        -libm::log(1.0 - self.unit()) * mean
+    }
+}
