--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -75,16 +75,26 @@
         span: Span,
         future: F,
     ) -> impl Future<Output = Result<F::Output, Elapsed>> + Send {
-        let sleep = self.sleep(span);
-        async move {
-            let (mut future, mut sleep) = (pin!(future), pin!(sleep));
-            poll_fn(|cx| match future.as_mut().poll(cx) {
-                Poll::Ready(value) => Poll::Ready(Ok(value)),
-                Poll::Pending => sleep.as_mut().poll(cx).map(|()| Err(Elapsed)),
-            })
-            .await
-        }
+        within(self.sleep(span), future)
     }
+
+    /// What the future gives, if it does before `at`.
+    fn timeout_at<F: Future + Send>(
+        &self,
+        at: Time,
+        future: F,
+    ) -> impl Future<Output = Result<F::Output, Elapsed>> + Send {
+        within(self.sleep_until(at), future)
+    }
+}
+
+async fn within<S: Sleep, F: Future>(sleep: S, future: F) -> Result<F::Output, Elapsed> {
+    let (mut future, mut sleep) = (pin!(future), pin!(sleep));
+    poll_fn(|cx| match future.as_mut().poll(cx) {
+        Poll::Ready(value) => Poll::Ready(Ok(value)),
+        Poll::Pending => sleep.as_mut().poll(cx).map(|()| Err(Elapsed)),
+    })
+    .await
 }
 
 /// A timer.
--- a/crates/env/src/real.rs
+++ b/crates/env/src/real.rs
@@ -13,6 +13,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::Instant;
 
+/// Bytes that the system takes of what is sent to a peer that does not read; on its own it takes megabytes.
+const SEND_BUFFER: u32 = 128 * 1024;
+
 /// The real world. Its clock reads as Unix time, so that moments told by others compare with it, and is
 /// carried on from the start by the monotonic one.
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +67,8 @@
     fn listen(&self, on: SocketAddr, backlog: u32) -> io::Result<RealListener> {
         let socket = if on.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
+        // Connections have it from their listener.
+        socket.set_send_buffer_size(SEND_BUFFER)?;
         socket.bind(on)?;
         Ok(RealListener(socket.listen(backlog)?))
     }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,12 +1,13 @@
 //! Clients: the listener and their connections. Commands are read as they come, answers leave in the order
 //! of the commands. What becomes of a call is the gateway's business.
 
-use crate::call::{self, Call};
-use crate::clock::Clock;
-use crate::gateway::Input;
+use crate::call;
+use crate::messages::{Answer, Incoming, Input, Phase, ReplyTo};
+use crate::outage::Outage;
 use bytes::{Buf, Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam_policy::api::{Request, RequestId, Span, Time};
+use fennelbeam_env::{Env, Listener, Stream};
+use fennelbeam_policy::api::{RequestId, Span, Time};
 use fennelbeam_resp::{self as resp, Frame, RespError};
 use fennelbeam_settings::Site;
 use std::collections::VecDeque;
@@ -14,86 +15,40 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
+const MS: Span = 1_000_000;
 /// Commands of one connection that may wait for their answers; then no more are taken.
 const MAX_PIPELINE: usize = 16;
 /// Bytes that are read of the commands behind those: so that a client's end is noticed.
 const READ_AHEAD: usize = 16 * 1024;
 /// A connection owes its first command, and the rest of a begun one, within this.
-const OWED: Duration = Duration::from_secs(2);
+const OWED: Span = 2_000 * MS;
 /// Commands in hand on all connections together, however much memory there is: far above a day's peak.
 const MAX_IN_HAND: usize = 512;
 /// Bytes of commands that a connection may hold without a share of the common room.
 const FREE_BYTES: usize = 4 * 1024;
 /// A client that takes nothing of its answers for this long has gone.
-const STALLED: Duration = Duration::from_secs(3);
+const STALLED: Span = 3_000 * MS;
 /// So has one that has not taken the next of them whole after this: it may not hold its place by a byte now
 /// and then.
-const TAKEN: Duration = Duration::from_secs(10);
+const TAKEN: Span = 10_000 * MS;
 /// A connection may take another place while it holds fewer than one in so many of those left: however many
 /// clients do not read, some places stay for those that do.
 const PLACES_LEFT: usize = 4;
 /// A client that has said nothing for this long after it connected is not about to.
-const FRESH: Span = 100_000_000;
-const LINGER: Duration = Duration::from_millis(500);
+const FRESH: Span = 100 * MS;
+const LINGER: Span = 500 * MS;
 /// Bytes read and dropped of a client that goes on sending after its last answer.
 const MAX_SCRAP: usize = 256 * 1024;
 const BACKLOG: u32 = 1024;
-/// Bytes that the system takes of the answers to a client that does not read; on its own it takes megabytes.
-const SEND_BUFFER: u32 = 128 * 1024;
-
-/// The one final answer of a request.
-#[derive(Debug)]
-pub enum Answer {
-    Served(Bytes),
-    Busy(Option<Span>),
-    Failed,
-}
-
-/// Where the answer of one request goes.
-#[derive(Debug)]
-pub struct ReplyTo {
-    slot: u64,
-    answers: UnboundedSender<(u64, Answer)>,
-}
-
-impl ReplyTo {
-    /// Gives the answer; a connection that has ended takes none.
-    pub fn answer(self, answer: Answer) {
-        let _ = self.answers.send((self.slot, answer));
-    }
-}
-
-/// A request as it came in.
-#[derive(Debug)]
-pub struct Incoming {
-    pub at: Time,
-    pub request: Request,
-    pub call: Call,
-    pub reply: ReplyTo,
-}
-
-/// How far the gateway is with starting and stopping.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Phase {
-    #[default]
-    Starting,
-    Ready,
-    /// Connections close when they are between requests.
-    Closing,
-}
-
 /// What all connections share.
 #[derive(Clone)]
-pub struct Context {
+pub(crate) struct Context<E> {
+    pub env: E,
     pub site: Arc<Site>,
-    pub clock: Clock,
     pub gateway: UnboundedSender<Input>,
     pub phase: watch::Receiver<Phase>,
     pub ids: Arc<AtomicU64>,
@@ -103,7 +58,7 @@
 
 /// What connections and the listener tell each other when places are short.
 #[derive(Clone, Default)]
-pub struct Crowd {
+pub(crate) struct Crowd {
     /// No place is left and none was to be had: the next connection that falls idle goes.
     full: Arc<AtomicBool>,
     /// One that was asked to leave has a request again.
@@ -112,7 +67,7 @@
 
 /// How many connections there may be.
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
+pub(crate) struct Limits {
     pub connections: usize,
     /// Of those that have brought calls. Clients hold a third of all descriptors for requests at the most, and
     /// some keep their connection for good after one: as long as it is open, a request may lack one.
@@ -122,7 +77,7 @@
 /// What all commands in hand may take together. A command without room is refused at once: waiting would let
 /// clients that are slow to read starve the others.
 #[derive(Clone)]
-pub struct Room {
+pub(crate) struct Room {
     /// A permit for each command, which may have a value of the greatest length coming.
     places: Arc<Semaphore>,
     /// Bytes of the commands themselves.
@@ -191,20 +146,16 @@
 }
 
 /// Listens on the given address only.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    // Connections have it from their listener.
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+pub(crate) fn listen<E: Env>(env: &E, address: SocketAddr) -> io::Result<E::Listener> {
+    env.listen(address, BACKLOG)
 }
 
 /// Accepts until it is dropped. With all places taken, another connection makes room for the next: what waits
 /// in the backlog may have sent a request, which would be lost there.
-pub async fn accept(listener: TcpListener, limits: Limits, context: Context) {
+pub(crate) async fn accept<E: Env>(mut listener: E::Listener, limits: Limits, context: Context<E>) {
     let permits = Arc::new(Semaphore::new(limits.connections));
     let mut seats: Vec<Arc<Seat>> = Vec::new();
+    let (env, mut outage) = (context.env.clone(), Outage::default());
     loop {
         seats.retain(|seat| Arc::strong_count(seat) > 1);
         limit_callers(&seats, limits.callers);
@@ -222,14 +173,17 @@
         context.crowd.full.store(false, Ordering::Relaxed);
         match listener.accept().await {
             Ok((stream, _)) => {
-                let seat = Arc::new(Seat::new(context.clock.now()));
+                outage.back(env.now());
+                let seat = Arc::new(Seat::new(env.now()));
                 seats.push(seat.clone());
-                tokio::spawn(serve(stream, context.clone(), seat, permit));
+                env.spawn(serve(stream, context.clone(), seat, permit));
             }
             Err(error) => {
+                if outage.failed(env.now()).is_some() {
+                    tracing::warn!("accept: {error}");
+                }
                 // Out of descriptors, say: neither give up nor spin.
-                tracing::warn!("accept: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                env.sleep(20 * MS).await;
             }
         }
     }
@@ -245,8 +199,8 @@
 }
 
 /// Sends away one connection that nothing is owed to. If all are busy, the next one to fall idle goes.
-fn make_room(seats: &[Arc<Seat>], context: &Context) {
-    let now = context.clock.now();
+fn make_room<E: Env>(seats: &[Arc<Seat>], context: &Context<E>) {
+    let now = context.env.now();
     match seats.iter().filter_map(|seat| Some((seat.rank(now)?, seat))).min_by_key(|(rank, _)| *rank) {
         Some((_, seat)) => seat.leave.notify_one(),
         None => context.crowd.full.store(true, Ordering::Relaxed),
@@ -275,9 +229,7 @@
         match answer {
             Answer::Served(value) => Reply::Value(value),
             Answer::Busy(None) => Reply::Text(Bytes::from_static(b"-BUSY\r\n")),
-            Answer::Busy(Some(after)) => {
-                Reply::Text(format!("-BUSY {}\r\n", after.div_ceil(1_000_000)).into())
-            }
+            Answer::Busy(Some(after)) => Reply::Text(format!("-BUSY {}\r\n", after.div_ceil(MS)).into()),
             Answer::Failed => Reply::Text(Bytes::from_static(b"-ERR failed\r\n")),
         }
     }
@@ -291,8 +243,8 @@
     MadeRoom,
 }
 
-struct Connection {
-    context: Context,
+struct Connection<E> {
+    context: Context<E>,
     seat: Arc<Seat>,
     input: BytesMut,
     output: SegmentedBuf<Bytes>,
@@ -312,14 +264,20 @@
     share: Option<OwnedSemaphorePermit>,
     in_hand: usize,
     /// By when the first command, or the rest of one, has to come.
-    owed: Option<Instant>,
+    owed: Option<Time>,
     /// A call has come that could be taken.
     called: bool,
 }
 
-async fn serve(mut stream: TcpStream, context: Context, seat: Arc<Seat>, _permit: OwnedSemaphorePermit) {
-    let _ = stream.set_nodelay(true);
-    let clock = context.clock;
+async fn serve<E: Env>(
+    stream: E::Stream,
+    context: Context<E>,
+    seat: Arc<Seat>,
+    _permit: OwnedSemaphorePermit,
+) {
+    // Kept to the end: a gateway that stops waits for all who hold one, also for those that linger.
+    let (env, _stop) = (context.env.clone(), context.phase.clone());
+    let (mut reader, mut writer) = stream.into_split();
     let (answers, inbox) = mpsc::unbounded_channel();
     let mut connection = Connection {
         context,
@@ -335,49 +293,56 @@
         places: None,
         share: None,
         in_hand: 0,
-        owed: Some(Instant::now() + OWED),
+        owed: Some(env.now() + OWED),
         called: false,
     };
-    let ended = connection.run(&mut stream, inbox).await;
+    let ended = connection.run(&mut reader, &mut writer, inbox).await;
     connection.leave();
     drop(connection);
     if matches!(ended, Ok(End::Answered)) {
-        seat.set(Use::Lingering, clock.now());
+        seat.set(Use::Lingering, env.now());
         tokio::select! {
-            () = linger(stream) => {}
+            biased;
+            _ = env.timeout(LINGER, linger(&mut reader, &mut writer)) => {}
             () = seat.leave.notified() => {}
         }
     }
 }
 
 /// Ends sending and waits for the client's end, so that the last answer is not lost to a reset.
-async fn linger(mut stream: TcpStream) {
+async fn linger<R, W>(reader: &mut R, writer: &mut W) -> io::Result<()>
+where
+    R: AsyncRead + Unpin + Send,
+    W: AsyncWrite + Unpin + Send,
+{
     let mut scrap = BytesMut::with_capacity(READ_AHEAD);
-    let rest = async {
-        stream.shutdown().await?;
-        let mut left = MAX_SCRAP;
-        while left > 0 {
-            scrap.clear();
-            match stream.read_buf(&mut scrap).await? {
-                0 => break,
-                n => left = left.saturating_sub(n),
-            }
+    writer.shutdown().await?;
+    let mut left = MAX_SCRAP;
+    while left > 0 {
+        scrap.clear();
+        match reader.read_buf(&mut scrap).await? {
+            0 => break,
+            n => left = left.saturating_sub(n),
         }
-        io::Result::Ok(())
-    };
-    let _ = timeout(LINGER, rest).await;
+    }
+    Ok(())
 }
 
-impl Connection {
+impl<E: Env> Connection<E> {
     /// Until the client goes (an error), or the connection is to close with all answered.
-    async fn run(
+    async fn run<R, W>(
         &mut self,
-        stream: &mut TcpStream,
+        reader: &mut R,
+        writer: &mut W,
         mut inbox: UnboundedReceiver<(u64, Answer)>,
-    ) -> Result<End, RespError> {
-        let (mut phase, seat) = (self.context.phase.clone(), self.seat.clone());
-        let (mut reader, mut writer) = stream.split();
-        let (mut noted, mut taken_by) = (Use::Fresh, Instant::now() + TAKEN);
+    ) -> Result<End, RespError>
+    where
+        R: AsyncRead + Unpin + Send,
+        W: AsyncWrite + Unpin + Send,
+    {
+        let (env, seat) = (self.context.env.clone(), self.seat.clone());
+        let mut phase = self.context.phase.clone();
+        let (mut noted, mut taken_by) = (Use::Fresh, None);
         loop {
             self.flush_ready();
             let writing = self.output.has_remaining();
@@ -393,7 +358,7 @@
                 _ => Use::Busy,
             };
             if used != noted {
-                seat.set(used, self.context.clock.now());
+                seat.set(used, env.now());
                 noted = used;
             }
             if used == Use::Idle && self.context.crowd.full.swap(false, Ordering::Relaxed) {
@@ -402,10 +367,8 @@
             // A client that is slow to read its answers is not read from either.
             let ahead = self.unanswered() < MAX_PIPELINE || self.input.len() < READ_AHEAD;
             let (reading, owed) = (!self.broken && !writing && ahead, self.owed);
-            if !writing {
-                taken_by = Instant::now() + TAKEN;
-            }
-            let stalled = taken_by.min(Instant::now() + STALLED);
+            taken_by = writing.then(|| taken_by.unwrap_or_else(|| env.now() + TAKEN));
+            let stalled = taken_by.map_or(0, |by| by.min(env.now() + STALLED));
             tokio::select! {
                 biased;
                 Some((slot, answer)) = inbox.recv() => {
@@ -414,17 +377,17 @@
                         self.settle(slot, answer);
                     }
                 }
-                wrote = timeout_at(stalled, writer.write_buf(&mut self.output)), if writing => {
+                wrote = env.timeout_at(stalled, writer.write_buf(&mut self.output)), if writing => {
                     wrote.map_err(|_| RespError::Closed)??;
                     if self.count_sent() {
-                        taken_by = Instant::now() + TAKEN;
+                        taken_by = None;
                     }
                 }
-                read = resp::fill(&mut reader, &mut self.input), if reading => {
+                read = resp::fill(reader, &mut self.input), if reading => {
                     read?;
                     self.take_commands();
                 }
-                () = sleep_until(owed.unwrap_or_else(Instant::now)), if owed.is_some() => {
+                () = env.sleep_until(owed.unwrap_or(0)), if owed.is_some() => {
                     // Nothing has come at all: an error would pass for the answer to a command that crosses it,
                     // while a plain end makes the client send that one again.
                     if self.input.is_empty() && self.slots.is_empty() {
@@ -531,7 +494,7 @@
         while !self.broken && self.unanswered() < MAX_PIPELINE && !self.input.is_empty() {
             match resp::decode(&mut self.input) {
                 Ok(None) => {
-                    self.owed = self.owed.or_else(|| Some(Instant::now() + OWED));
+                    self.owed = self.owed.or_else(|| Some(self.context.env.now() + OWED));
                     return;
                 }
                 Ok(Some(Frame::Array(words))) if !words.is_empty() => self.take_command(&words),
@@ -594,7 +557,7 @@
         let bytes = call.size();
         let slot = self.first_slot + self.slots.len() as u64;
         let reply = ReplyTo { slot, answers: self.answers.clone() };
-        let incoming = Incoming { at: self.context.clock.now(), request, call, reply };
+        let incoming = Incoming { at: self.context.env.now(), request, call, reply };
         match self.context.gateway.send(Input::Request(Box::new(incoming))) {
             Ok(()) => {
                 (self.called, self.in_hand) = (true, self.in_hand + bytes);
@@ -634,9 +597,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use fennelbeam_env::Real;
     use serde_json::json;
+    use std::time::Duration;
+    use tokio::net::{TcpSocket, TcpStream};
+    use tokio::time::timeout;
 
-    fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context, UnboundedReceiver<Input>) {
+    fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context<Real>, UnboundedReceiver<Input>) {
         let settings = json!({
             "services": [{"name": "read", "semantics": "safe", "hard-limit": 1_000_000_000u64}],
             "balancers": 1,
@@ -645,7 +612,7 @@
         let (gateway, inbox) = mpsc::unbounded_channel();
         let context = Context {
             site: Arc::new(Site::parse(&settings).unwrap()),
-            clock: Clock::start(),
+            env: Real::start(),
             gateway,
             phase,
             ids: Arc::default(),
@@ -677,8 +644,8 @@
     }
 
     /// Accepts connections with this room for their commands.
-    fn accepting(context: Context) -> SocketAddr {
-        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    fn accepting(context: Context<Real>) -> SocketAddr {
+        let listener = listen(&context.env, "127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(accept(listener, Limits { connections: 16, callers: 16 }, context));
         address
@@ -801,9 +768,7 @@
         let (_phase, phases) = watch::channel(Phase::Ready);
         let (mut context, _inbox) = context(2, phases);
         context.room = Room::within(8 * 64 * 1024);
-        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        tokio::spawn(accept(listener, Limits { connections: 8, callers: 8 }, context));
+        let address = accepting(context);
         let mut begun = BytesMut::new();
         resp::put_header(&mut begun, b'*', 5);
         resp::put_header(&mut begun, b'$', resp::MAX_VALUE);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What this gateway is told at its start.
 
-use crate::discovery::Membership;
-use anyhow::{Context, Result};
+use crate::membership::Membership;
+use anyhow::Result;
 use fennelbeam_settings::Site;
 use serde::Deserialize;
 use serde_json::Value;
@@ -33,28 +33,29 @@
 /// The configuration, checked.
 #[derive(Debug)]
 pub struct Config {
+    /// Its name.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Discovery.
     pub discovery: SocketAddr,
+    /// The counter service.
     pub counter: Option<SocketAddr>,
+    /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
     /// Bytes beyond which it is killed.
     pub memory: usize,
+    /// The list of hosts as it was last held.
     pub known: Membership,
+    /// The settings.
     pub site: Site,
 }
 
 impl Config {
-    /// Reads the file that `ROUTER_CONFIG` names.
-    pub fn from_env() -> Result<Config> {
-        let path = std::env::var("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
-        let text = std::fs::read(&path).with_context(|| format!("cannot read {path}"))?;
-        Config::parse(&text).with_context(|| format!("cannot use {path}"))
-    }
-
-    fn parse(text: &[u8]) -> Result<Config> {
+    /// Reads the document. The error says what is wrong with it.
+    pub fn parse(text: &[u8]) -> Result<Config> {
         let document: Document = serde_json::from_slice(text)?;
         let site = Site::parse(&document.settings)?;
         anyhow::ensure!(document.limits.sockets >= MIN_SOCKETS, "limits.sockets is under {MIN_SOCKETS}");
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,50 +1,31 @@
 //! The counter service: calls written one behind another on a few connections, answered in their order.
 //! A call that was given up still has its answer coming, which is taken off the line and dropped.
 
-use crate::clock::Clock;
-use crate::gateway::Input;
+use crate::messages::{CallId, Counted, CounterEvent, Input};
 use bytes::{Buf, Bytes, BytesMut};
+use fennelbeam_env::{Env, Stream};
 use fennelbeam_policy::api::{CountName, Outcome, Span, Time};
 use fennelbeam_resp::{self as resp, Frame, RespError};
-use std::collections::{HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::time::{sleep_until, timeout, Instant};
 
+const MS: Span = 1_000_000;
 /// Connections at once; another is opened while all have calls out, so that one part of the counter that is
 /// slow holds up few calls to the others.
-pub const MAX_LINKS: usize = 4;
+pub(crate) const MAX_LINKS: usize = 4;
 /// The counter closes idle connections after about 10 s or less: ours go first.
-const IDLE: Duration = Duration::from_millis(2500);
+const IDLE: Span = 2_500 * MS;
 /// Calls waiting on one connection; more are not sent.
 const MAX_WAITING: usize = 256;
 
-/// Number of a call.
-pub type CallId = u64;
-
-/// How a call ended.
-#[derive(Debug)]
-pub struct Counted {
-    pub name: CountName,
-    pub outcome: Outcome,
-    pub total: f64,
-    pub took: Span,
-}
-
-/// What a connection tells.
-#[derive(Debug)]
-pub enum CounterEvent {
-    Ended { link: u64, call: CallId, outcome: Outcome, total: f64 },
-    Down(u64),
-}
-
 // How far a call is.
 const QUEUED: u8 = 0;
+/// Its bytes may have left, if only some of them: it may be added.
 const WRITTEN: u8 = 1;
 const GIVEN_UP: u8 = 2;
 
@@ -54,6 +35,13 @@
     text: Bytes,
 }
 
+impl Job {
+    /// Takes it for writing; false: it was given up before.
+    fn begin(&self) -> bool {
+        self.stage.compare_exchange(QUEUED, WRITTEN, Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+}
+
 struct PendingAdd {
     name: CountName,
     started: Time,
@@ -68,25 +56,20 @@
 }
 
 /// The counter as this gateway calls it.
-pub struct Counter {
+pub(crate) struct Counter<E> {
+    env: E,
     address: Option<SocketAddr>,
-    clock: Clock,
     gateway: UnboundedSender<Input>,
-    patience: Duration,
+    patience: Span,
     links: Vec<Link>,
-    calls: HashMap<CallId, PendingAdd>,
+    calls: FxHashMap<CallId, PendingAdd>,
     next: u64,
 }
 
-impl Counter {
-    pub fn new(
-        address: Option<SocketAddr>,
-        clock: Clock,
-        gateway: UnboundedSender<Input>,
-        patience: Span,
-    ) -> Self {
-        let patience = Duration::from_nanos(patience.max(1_000_000));
-        Counter { address, clock, gateway, patience, links: Vec::new(), calls: HashMap::new(), next: 0 }
+impl<E: Env> Counter<E> {
+    pub fn new(env: E, address: Option<SocketAddr>, gateway: UnboundedSender<Input>, patience: Span) -> Self {
+        let calls = FxHashMap::default();
+        Counter { env, address, gateway, patience: patience.max(MS), links: Vec::new(), calls, next: 0 }
     }
 
     /// New calls go to this address. Those on their way finish where they are: a link without a sender ends
@@ -100,7 +83,7 @@
 
     /// Makes a call; `None`: it could not be written anywhere, so nothing was added.
     pub fn call(&mut self, name: CountName, amount: f64, keep: Span) -> Option<(CallId, Time)> {
-        let started = self.clock.now();
+        let started = self.env.now();
         let link = self.link()?;
         let stage = Arc::new(AtomicU8::new(QUEUED));
         let call = self.next;
@@ -110,7 +93,7 @@
         link.jobs.send(job).ok()?;
         link.waiting += 1;
         self.calls.insert(call, PendingAdd { name, started, stage });
-        Some((call, started + self.patience.as_nanos() as Span))
+        Some((call, started + self.patience))
     }
 
     /// The connection with the fewest calls on it; a new one while all are in use.
@@ -120,17 +103,19 @@
         if let Some(i) = least.filter(|i| self.links[*i].waiting == 0 || self.links.len() >= MAX_LINKS) {
             return Some(i).filter(|i| self.links[*i].waiting < MAX_WAITING);
         }
+        let address = self.address?;
         let (jobs, inbox) = mpsc::unbounded_channel();
         let id = self.next;
         self.next += 1;
         let line = Line {
+            env: self.env.clone(),
             id,
             gateway: self.gateway.clone(),
             silence: self.patience * 4,
             answers: VecDeque::new(),
             output: BytesMut::new(),
         };
-        tokio::spawn(line.run(self.address?, inbox));
+        self.env.spawn(line.run(address, inbox));
         self.links.push(Link { id, jobs, waiting: 0 });
         Some(self.links.len() - 1)
     }
@@ -161,14 +146,14 @@
 
     fn end(&mut self, id: CallId, outcome: Outcome, total: f64) -> Option<Counted> {
         let call = self.calls.remove(&id)?;
-        let took = self.clock.now().saturating_sub(call.started);
+        let took = self.env.now().saturating_sub(call.started);
         Some(Counted { name: call.name, outcome, total, took })
     }
 }
 
 fn command(name: CountName, amount: f64, keep: Span) -> Bytes {
     let (name, amount) = (format!("{:016x}", name.0), format!("{amount:.6}"));
-    let keep = (keep / 1_000_000).max(1).to_string();
+    let keep = (keep / MS).max(1).to_string();
     let mut text = BytesMut::with_capacity(96);
     resp::put_header(&mut text, b'*', 4);
     for word in ["ADDGET", &name, &amount, &keep] {
@@ -178,19 +163,19 @@
 }
 
 /// One connection, with the calls on it whose answers are due, oldest first.
-struct Line {
+struct Line<E> {
+    env: E,
     id: u64,
     gateway: UnboundedSender<Input>,
     /// With a call out, this long without any answer means a dead connection.
-    silence: Duration,
+    silence: Span,
     answers: VecDeque<CallId>,
     output: BytesMut,
 }
 
-impl Line {
+impl<E: Env> Line<E> {
     async fn run(mut self, address: SocketAddr, mut jobs: UnboundedReceiver<Job>) {
-        if let Ok(Ok(stream)) = timeout(self.silence, TcpStream::connect(address)).await {
-            let _ = stream.set_nodelay(true);
+        if let Ok(Ok(stream)) = self.env.timeout(self.silence, self.env.connect(address)).await {
             if let Err(error) = self.carry(stream, &mut jobs).await {
                 tracing::debug!("counter: {error}");
             }
@@ -211,15 +196,11 @@
         let _ = self.gateway.send(Input::Counter(ended));
     }
 
-    async fn carry(
-        &mut self,
-        mut stream: TcpStream,
-        jobs: &mut UnboundedReceiver<Job>,
-    ) -> Result<(), RespError> {
+    async fn carry(&mut self, stream: E::Stream, jobs: &mut UnboundedReceiver<Job>) -> Result<(), RespError> {
         let mut buf = BytesMut::new();
-        let mut heard = Instant::now();
+        let mut heard = self.env.now();
         let mut open = true;
-        let (mut reader, mut writer) = stream.split();
+        let (mut reader, mut writer) = stream.into_split();
         loop {
             let (waiting, begun) = (!self.answers.is_empty(), !buf.is_empty());
             if !open && !waiting {
@@ -231,12 +212,13 @@
                 (false, true) => self.silence,
                 (false, false) => IDLE,
             };
+            let silent = self.env.sleep_until(heard + limit);
             tokio::select! {
                 biased;
                 job = jobs.recv(), if open => match job {
                     Some(job) => {
                         if !waiting {
-                            heard = Instant::now();
+                            heard = self.env.now();
                         }
                         self.write(job, jobs, &mut writer).await?;
                     }
@@ -249,16 +231,16 @@
                         self.answered(frame)?;
                     }
                     if self.answers.len() < before || !begun {
-                        heard = Instant::now();
+                        heard = self.env.now();
                     }
                 }
-                _ = sleep_until(heard + limit) => return Ok(()),
+                () = silent => return Ok(()),
             }
         }
     }
 
     /// Writes this call and all that have come since, in one go.
-    async fn write<W: AsyncWriteExt + Unpin>(
+    async fn write<W: AsyncWrite + Unpin + Send>(
         &mut self,
         first: Job,
         jobs: &mut UnboundedReceiver<Job>,
@@ -267,23 +249,23 @@
         let mut batch = Vec::new();
         let mut next = Some(first);
         while let Some(job) = next {
-            if job.stage.load(Ordering::Relaxed) == QUEUED {
+            // From here on some of its bytes may leave: given up now, it may have been added.
+            if job.begin() {
                 self.output.extend_from_slice(&job.text);
-                batch.push((self.output.len(), job));
+                batch.push((self.output.len(), job.call));
             } else {
                 self.tell(job.call, Outcome::NoConnection, 0.0);
             }
             next = jobs.try_recv().ok();
         }
         let all = self.output.len();
-        let wrote = timeout(self.silence, writer.write_all_buf(&mut self.output)).await;
+        let wrote = self.env.timeout(self.silence, writer.write_all_buf(&mut self.output)).await;
         let written = all - self.output.remaining();
-        for (end, job) in batch {
+        for (end, call) in batch {
             if end <= written {
-                job.stage.store(WRITTEN, Ordering::Relaxed);
-                self.answers.push_back(job.call);
+                self.answers.push_back(call);
             } else {
-                self.tell(job.call, Outcome::NoConnection, 0.0);
+                self.tell(call, Outcome::NoConnection, 0.0);
             }
         }
         wrote.map_err(|_| RespError::Closed)??;
@@ -312,21 +294,24 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use fennelbeam_env::Real;
+    use std::time::{Duration, Instant};
     use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::time::timeout;
 
     const SECOND: Span = 1_000_000_000;
     const NAME: CountName = CountName(10);
 
     /// A counter whose service is the listener, given up by the test alone or after a `patience`.
-    async fn counter(patience: Span) -> (Counter, TcpListener, UnboundedReceiver<Input>) {
+    async fn counter(patience: Span) -> (Counter<Real>, TcpListener, UnboundedReceiver<Input>) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (tell, inbox) = mpsc::unbounded_channel();
         let address = Some(listener.local_addr().unwrap());
-        (Counter::new(address, Clock::start(), tell, patience), listener, inbox)
+        (Counter::new(Real::start(), address, tell, patience), listener, inbox)
     }
 
-    async fn call(counter: &mut Counter) -> CallId {
+    async fn call(counter: &mut Counter<Real>) -> CallId {
         counter.call(NAME, -2.5, 4 * SECOND).unwrap().0
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,24 +2,23 @@
 //! request is kept here until its one final answer has left and its attempts have ended.
 
 use crate::call::Call;
-use crate::clients::{Answer, Incoming, Phase, ReplyTo};
-use crate::clock::Clock;
 use crate::config::Config;
-use crate::counter::{CallId, Counted, Counter, CounterEvent};
-use crate::discovery::Membership;
-use crate::hosts::{AttemptKey, Finished, HostEvent, Hosts};
+use crate::counter::Counter;
+use crate::hosts::{Finished, Hosts};
+use crate::membership::Membership;
+use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, Phase, ReplyTo};
 use bytes::Bytes;
+use fennelbeam_env::{Env, Sleep};
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::policy::Policy;
 use fennelbeam_settings::Site;
+use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
-use tokio::time::{sleep_until, Instant};
 
 const MS: Span = 1_000_000;
 /// A request that the module still holds this long after its client's time is failed: none is lost.
@@ -28,17 +27,19 @@
 const KNOWN_WILL_DO: Span = 1_000 * MS;
 const BATCH: usize = 128;
 
-/// What happens around the gateway.
-#[derive(Debug)]
-pub enum Input {
-    Request(Box<Incoming>),
-    /// The client of this request has gone.
-    Left(RequestId),
-    Host(HostEvent),
-    Counter(CounterEvent),
-    Hosts(Membership),
-    /// Where the counter is from now on.
-    CounterAt(Option<SocketAddr>),
+/// Whoever decides: the decision module, or one that a test puts in its place.
+pub(crate) trait Decisions: Send + 'static {
+    fn start(settings: Settings, seed: u64) -> Self;
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decisions for Policy {
+    fn start(settings: Settings, seed: u64) -> Self {
+        Policy::new(settings, seed)
+    }
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        Policy::handle(self, now, event, actions);
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,46 +60,53 @@
 }
 
 /// One gateway.
-pub struct Gateway {
-    clock: Clock,
-    policy: Policy,
-    hosts: Hosts,
-    counter: Counter,
-    requests: HashMap<RequestId, InHand>,
-    /// Ids that clients gave to the requests call.
+pub(crate) struct Gateway<E: Env, D> {
+    env: E,
+    site: Arc<Site>,
+    seed: u64,
+    module: D,
+    hosts: Hosts<E>,
+    counter: Counter<E>,
+    requests: FxHashMap<RequestId, InHand>,
+    /// Ids that clients gave to the requests held. They choose them, so the set's own seed is random; nothing
+    /// is ever done in its order.
     open: HashSet<u64>,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
-    actions: Vec<Action>,
+    /// What the module has yet to be told, in order: carrying out one action may bring news while others of
+    /// the same turn still wait.
+    news: VecDeque<Event>,
+    telling: bool,
     phase: watch::Sender<Phase>,
     unanswered: watch::Sender<usize>,
 }
 
-impl Gateway {
+impl<E: Env, D: Decisions> Gateway<E, D> {
     pub fn new(
+        env: E,
         config: &Config,
         site: Arc<Site>,
-        clock: Clock,
         inputs: &UnboundedSender<Input>,
         most_conns: usize,
         phase: watch::Sender<Phase>,
     ) -> Self {
-        let policy = Policy::new(site.settings.clone(), config.seed);
-        let counter = Counter::new(config.counter, clock, inputs.clone(), site.settings.counter_timeout);
-        let hosts = Hosts::new(site, clock, inputs.clone(), most_conns);
+        let patience = site.settings.counter_timeout;
         let mut gateway = Gateway {
-            clock,
-            policy,
-            hosts,
-            counter,
-            requests: HashMap::new(),
+            module: D::start(site.settings.clone(), config.seed),
+            hosts: Hosts::new(env.clone(), site.clone(), inputs.clone(), most_conns),
+            counter: Counter::new(env.clone(), config.counter, inputs.clone(), patience),
+            env,
+            site,
+            seed: config.seed,
+            requests: FxHashMap::default(),
             open: HashSet::new(),
             timers: BinaryHeap::new(),
-            actions: Vec::new(),
+            news: VecDeque::new(),
+            telling: false,
             phase,
             unanswered: watch::Sender::new(0),
         };
         if !config.known.instances.is_empty() {
-            gateway.set_timer(clock.now() + KNOWN_WILL_DO, Timer::Ready);
+            gateway.set_timer(gateway.env.now() + KNOWN_WILL_DO, Timer::Ready);
         }
         gateway.on_hosts(&config.known, ListKind::Cached);
         gateway
@@ -112,10 +120,10 @@
     /// Runs for as long as the program does.
     pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
         let mut batch = Vec::with_capacity(BATCH);
-        let sleep = sleep_until(Instant::now());
+        let sleep = self.env.sleep(0);
         tokio::pin!(sleep);
         loop {
-            if let Some(due) = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at)) {
+            if let Some(due) = self.timers.peek().map(|Reverse((at, _))| *at) {
                 if due != sleep.deadline() {
                     sleep.as_mut().reset(due);
                 }
@@ -208,7 +216,7 @@
             let Finished { mut ended, sent, value } = finished;
             let id = ended.id;
             ended.closed = self.served(id, value);
-            ended.took = self.clock.now().saturating_sub(sent);
+            ended.took = self.env.now().saturating_sub(sent);
             self.tell(Event::Ended(ended));
             self.forget(id);
         }
@@ -232,17 +240,43 @@
         }
     }
 
-    /// Lets the module decide, and carries out what it wants. A panic in it must not end the gateway; what
-    /// it then holds is failed when overdue.
+    /// Lets the module decide, and carries out what it wants, one turn after the other.
     fn tell(&mut self, event: Event) {
-        let now = self.clock.now();
-        let (policy, actions) = (&mut self.policy, &mut self.actions);
-        if catch_unwind(AssertUnwindSafe(|| policy.handle(now, event, actions))).is_err() {
-            tracing::error!("the decision module panicked");
+        self.news.push_back(event);
+        if std::mem::replace(&mut self.telling, true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        while let Some(event) = self.news.pop_front() {
+            let now = self.env.now();
+            let module = &mut self.module;
+            if catch_unwind(AssertUnwindSafe(|| module.handle(now, event, &mut actions))).is_err() {
+                self.start_over(&mut actions);
+                continue;
+            }
+            actions.drain(..).for_each(|action| self.carry_out(now, action));
         }
-        for action in std::mem::take(&mut self.actions) {
-            self.carry_out(now, action);
+        self.telling = false;
+    }
+
+    /// The module has panicked: what it holds may be half changed, and what it wanted half said. All requests
+    /// are failed at once, and another module starts from the hosts in service, as after a restart.
+    fn start_over(&mut self, actions: &mut Vec<Action>) {
+        tracing::error!("the decision module panicked: {} requests are failed", self.requests.len());
+        actions.clear();
+        self.news.clear();
+        self.seed = self.seed.wrapping_add(1);
+        self.module = D::start(self.site.settings.clone(), self.seed);
+        self.timers.retain(|Reverse((_, timer))| !matches!(timer, Timer::Module(_)));
+        let mut ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            let attempts = self.requests.get(&id).map_or(0, |call| call.attempts);
+            (0..attempts).for_each(|attempt| self.hosts.stop((id, attempt), true));
+            self.answer(id, Answer::Failed);
         }
+        let entries = self.hosts.entries();
+        self.news.push_back(Event::Hosts { kind: ListKind::Cached, entries });
     }
 
     fn carry_out(&mut self, now: Time, action: Action) {
@@ -263,12 +297,20 @@
         }
     }
 
+    /// Each attempt that the module starts ends once, also one that comes too late to be made.
     fn send(&mut self, id: RequestId, host: HostId, until: Time) {
-        let Some(call) = self.requests.get_mut(&id).filter(|call| call.reply.is_some()) else { return };
+        let Some(call) = self.requests.get_mut(&id) else {
+            debug_assert!(false, "an attempt of a request that is not held");
+            return;
+        };
         let (key, until) = ((id, call.attempts), until.min(call.deadline));
+        let over = call.reply.is_none();
         call.attempts += 1;
         call.out += 1;
         self.hosts.start(key, host, until, call.call.clone());
+        if over {
+            return self.hosts.drop_unsent(key);
+        }
         self.set_timer(until, Timer::Attempt(key));
     }
 
@@ -285,7 +327,7 @@
 
     fn fire_timers(&mut self) {
         while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
-            if at > self.clock.now() {
+            if at > self.env.now() {
                 return;
             }
             self.timers.pop();
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -2,29 +2,21 @@
 //! behind a slow one would wait for it and giving one up means closing.
 
 use crate::call::Call;
-use crate::clock::Clock;
-use crate::discovery::{Lifecycle, Membership};
-use crate::gateway::Input;
+use crate::membership::{Lifecycle, Membership};
+use crate::messages::{AttemptKey, ConnId, HostEvent, Input};
 use bytes::{Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, RequestId, Span, Time};
+use fennelbeam_env::{Env, Reader, Stream, Task};
+use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, Span, Time};
 use fennelbeam_resp::{self as resp, Frame, RespError};
 use fennelbeam_settings::Site;
-use socket2::SockRef;
-use std::collections::hash_map::DefaultHasher;
-use std::collections::{HashMap, VecDeque};
-use std::hash::{Hash, Hasher};
-use std::io;
-use std::mem::MaybeUninit;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
 const MS: Span = 1_000_000;
 /// A request that breaks this soon on a kept connection found it dead.
@@ -34,35 +26,19 @@
 const KEEP_LEAST: Span = 10 * MS;
 const KEEP_GROWS: f64 = 1.04;
 /// A begun answer that has got no further for this long is spoilt.
-const STUCK: Duration = Duration::from_millis(200);
+const STUCK: Span = 200 * MS;
 /// No figure of a host is above this.
 const MAX_FIGURE: f64 = 1e5;
 
-/// An attempt of a request.
-pub type AttemptKey = (RequestId, u32);
-/// Number of a connection; never used twice.
-pub type ConnId = u64;
-
 /// An attempt that has ended, as the module is told of it but for what only the gateway knows.
 #[derive(Debug)]
-pub struct Finished {
+pub(crate) struct Finished {
     pub ended: Ended,
     pub sent: Time,
     /// What goes to the client.
     pub value: Option<Bytes>,
 }
 
-/// What a connection tells.
-#[derive(Debug)]
-pub enum HostEvent {
-    /// It is up.
-    Up(ConnId),
-    /// It answered the request on it; `clean`: with nothing behind, so it can carry another.
-    Answered { id: ConnId, frame: Frame, clean: bool },
-    /// It has ended, or never came up.
-    Down(ConnId),
-}
-
 struct Attempt {
     host_id: HostId,
     sent: Time,
@@ -73,6 +49,8 @@
 
 #[derive(Default)]
 struct Host {
+    /// As the module was told of it last.
+    entry: HostEntry,
     addr: Option<SocketAddr>,
     started: u64,
     ready: bool,
@@ -81,11 +59,13 @@
     idle: Vec<ConnId>,
     waiting: VecDeque<AttemptKey>,
     dialing: usize,
+    /// Connections to it, up or on their way.
+    conns: usize,
     /// When it last answered anything.
     heard: Time,
 }
 
-struct Conn {
+struct Conn<T: Task> {
     host_id: HostId,
     era: u32,
     up: bool,
@@ -98,42 +78,43 @@
     /// The last byte of the request on it has been written.
     sent: Arc<AtomicBool>,
     jobs: UnboundedSender<SegmentedBuf<Bytes>>,
-    task: AbortHandle,
+    task: T,
 }
 
-impl Drop for Conn {
+impl<T: Task> Drop for Conn<T> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
 /// All hosts as discovery names them.
-pub struct Hosts {
+pub(crate) struct Hosts<E: Env> {
+    env: E,
     site: Arc<Site>,
-    clock: Clock,
     gateway: UnboundedSender<Input>,
     /// Connections that may be open at once.
     most: usize,
     /// How long an idle connection is trusted: hosts, or what stands between, may drop one unseen.
     keep: Span,
-    hosts: HashMap<HostId, Host>,
-    conns: HashMap<ConnId, Conn>,
-    attempts: HashMap<AttemptKey, Attempt>,
+    /// In the order of their numbers, so that what is done to all of them is done alike each time.
+    hosts: BTreeMap<HostId, Host>,
+    conns: FxHashMap<ConnId, Conn<E::Task>>,
+    attempts: FxHashMap<AttemptKey, Attempt>,
     next_conn: ConnId,
     finished: VecDeque<Finished>,
 }
 
-impl Hosts {
-    pub fn new(site: Arc<Site>, clock: Clock, gateway: UnboundedSender<Input>, most: usize) -> Self {
+impl<E: Env> Hosts<E> {
+    pub fn new(env: E, site: Arc<Site>, gateway: UnboundedSender<Input>, most: usize) -> Self {
         Hosts {
+            env,
             keep: longest_idle(&site),
             site,
-            clock,
             gateway,
             most,
-            hosts: HashMap::new(),
-            conns: HashMap::new(),
-            attempts: HashMap::new(),
+            hosts: BTreeMap::new(),
+            conns: FxHashMap::default(),
+            attempts: FxHashMap::default(),
             next_conn: 0,
             finished: VecDeque::new(),
         }
@@ -160,7 +141,7 @@
                 host.started = line.started_at_ms;
             }
             host.ready = line.lifecycle == Lifecycle::InService;
-            entries.push(HostEntry {
+            host.entry = HostEntry {
                 id,
                 zone: position(&self.site.zones, &line.zone),
                 kind: position(&self.site.kinds, &line.machine_type),
@@ -172,7 +153,8 @@
                 },
                 size: line.weight,
                 started: line.started_at_ms.saturating_mul(MS),
-            });
+            };
+            entries.push(host.entry.clone());
         }
         self.drop_outdated();
         entries
@@ -181,13 +163,13 @@
     /// Idle connections of an earlier era close. Attempts that wait at a host that drains or is gone end
     /// unsent: their first byte may not follow the news.
     fn drop_outdated(&mut self) {
-        let mut unsent = Vec::new();
+        let (mut unsent, mut outdated) = (Vec::new(), Vec::new());
         for host in self.hosts.values_mut() {
-            let (conns, era, ready) = (&mut self.conns, host.era, host.ready);
+            let (conns, era, ready) = (&self.conns, host.era, host.ready);
             host.idle.retain(|conn| {
                 let keep = ready && conns.get(conn).is_some_and(|c| c.era == era);
                 if !keep {
-                    conns.remove(conn);
+                    outdated.push(*conn);
                 }
                 keep
             });
@@ -195,15 +177,26 @@
                 unsent.extend(host.waiting.drain(..));
             }
         }
+        outdated.into_iter().for_each(|conn| drop(self.close(conn)));
         unsent.into_iter().for_each(|key| self.finish(key, Outcome::Moot));
-        let conns = &self.conns;
-        let used = |id: &HostId| conns.values().any(|c| c.host_id == *id);
-        self.hosts.retain(|id, host| host.ready || used(id));
+        self.hosts.retain(|_, host| host.ready || host.conns > 0);
+    }
+
+    /// The hosts in service, as the module was told of them.
+    pub fn entries(&self) -> Vec<HostEntry> {
+        self.hosts.values().filter(|host| host.ready).map(|host| host.entry.clone()).collect()
+    }
+
+    /// Ends a connection, with whatever is on it.
+    fn close(&mut self, id: ConnId) -> Option<Conn<E::Task>> {
+        let conn = self.conns.remove(&id)?;
+        self.hosts.entry(conn.host_id).and_modify(|host| host.conns -= 1);
+        Some(conn)
     }
 
     /// Starts an attempt: on the newest idle connection, or on the first that comes free or up.
     pub fn start(&mut self, key: AttemptKey, host_id: HostId, until: Time, call: Arc<Call>) {
-        let sent = self.clock.now();
+        let sent = self.env.now();
         self.attempts.insert(key, Attempt { host_id, sent, until, call, conn: None });
         let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) else {
             return self.finish(key, Outcome::Moot);
@@ -221,18 +214,17 @@
         while let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) {
             let Some(key) = host.waiting.front().copied() else { return };
             let Some(conn) = host.idle.pop() else { return };
-            let stood = |c: &Conn| self.clock.now().saturating_sub(c.idle_since);
+            let stood = |c: &Conn<E::Task>| self.env.now().saturating_sub(c.idle_since);
             if self.conns.get(&conn).is_some_and(|c| c.used && stood(c) > self.keep) {
                 // The others have stood for longer still.
-                for old in host.idle.drain(..).chain([conn]) {
-                    self.conns.remove(&old);
-                }
+                let old: Vec<ConnId> = host.idle.drain(..).chain([conn]).collect();
+                old.into_iter().for_each(|conn| drop(self.close(conn)));
                 return;
             }
             if self.write(conn, key) {
                 self.unqueue(host_id, key);
             } else {
-                self.conns.remove(&conn);
+                self.close(conn);
             }
         }
     }
@@ -243,13 +235,13 @@
             return false;
         };
         let mut parts = Vec::with_capacity(3);
-        attempt.call.for_host(attempt.until.saturating_sub(self.clock.now()), &mut parts);
+        attempt.call.for_host(attempt.until.saturating_sub(self.env.now()), &mut parts);
         let job = parts.into_iter().collect();
         conn.sent.store(false, Ordering::Relaxed);
         if conn.jobs.send(job).is_err() {
             return false;
         }
-        conn.rested = self.clock.now().saturating_sub(conn.idle_since);
+        conn.rested = self.env.now().saturating_sub(conn.idle_since);
         (conn.busy, attempt.conn) = (Some(key), Some(id));
         true
     }
@@ -262,18 +254,20 @@
         let Some(host) = self.hosts.get_mut(&host_id) else { return };
         let Some(addr) = host.addr else { return };
         host.dialing += 1;
+        host.conns += 1;
         let id = self.next_conn;
         self.next_conn += 1;
         let (jobs, inbox) = mpsc::unbounded_channel();
         let sent = Arc::new(AtomicBool::new(false));
-        let link = Carrier {
+        let carrier = Carrier {
+            env: self.env.clone(),
             id,
-            dial: Duration::from_nanos(self.site.dial_timeout.max(MS)),
-            idle: Duration::from_nanos(longest_idle(&self.site)),
+            dial: self.site.dial_timeout.max(MS),
+            idle: longest_idle(&self.site),
             sent: sent.clone(),
             gateway: self.gateway.clone(),
         };
-        let task = tokio::spawn(link.run(addr, inbox)).abort_handle();
+        let task = self.env.spawn(carrier.run(addr, inbox));
         let conn = Conn {
             host_id,
             era: host.era,
@@ -289,9 +283,14 @@
         self.conns.insert(id, conn);
     }
 
+    /// Ends the connection that has stood idle for longest.
     fn close_an_idle_one(&mut self) -> bool {
-        let oldest = self.hosts.values_mut().find(|host| !host.idle.is_empty());
-        oldest.map(|host| host.idle.remove(0)).is_some_and(|conn| self.conns.remove(&conn).is_some())
+        let since = |id: &ConnId| self.conns.get(id).map_or(0, |conn| conn.idle_since);
+        // Of one host the first is the oldest.
+        let firsts = self.hosts.values_mut().filter(|host| !host.idle.is_empty());
+        let oldest = firsts.min_by_key(|host| (since(&host.idle[0]), host.idle[0]));
+        let conn = oldest.map(|host| host.idle.remove(0));
+        conn.is_some_and(|conn| self.close(conn).is_some())
     }
 
     fn unqueue(&mut self, host_id: HostId, key: AttemptKey) {
@@ -303,7 +302,7 @@
     pub fn stop(&mut self, key: AttemptKey, withdrawn: bool) {
         let Some(attempt) = self.attempts.get(&key) else { return };
         let (host_id, attempt_sent) = (attempt.host_id, attempt.sent);
-        let conn = attempt.conn.and_then(|id| self.conns.remove(&id));
+        let conn = attempt.conn.and_then(|id| self.close(id));
         let sent = conn.is_some_and(|conn| conn.sent.load(Ordering::Relaxed));
         self.unqueue(host_id, key);
         if sent && !withdrawn {
@@ -332,9 +331,8 @@
     /// an unsafe one survives; one written to a dead connection does not.
     fn distrust(&mut self, host_id: HostId, since: Time) {
         let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.heard < since) else { return };
-        for conn in host.idle.drain(..) {
-            self.conns.remove(&conn);
-        }
+        let idle: Vec<ConnId> = host.idle.drain(..).collect();
+        idle.into_iter().for_each(|conn| drop(self.close(conn)));
     }
 
     /// Takes in what a connection tells.
@@ -354,26 +352,26 @@
                 }
                 conn.used = true;
                 let (host_id, Some(key)) = (conn.host_id, conn.busy.take()) else { return };
-                let now = self.clock.now();
+                let now = self.env.now();
                 self.hosts.entry(host_id).and_modify(|host| host.heard = now);
                 if self.answered(key, frame) && clean {
                     self.free(id);
                 } else {
-                    self.conns.remove(&id);
+                    self.close(id);
                     self.redial(host_id);
                 }
             }
             HostEvent::Down(id) => {
-                let Some(conn) = self.conns.remove(&id) else { return };
+                let Some(conn) = self.close(id) else { return };
                 self.down(id, &conn);
             }
         }
     }
 
-    fn down(&mut self, id: ConnId, conn: &Conn) {
+    fn down(&mut self, id: ConnId, conn: &Conn<E::Task>) {
         if let Some(key) = conn.busy {
             let sent = conn.sent.load(Ordering::Relaxed);
-            let soon = |a: &Attempt| self.clock.now() < a.sent + AT_ONCE;
+            let soon = |a: &Attempt| self.env.now() < a.sent + AT_ONCE;
             if conn.used && conn.rested > KEEP_LEAST && self.attempts.get(&key).is_some_and(soon) {
                 self.keep = self.keep.min(conn.rested / 2).max(KEEP_LEAST);
             }
@@ -417,10 +415,10 @@
         match self.hosts.get_mut(&host_id).filter(|host| host.ready && host.era == era) {
             Some(host) => {
                 host.idle.push(id);
-                conn.idle_since = self.clock.now();
+                conn.idle_since = self.env.now();
                 self.serve_waiting(host_id);
             }
-            None => drop(self.conns.remove(&id)),
+            None => drop(self.close(id)),
         }
         self.redial(host_id);
     }
@@ -519,11 +517,11 @@
     (site.conn_idle / 2).max(100 * MS)
 }
 
-/// A host's number for the module: from its name, so nothing need be kept for hosts that are gone.
+/// A host's number for the module: from its name alone, so nothing need be kept for hosts that are gone, and
+/// by a stated function (FNV-1a), so that it is the same in every build.
 fn host_id_of(name: &str) -> HostId {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    HostId(hasher.finish())
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    HostId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
 }
 
 fn position(names: &[String], name: &str) -> u32 {
@@ -531,18 +529,18 @@
 }
 
 /// One connection to a host.
-struct Carrier {
+struct Carrier<E> {
+    env: E,
     id: ConnId,
-    dial: Duration,
-    idle: Duration,
+    dial: Span,
+    idle: Span,
     sent: Arc<AtomicBool>,
     gateway: UnboundedSender<Input>,
 }
 
-impl Carrier {
+impl<E: Env> Carrier<E> {
     async fn run(self, addr: SocketAddr, jobs: UnboundedReceiver<SegmentedBuf<Bytes>>) {
-        if let Ok(Ok(stream)) = timeout(self.dial, TcpStream::connect(addr)).await {
-            let _ = stream.set_nodelay(true);
+        if let Ok(Ok(stream)) = self.env.timeout(self.dial, self.env.connect(addr)).await {
             self.tell(HostEvent::Up(self.id));
             let _ = self.carry(stream, jobs).await;
         }
@@ -555,11 +553,11 @@
 
     async fn carry(
         &self,
-        mut stream: TcpStream,
+        stream: E::Stream,
         mut jobs: UnboundedReceiver<SegmentedBuf<Bytes>>,
     ) -> Result<(), RespError> {
         let mut buf = BytesMut::new();
-        let (mut reader, mut writer) = stream.split();
+        let (mut reader, mut writer) = stream.into_split();
         loop {
             let mut job = tokio::select! {
                 biased;
@@ -567,16 +565,15 @@
                 // which would take what lies there for its answer.
                 end = resp::fill(&mut reader, &mut buf) => return end,
                 job = jobs.recv() => job.ok_or(RespError::Closed)?,
-                _ = tokio::time::sleep(self.idle) => return Ok(()),
+                () = self.env.sleep(self.idle) => return Ok(()),
             };
             // The select goes by what the runtime knows, which may be less than what has come.
-            let lies_there = SockRef::from(reader.as_ref()).peek(&mut [MaybeUninit::uninit()]);
-            if !lies_there.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+            if !reader.is_quiet() {
                 return Err(RespError::Malformed("answer without a request"));
             }
             writer.write_all_buf(&mut job).await?;
             self.sent.store(true, Ordering::Relaxed);
-            let frame = answer(&mut reader, &mut buf).await?;
+            let frame = self.answer(&mut reader, &mut buf).await?;
             let clean = buf.is_empty();
             self.tell(HostEvent::Answered { id: self.id, frame, clean });
             if !clean {
@@ -584,23 +581,28 @@
             }
         }
     }
-}
 
-/// Reads an answer. Hosts write one in one go: a begun one that does not get on is spoilt, and a safe request
-/// still has the time for another attempt.
-async fn answer<R: AsyncRead + Unpin>(from: &mut R, buf: &mut BytesMut) -> Result<Frame, RespError> {
-    resp::fill(from, buf).await?;
-    loop {
-        if let Some(frame) = resp::decode(buf)? {
-            return Ok(frame);
+    /// Reads an answer. Hosts write one in one go: a begun one that does not get on is spoilt, and a safe
+    /// request still has the time for another attempt.
+    async fn answer<R>(&self, from: &mut R, buf: &mut BytesMut) -> Result<Frame, RespError>
+    where
+        R: AsyncRead + Unpin + Send,
+    {
+        resp::fill(from, buf).await?;
+        loop {
+            if let Some(frame) = resp::decode(buf)? {
+                return Ok(frame);
+            }
+            let more = self.env.timeout(STUCK, resp::fill(from, buf)).await;
+            more.map_err(|_| RespError::Malformed("answer"))??;
         }
-        timeout(STUCK, resp::fill(from, buf)).await.map_err(|_| RespError::Malformed("answer"))??;
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use fennelbeam_env::Real;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
 
@@ -610,9 +612,9 @@
         let (gateway, mut events) = mpsc::unbounded_channel();
         let (jobs, inbox) = mpsc::unbounded_channel();
         let sent = Arc::new(AtomicBool::new(false));
-        let limit = Duration::from_secs(20);
-        let link = Carrier { id: 7, dial: limit, idle: limit, sent: sent.clone(), gateway };
-        tokio::spawn(link.run(listener.local_addr().unwrap(), inbox));
+        let (limit, env) = (20_000 * MS, Real::start());
+        let carrier = Carrier { env, id: 7, dial: limit, idle: limit, sent: sent.clone(), gateway };
+        tokio::spawn(carrier.run(listener.local_addr().unwrap(), inbox));
         let mut host = listener.accept().await.unwrap().0;
         assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Up(7)))));
         host.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").await.unwrap();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,13 +1,24 @@
-//! The network side of the gateway. Everything here carries out what the decision module asks for.
+//! The network side of the gateway: a library that the program and rehearsals drive. Everything here carries
+//! out what the decision module asks for, over any [`fennelbeam_env::Env`].
+//!
+//! One request's way: `clients` takes a command off a connection and reads it (`call`); the gateway
+//! (`gateway`) tells the decision module, which wants an attempt; `hosts` puts that on a connection; what comes
+//! back goes through the gateway to the client's connection, in the order of its commands. The `counter` and
+//! `discovery` speak to the outside on their own tasks. What passes between them is in `messages`, and none of
+//! them knows another.
 
-#![allow(missing_docs)]
+mod call;
+mod clients;
+mod config;
+mod counter;
+mod discovery;
+mod gateway;
+mod hosts;
+mod membership;
+mod messages;
+mod outage;
+mod serve;
 
-pub mod call;
-pub mod clients;
-pub mod clock;
-pub mod config;
-pub mod counter;
-pub mod discovery;
-pub mod gateway;
-pub mod hosts;
-pub mod outage;
+pub use config::{Config, MIN_SOCKETS};
+pub use membership::{Lifecycle, Member, Membership};
+pub use serve::{serve, Signal};
--- /dev/null
+++ b/crates/gateway/src/messages.rs
@@ -0,0 +1,99 @@
+//! What passes between the parts of the network side. Each part knows this and nothing of the others: clients,
+//! hosts, the counter and discovery tell the gateway what happened, and it alone knows them all.
+
+use crate::call::Call;
+use crate::membership::Membership;
+use bytes::Bytes;
+use fennelbeam_policy::api::{CountName, Outcome, Request, RequestId, Span, Time};
+use fennelbeam_resp::Frame;
+use std::net::SocketAddr;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// What happens around the gateway.
+#[derive(Debug)]
+pub(crate) enum Input {
+    Request(Box<Incoming>),
+    /// The client of this request has gone.
+    Left(RequestId),
+    Host(HostEvent),
+    Counter(CounterEvent),
+    Hosts(Membership),
+    /// Where the counter is from now on.
+    CounterAt(Option<SocketAddr>),
+}
+
+/// A request as it came in.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub at: Time,
+    pub request: Request,
+    pub call: Call,
+    pub reply: ReplyTo,
+}
+
+/// The one final answer of a request.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    Served(Bytes),
+    Busy(Option<Span>),
+    Failed,
+}
+
+/// Where the answer of one request goes.
+#[derive(Debug)]
+pub(crate) struct ReplyTo {
+    pub slot: u64,
+    pub answers: UnboundedSender<(u64, Answer)>,
+}
+
+impl ReplyTo {
+    /// Gives the answer; a connection that has ended takes none.
+    pub fn answer(self, answer: Answer) {
+        let _ = self.answers.send((self.slot, answer));
+    }
+}
+
+/// How far the gateway is with starting and stopping.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Phase {
+    #[default]
+    Starting,
+    Ready,
+    /// Connections close when they are between requests.
+    Closing,
+}
+
+/// An attempt of a request.
+pub(crate) type AttemptKey = (RequestId, u32);
+/// Number of a connection to a host; never used twice.
+pub(crate) type ConnId = u64;
+
+/// What a connection to a host tells.
+#[derive(Debug)]
+pub(crate) enum HostEvent {
+    /// It is up.
+    Up(ConnId),
+    /// It answered the request on it; `clean`: with nothing behind, so it can carry another.
+    Answered { id: ConnId, frame: Frame, clean: bool },
+    /// It has ended, or never came up.
+    Down(ConnId),
+}
+
+/// Number of a call to the counter.
+pub(crate) type CallId = u64;
+
+/// How a call to the counter ended.
+#[derive(Debug)]
+pub(crate) struct Counted {
+    pub name: CountName,
+    pub outcome: Outcome,
+    pub total: f64,
+    pub took: Span,
+}
+
+/// What a connection to the counter tells.
+#[derive(Debug)]
+pub(crate) enum CounterEvent {
+    Ended { link: u64, call: CallId, outcome: Outcome, total: f64 },
+    Down(u64),
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,134 @@
+//! A gateway from its start to its stop.
+
+use crate::clients::{self, Context, Limits, Room};
+use crate::config::Config;
+use crate::counter::MAX_LINKS;
+use crate::discovery;
+use crate::gateway::{Decisions, Gateway};
+use crate::messages::{Input, Phase};
+use anyhow::{Context as _, Result};
+use fennelbeam_env::{Env, Listener, Span, Task};
+use fennelbeam_policy::policy::Policy;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+
+const MS: Span = 1_000_000;
+/// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
+const SPARE_SOCKETS: usize = 24;
+/// New connections go on coming for up to 0.4 s after SIGTERM.
+const STILL_ACCEPTING: Span = 450 * MS;
+/// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+const AFTER_DEADLINE: Span = 600 * MS;
+
+/// What the process is told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Read the configuration again (SIGHUP).
+    Reload,
+    /// Answer what was taken, then end (SIGTERM).
+    Terminate,
+}
+
+/// Serves until it is told to end and all that it has taken is answered, or its time for that is over.
+///
+/// `again` reads the configuration anew at each [`Signal::Reload`]; what it gives moves the addresses of
+/// discovery and the counter, an error changes nothing. Fails only where it cannot listen.
+pub async fn serve<E, F>(env: E, config: Config, again: F, signals: UnboundedReceiver<Signal>) -> Result<()>
+where
+    E: Env,
+    F: Fn() -> Result<Config> + Send + Sync + 'static,
+{
+    serve_with::<E, Policy, F>(env, config, again, signals).await
+}
+
+pub(crate) async fn serve_with<E, D, F>(
+    env: E,
+    config: Config,
+    again: F,
+    mut signals: UnboundedReceiver<Signal>,
+) -> Result<()>
+where
+    E: Env,
+    D: Decisions,
+    F: Fn() -> Result<Config> + Send + Sync + 'static,
+{
+    let listener = clients::listen(&env, config.listen);
+    let listener = listener.with_context(|| format!("cannot listen on {}", config.listen))?;
+    let address = listener.local_addr()?;
+    let site = Arc::new(config.site.clone());
+    let (inputs, inbox) = mpsc::unbounded_channel();
+    let (phase, phases) = watch::channel(Phase::Starting);
+    // A quarter for hosts: clients hold up to a third of all for requests, and what holds the rest open and
+    // says nothing must not crowd those.
+    let sockets = config.sockets - SPARE_SOCKETS - 2 * MAX_LINKS;
+    let for_hosts = sockets / 4;
+    let gateway: Gateway<E, D> =
+        Gateway::new(env.clone(), &config, site.clone(), &inputs, for_hosts, phase.clone());
+    let unanswered = gateway.unanswered();
+    env.spawn(gateway.run(inbox));
+    let (agent, agents) = watch::channel(config.discovery);
+    env.spawn(discovery::watch(env.clone(), agents, config.known.generation, inputs.clone()));
+    let context = Context {
+        env: env.clone(),
+        site: site.clone(),
+        gateway: inputs.clone(),
+        phase: phases,
+        ids: Arc::default(),
+        crowd: clients::Crowd::default(),
+        room: Room::within(config.memory),
+    };
+    let limits = Limits { connections: sockets - for_hosts, callers: config.sockets / 4 };
+    let accepting = env.spawn(clients::accept(listener, limits, context));
+    tracing::info!("{} listens on {address}", config.name);
+
+    let reloading = until_terminated(&mut signals, &again, &agent, &inputs);
+    reloading.await;
+    // Signals go on coming while the gateway stops.
+    env.spawn(async move { until_terminated(&mut signals, &again, &agent, &inputs).await });
+    let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let stopping = stop(env.clone(), accepting, phase, unanswered);
+    if env.timeout(longest + AFTER_DEADLINE, stopping).await.is_err() {
+        tracing::warn!("stopped with requests unanswered");
+    }
+    Ok(())
+}
+
+/// Until the process is told to end. At each reload reads the configuration again, for the addresses of
+/// discovery and the counter only.
+async fn until_terminated<F: Fn() -> Result<Config>>(
+    signals: &mut UnboundedReceiver<Signal>,
+    again: &F,
+    agent: &watch::Sender<SocketAddr>,
+    gateway: &UnboundedSender<Input>,
+) {
+    while let Some(Signal::Reload) = signals.recv().await {
+        let config = match again() {
+            Ok(config) => config,
+            Err(error) => {
+                tracing::warn!("configuration kept as it was: {error:#}");
+                continue;
+            }
+        };
+        agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
+        let _ = gateway.send(Input::CounterAt(config.counter));
+        tracing::info!("configuration read again");
+    }
+}
+
+/// Accepts a while longer, then answers what was taken and lets connections close between requests.
+async fn stop<E: Env>(
+    env: E,
+    accepting: E::Task,
+    phase: watch::Sender<Phase>,
+    mut unanswered: watch::Receiver<usize>,
+) {
+    env.sleep(STILL_ACCEPTING).await;
+    accepting.abort();
+    phase.send_replace(Phase::Closing);
+    // No request is unanswered, then no connection is left.
+    if unanswered.wait_for(|n| *n == 0).await.is_ok() {
+        phase.closed().await;
+    }
+}
