--- /dev/null
+++ b/crates/judge/src/effects.rs
@@ -0,0 +1,166 @@
+//! Nothing takes effect twice, and nothing that may have run is refused as harmless.
+
+use crate::breaches::{Log, Subject};
+use crate::tries::Try;
+use crate::{Rule, ALLOWANCE};
+use fennelbeam_model::scenario::{Effect, Site};
+use fennelbeam_model::seen::Dealt;
+use fennelbeam_model::Time;
+
+/// An attempt that has not ended for good.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    host: u32,
+    gateway: u32,
+    first_byte: Time,
+    dealt: Option<Dealt>,
+    out: bool,
+    /// Since when a second copy was out beside it, where there may be none.
+    doubled: Option<Time>,
+}
+
+impl Attempt {
+    /// Only a host that turned it away, or dropped it before it began, proves that it never ran.
+    fn may_have_run(&self) -> bool {
+        !matches!(self.dealt, Some(Dealt::TurnedAway | Dealt::Dropped))
+    }
+
+    fn is(&self, host: u32, gateway: u32) -> bool {
+        (self.host, self.gateway) == (host, gateway)
+    }
+}
+
+/// The attempts of one try.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    live: Vec<Attempt>,
+    count: u32,
+    /// When the first was sent that may have run, among those that have ended for good.
+    ran: Option<Time>,
+    refused: bool,
+}
+
+impl Attempts {
+    /// When the first was sent that may have run, by what is known now.
+    fn may_have_run(&self) -> Option<Time> {
+        let live =
+            self.live.iter().filter(|attempt| attempt.may_have_run()).map(|attempt| attempt.first_byte);
+        live.chain(self.ran).min()
+    }
+
+    /// Those that are out no more and whose end is known are remembered only by whether they may have run.
+    fn fold(&mut self) {
+        let ended = |attempt: &Attempt| attempt.out && attempt.dealt.is_some();
+        let ran = self.live.iter().filter(|attempt| ended(attempt) && attempt.may_have_run());
+        self.ran = ran.map(|attempt| attempt.first_byte).chain(self.ran).min();
+        self.live.retain(|attempt| !ended(attempt));
+    }
+}
+
+/// What classes and the site allow.
+#[derive(Debug)]
+pub(crate) struct Effects {
+    classes: Vec<Effect>,
+    max_attempts: u32,
+    second_copies: bool,
+}
+
+impl Effects {
+    pub(crate) fn new(site: &Site) -> Effects {
+        let classes = site.classes.iter().map(|class| class.effect).collect();
+        Effects { classes, max_attempts: site.max_attempts, second_copies: site.second_copies }
+    }
+
+    /// A command has come whole to a host. True: it is the try's first.
+    pub(crate) fn received(
+        &self,
+        now: Time,
+        request: &mut Try,
+        (host, gateway): (u32, u32),
+        first_byte: Time,
+        log: &mut Log,
+    ) -> bool {
+        if let Some(wrong) = self.wrong_attempt(request, first_byte) {
+            breach(now, request.id, log, || format!("{wrong} (to host {host} by gateway {gateway})"));
+        }
+        let attempts = &mut request.attempts;
+        if !self.second_copies {
+            attempts.live.iter_mut().filter(|other| !other.out).for_each(|other| {
+                other.doubled.get_or_insert(first_byte);
+            });
+        }
+        attempts.count += 1;
+        attempts.live.push(Attempt { host, gateway, first_byte, dealt: None, out: false, doubled: None });
+        attempts.count == 1
+    }
+
+    fn wrong_attempt(&self, request: &Try, first_byte: Time) -> Option<&'static str> {
+        let attempts = &request.attempts;
+        if attempts.count >= self.max_attempts {
+            return Some("got more attempts than a request may have");
+        }
+        match (self.classes[request.class], attempts.may_have_run()) {
+            (Effect::Unsafe, Some(_)) => Some("was sent again although it may have run"),
+            (Effect::Unsafe, None) if attempts.refused => Some("was sent although it had been refused"),
+            (Effect::Keyed(ttl), Some(ran))
+                if first_byte > ran.saturating_add(ttl).saturating_add(ALLOWANCE) =>
+            {
+                Some("was sent again when hosts had forgotten its key")
+            }
+            _ => None,
+        }
+    }
+
+    /// A client was told that trying again is harmless.
+    pub(crate) fn refused(&self, now: Time, request: &mut Try, log: &mut Log) {
+        request.attempts.refused = true;
+        if self.classes[request.class] == Effect::Unsafe && request.attempts.may_have_run().is_some() {
+            breach(now, request.id, log, || {
+                format!("was refused by gateway {} although it may have run", request.gateway)
+            });
+        }
+    }
+}
+
+/// A host is through with an attempt; false: no such attempt is known yet.
+pub(crate) fn ended(request: &mut Try, host: u32, gateway: u32, dealt: Dealt) -> bool {
+    let mut live = request.attempts.live.iter_mut();
+    let Some(attempt) = live.find(|attempt| attempt.is(host, gateway) && attempt.dealt.is_none()) else {
+        return false;
+    };
+    attempt.dealt = Some(dealt);
+    request.attempts.fold();
+    true
+}
+
+/// An attempt is out no more; false: no such attempt is known yet.
+pub(crate) fn out(now: Time, request: &mut Try, host: u32, gateway: u32, log: &mut Log) -> bool {
+    let mut live = request.attempts.live.iter_mut();
+    let Some(attempt) = live.find(|attempt| attempt.is(host, gateway) && !attempt.out) else {
+        return false;
+    };
+    attempt.out = true;
+    let doubled = attempt.doubled;
+    request.attempts.fold();
+    // A connection's end may come to one host a little later than the next copy to another.
+    if let Some(since) = doubled.filter(|since| now > since.saturating_add(ALLOWANCE)) {
+        second_copy(since, request.id, log);
+    }
+    true
+}
+
+/// The run is over: attempts that are still out count as out to the end.
+pub(crate) fn finish(request: &Try, log: &mut Log) {
+    let doubled = request.attempts.live.iter().filter(|attempt| !attempt.out);
+    if let Some(since) = doubled.filter_map(|attempt| attempt.doubled).min() {
+        second_copy(since, request.id, log);
+    }
+}
+
+fn second_copy(since: Time, id: u64, log: &mut Log) {
+    breach(since, id, log, || "had two copies out together".into());
+}
+
+fn breach(at: Time, id: u64, log: &mut Log, what: impl FnOnce() -> String) {
+    log.breach(at, Rule::NothingTwice, Subject::Request(id), || format!("request {id:016x} {}", what()));
+}
--- /dev/null
+++ b/crates/judge/src/judge.rs
@@ -0,0 +1,459 @@
+//! Feeds sightings to the rules and figures, each to those that it concerns.
+
+use crate::answers::{self, Answer, Answers};
+use crate::breaches::{Log, Subject};
+use crate::ceilings::Ceilings;
+use crate::cold::Cold;
+use crate::drains::Drains;
+use crate::effects::{self, Attempts, Effects};
+use crate::figures::{End, Figures};
+use crate::gateways::Gateways;
+use crate::quota::Quotas;
+use crate::tries::Try;
+use crate::worth::{Outcome, Worth};
+use crate::{Breach, ClassFigures, Counts, PlanFigures, Rule, Verdict};
+use fennelbeam_model::draw::Draws;
+use fennelbeam_model::scenario::{Site, Traffic};
+use fennelbeam_model::seen::{Dealt, Got, Seen, What};
+use fennelbeam_model::{Span, Time};
+use std::collections::BTreeMap;
+
+/// Customers that a verdict names.
+const MOST_CUSTOMERS: usize = 200;
+
+/// Judges one run. It remembers a few words of each request, and more of those that are open.
+#[derive(Debug)]
+pub struct Judge {
+    site: Site,
+    /// Mean units of a request.
+    mean_units: f64,
+    /// The latest moment seen.
+    now: Time,
+    log: Log,
+    gateways: Gateways,
+    answers: Answers,
+    effects: Effects,
+    drains: Drains,
+    cold: Cold,
+    ceilings: Ceilings,
+    quotas: Quotas,
+    worth: Worth,
+    figures: Figures,
+    tries: BTreeMap<u64, Try>,
+    /// Seen of requests that nobody has asked yet, or of attempts that no host has received yet.
+    early: BTreeMap<u64, Vec<Seen>>,
+}
+
+impl Judge {
+    /// For a site and its traffic; the first request is due at `start`, in nanoseconds on the clock of the
+    /// sightings.
+    pub fn new(site: &Site, traffic: &Traffic, start: Time) -> Judge {
+        let longest = site.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        Judge {
+            site: site.clone(),
+            mean_units: Draws::new(0, traffic).mean_units(),
+            now: 0,
+            log: Log::new(start),
+            gateways: Gateways::new(site.gateways, longest),
+            answers: Answers::new(site.rules.answer_slack),
+            effects: Effects::new(site),
+            drains: Drains::new(site.rules.drain_grace),
+            cold: Cold::new(site),
+            ceilings: Ceilings::new(site, start),
+            quotas: Quotas::new(site, start),
+            worth: Worth::new(site, start),
+            figures: Figures::new(start, site.classes.len(), site.plans.len(), site.gateways),
+            tries: BTreeMap::new(),
+            early: BTreeMap::new(),
+        }
+    }
+
+    /// Broken rules found so far, in the order in which they were found. Those that are broken by what does not
+    /// come are found when the next sighting shows that its time is over.
+    pub fn breaches(&self) -> &[Breach] {
+        self.log.found()
+    }
+
+    /// Takes in the next sighting. One that is older than the last is taken as it is, but moves no clock back.
+    pub fn see(&mut self, seen: &Seen) {
+        self.now = self.now.max(seen.at);
+        self.cold.advance(self.now, &mut self.log);
+        self.judge_overdue();
+        self.take(seen);
+    }
+
+    fn judge_overdue(&mut self) {
+        while let Some((at, id)) = self.answers.next_due(self.now) {
+            self.judge_lost(at, id);
+        }
+    }
+
+    fn judge_lost(&mut self, at: Time, id: u64) {
+        let Some(request) = self.tries.get_mut(&id) else { return };
+        let overdue = matches!(request.answer, Answer::Owed(_));
+        let blamed = answers::lost(at, request, &self.gateways, &mut self.log);
+        if blamed && request.passed.is_none() {
+            self.worth.held(request.thing);
+        }
+        // What was missed has ended for the client before.
+        if overdue {
+            self.worth.unserved(request.thing, Outcome::Failed);
+            self.quotas.not_refused(request.customer);
+            self.figures.ended(at, End::Failed);
+        }
+    }
+
+    fn take(&mut self, seen: &Seen) {
+        match &seen.what {
+            What::Asked { .. } => self.asked(seen),
+            What::Answered { .. } | What::Left { .. } => self.client_saw(seen),
+            What::Received { .. } | What::Ended { .. } | What::Out { .. } => self.host_saw(seen),
+            What::Unasked { gateway } => answers::unasked(seen.at, *gateway, &mut self.log),
+            What::GatewayUp { .. }
+            | What::GatewayDown { .. }
+            | What::GatewaySignalled { .. }
+            | What::ClientsCut { .. } => self.gateway(seen.at, &seen.what),
+            What::Counted { .. } => self.figures.counted(seen.at),
+            What::Event { text } => self.figures.event(seen.at, text),
+            What::Connected { .. }
+            | What::Started { .. }
+            | What::Slowed { .. }
+            | What::Fell { .. }
+            | What::Stopped { .. }
+            | What::Told { .. }
+            | What::Load { .. } => self.host(seen.at, &seen.what),
+        }
+    }
+
+    fn gateway(&mut self, at: Time, what: &What) {
+        match *what {
+            What::GatewayUp { gateway } => self.gateways.up(gateway),
+            What::GatewaySignalled { gateway, kill } => self.gateways.signalled(at, gateway, kill),
+            What::ClientsCut { gateway, cut } => self.gateways.cut(at, gateway, cut),
+            What::GatewayDown { gateway, meant } => {
+                self.gateways.down(at, gateway);
+                if !meant {
+                    self.log.breach(at, Rule::NoCrash, Subject::Gateway(gateway), || {
+                        format!("gateway {gateway} ended without being told to")
+                    });
+                }
+            }
+            _ => return,
+        }
+        self.figures.gateways_up(at, self.gateways.running());
+    }
+
+    fn host(&mut self, at: Time, what: &What) {
+        match *what {
+            What::Connected { host, .. } => self.figures.connected(host),
+            What::Started { host, full, share, cold } => {
+                self.cold.started(at, host, full, (share, cold), &mut self.log);
+                self.figures.started(host);
+            }
+            What::Slowed { host, times } => self.cold.slowed(at, host, times),
+            What::Fell { host } => {
+                self.cold.fell(at, host);
+                self.figures.fell(host);
+            }
+            What::Told { gateway, host, state, started } => {
+                self.drains.told(at, gateway, host, state);
+                self.cold.told(at, gateway, host, started);
+            }
+            What::Load { host, busy, .. } => self.figures.load(at, host, busy),
+            _ => {}
+        }
+    }
+
+    fn asked(&mut self, seen: &Seen) {
+        let What::Asked { request: id, first_try, gateway, customer, class, plan, units, patience } =
+            seen.what
+        else {
+            return;
+        };
+        let (class, plan) = (class as usize, plan as usize);
+        if class >= self.site.classes.len() || plan >= self.site.plans.len() {
+            self.log.note(|| format!("request {id:016x} is of no class or plan of the site"));
+            return;
+        }
+        if self.tries.contains_key(&id) {
+            self.asked_once_more(seen.at, id, gateway);
+            return;
+        }
+        let mut request = Try {
+            id,
+            thing: 0,
+            gateway,
+            customer,
+            class,
+            plan,
+            units,
+            asked: seen.at,
+            patience,
+            answer: Answer::Unowed,
+            attempts: Attempts::default(),
+            passed: None,
+        };
+        let running = self.gateways.is_running(gateway);
+        self.figures.asked(seen.at, running);
+        self.answers.asked(&mut request, running);
+        request.thing = self.thing(&request, first_try);
+        self.tries.insert(id, request);
+        self.replay(id);
+    }
+
+    /// The thing that this is a try of.
+    fn thing(&mut self, request: &Try, first_try: u64) -> usize {
+        let known = self.tries.get(&first_try).map(|first| first.thing);
+        let work = self.site.classes[request.class].work as f64 * request.units / self.mean_units;
+        let lasts = (work / self.site.host.speed.max(f64::MIN_POSITIVE)) as Span;
+        let let_in = self.quotas.asked(request, known.is_none(), lasts);
+        match known {
+            Some(thing) => {
+                self.worth.asked_again(thing);
+                thing
+            }
+            None => self.worth.asked(request.asked, request.class, request.plan, request.units, let_in),
+        }
+    }
+
+    /// A gateway closed the connection as the request came, unread: the client has written it again.
+    fn asked_once_more(&mut self, now: Time, id: u64, gateway: u32) {
+        let running = self.gateways.is_running(gateway);
+        let Some(request) = self.tries.get_mut(&id) else { return };
+        if let Answer::Given(_) | Answer::Left = request.answer {
+            self.log.note(|| format!("request {id:016x} was asked again after its end"));
+            return;
+        }
+        request.gateway = gateway;
+        request.asked = now;
+        self.answers.asked(request, running);
+    }
+
+    /// What was seen before its time may be taken now.
+    fn replay(&mut self, id: u64) {
+        for seen in self.early.remove(&id).unwrap_or_default() {
+            self.take(&seen);
+        }
+    }
+
+    fn client_saw(&mut self, seen: &Seen) {
+        let (What::Answered { request: id, .. } | What::Left { request: id }) = seen.what else { return };
+        let Some(request) = self.tries.get_mut(&id) else {
+            self.early.entry(id).or_default().push(seen.clone());
+            return;
+        };
+        match seen.what {
+            What::Answered { got, .. } => self.answered(seen.at, id, got),
+            _ => {
+                if let Answer::Owed(_) | Answer::Unowed = request.answer {
+                    self.worth.unserved(request.thing, Outcome::Left);
+                    self.quotas.not_refused(request.customer);
+                }
+                self.answers.left(request);
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Time, id: u64, got: Got) {
+        let Some(request) = self.tries.get_mut(&id) else { return };
+        let open = matches!(request.answer, Answer::Owed(_) | Answer::Unowed);
+        let settled = request.answer == Answer::Settled;
+        let owed = request.answer != Answer::Unowed;
+        self.answers.answered(now, request, got, &mut self.log);
+        if let Got::Busy(_) = got {
+            self.effects.refused(now, request, &mut self.log);
+        }
+        if open {
+            self.end(now, id, got, owed);
+        } else if settled && got == Got::Served(true) {
+            // Given up for lost, it has ended for the figures already; it may still be worth something.
+            let inside = request.passed.is_none_or(|sent| sent.inside);
+            self.worth.served(request.thing, now, inside);
+            self.figures.latency(request.class, now.saturating_sub(request.asked));
+        }
+    }
+
+    /// A try has ended for its client. `owed`: a gateway ran that had taken it.
+    fn end(&mut self, now: Time, id: u64, got: Got, owed: bool) {
+        let Some(request) = self.tries.get(&id) else { return };
+        let latency = now.saturating_sub(request.asked);
+        let inside = request.passed.is_none_or(|sent| sent.inside);
+        let held = owed && request.passed.is_none() && latency > request.patience / 2;
+        let end = match got {
+            Got::Served(true) => {
+                self.figures.latency(request.class, latency);
+                if self.worth.served(request.thing, now, inside) {
+                    End::Served
+                } else {
+                    End::Late
+                }
+            }
+            Got::Busy(_) => {
+                self.worth.unserved(request.thing, Outcome::Refused);
+                End::Refused
+            }
+            Got::Served(false) | Got::Failed | Got::Broken | Got::Nothing => {
+                self.worth.unserved(request.thing, Outcome::Failed);
+                End::Failed
+            }
+        };
+        if held && matches!(got, Got::Busy(_) | Got::Failed) {
+            self.worth.held(request.thing);
+        }
+        match end {
+            End::Refused => self.quotas.refused(now, request),
+            _ => self.quotas.not_refused(request.customer),
+        }
+        self.figures.ended(now, end);
+    }
+
+    fn host_saw(&mut self, seen: &Seen) {
+        let (What::Received { request: id, .. }
+        | What::Ended { request: id, .. }
+        | What::Out { request: id, .. }) = seen.what
+        else {
+            return;
+        };
+        let known = self.tries.contains_key(&id)
+            && match seen.what {
+                What::Received { host, gateway, first_byte, work, .. } => {
+                    self.received(seen.at, id, (host, gateway), first_byte, work);
+                    true
+                }
+                What::Ended { host, gateway, dealt, units, .. } => {
+                    self.ended(seen.at, id, (host, gateway), dealt, units)
+                }
+                What::Out { host, gateway, .. } => self.out(seen.at, id, host, gateway),
+                _ => true,
+            };
+        if !known {
+            self.early.entry(id).or_default().push(seen.clone());
+        }
+    }
+
+    fn received(&mut self, now: Time, id: u64, (host, gateway): (u32, u32), first_byte: Time, work: Span) {
+        let Some(request) = self.tries.get_mut(&id) else { return };
+        self.answers.sent(request, first_byte, host, &mut self.log);
+        self.drains.received(id, gateway, host, first_byte, &mut self.log);
+        self.cold.received(now, host, gateway, first_byte, work);
+        self.figures.received(host);
+        if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
+            self.ceilings.sent(now, request.customer, request.plan, request.units, &mut self.log);
+            let sent = self.quotas.sent(now, request);
+            if !sent.inside {
+                self.worth.sent_beyond(request.thing);
+            }
+            self.figures.passed(now, request.plan, request.units);
+        }
+        self.quotas.out(request.customer);
+        self.replay(id);
+    }
+
+    fn ended(
+        &mut self,
+        now: Time,
+        id: u64,
+        (host, gateway): (u32, u32),
+        dealt: Dealt,
+        units: Option<f64>,
+    ) -> bool {
+        let Some(request) = self.tries.get_mut(&id) else { return false };
+        if !effects::ended(request, host, gateway, dealt) {
+            return false;
+        }
+        self.figures.dealt(host, dealt);
+        if let (Dealt::Served, Some(units)) = (dealt, units) {
+            if let Some((more, let_in)) = self.worth.settle(request.thing, units) {
+                self.quotas.settle_thing(now, request.customer, more, let_in);
+            }
+            let settled = self.quotas.settle(now, request, units);
+            if let (Some(more), Some(sent)) = (settled, request.passed) {
+                self.figures.passed(sent.at, request.plan, more);
+            }
+        }
+        true
+    }
+
+    fn out(&mut self, now: Time, id: u64, host: u32, gateway: u32) -> bool {
+        let Some(request) = self.tries.get_mut(&id) else { return false };
+        let known = effects::out(now, request, host, gateway, &mut self.log);
+        if known {
+            self.quotas.back(request.customer);
+        }
+        known
+    }
+
+    /// The run is over: what was due by `end` and is not there never came.
+    pub fn finish(mut self, end: Time) -> Verdict {
+        self.now = self.now.max(end);
+        for (at, id) in self.answers.rest() {
+            let missed =
+                self.tries.get(&id).is_some_and(|request| matches!(request.answer, Answer::Missed(_)));
+            if missed || at <= end {
+                self.judge_lost(at, id);
+            }
+        }
+        self.tries.values().for_each(|request| effects::finish(request, &mut self.log));
+        self.cold.finish(&mut self.log);
+        self.note_unmatched();
+        self.verdict(end)
+    }
+
+    fn note_unmatched(&mut self) {
+        for (id, seen) in &self.early {
+            let asked = if self.tries.contains_key(id) { "received" } else { "asked" };
+            let (first, count) = (seen.first().map(|seen| &seen.what), seen.len());
+            self.log.note(|| {
+                format!("request {id:016x} was never {asked} as {count} sightings say, the first of them {first:?}")
+            });
+        }
+    }
+
+    fn verdict(mut self, end: Time) -> Verdict {
+        let (counts, classes, plans) = self.worth.counts();
+        let shares = self.worth.shares();
+        let rates: Vec<f64> = self.site.plans.iter().map(|plan| plan.rate).collect();
+        let mut verdict = Verdict {
+            counts,
+            share_served: if counts.asked == 0 { 1.0 } else { counts.served as f64 / counts.asked as f64 },
+            worth_whole: shares.whole,
+            worth_worst_10s: shares.worst_10s,
+            worth_worst_plan: shares.worst_plan,
+            worth: shares.figure,
+            classes: self.classes(classes),
+            plans: self.plans(plans, &shares.plans),
+            hosts: self.figures.hosts(),
+            attempts_per_request: self.figures.attempts_per_request(),
+            counter_calls_per_request: self.figures.counter_calls_per_request(),
+            events: self.figures.take_events(),
+            timeline: self.figures.timeline(end, self.quotas.newcomers(), &rates),
+            customers: self.quotas.customers(end, MOST_CUSTOMERS),
+            ..Verdict::default()
+        };
+        (verdict.breaches, verdict.notes) = self.log.finish();
+        verdict
+    }
+
+    fn classes(&mut self, counts: Vec<Counts>) -> Vec<ClassFigures> {
+        let classes = self.site.classes.iter().zip(counts).zip(self.figures.latencies());
+        classes
+            .map(|((spec, counts), latency)| ClassFigures { name: spec.name.clone(), counts, latency })
+            .collect()
+    }
+
+    fn plans(&self, counts: Vec<Counts>, shares: &[f64]) -> Vec<PlanFigures> {
+        let plans = self.site.plans.iter().zip(counts).zip(self.quotas.plans()).zip(shares);
+        plans
+            .map(|(((spec, counts), used), share)| PlanFigures {
+                name: spec.name.clone(),
+                counts,
+                customers: used.customers,
+                asked_units: used.asked_units,
+                passed_units: used.passed_units,
+                beyond_units: used.beyond_units,
+                worth_share: *share,
+                refused_with_room: used.refused_with_room,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/judge/src/worth.rs
@@ -0,0 +1,255 @@
+//! What the site was worth: the worth served within the aims over the worth asked for inside the quotas.
+//!
+//! A thing asked for counts once, with all its tries, and its time runs from the first one. Its worth is that of
+//! its class times its plan's price times its units: the true ones where an answer told them, else those that it
+//! names.
+
+use crate::Counts;
+use fennelbeam_model::scenario::{ClassSpec, PlanSpec, Site};
+use fennelbeam_model::{Time, SECOND};
+
+/// Weights of the whole run, the worst 10 s and the worst plan.
+const WEIGHTS: [f64; 3] = [0.55, 0.20, 0.25];
+/// Seconds of a window.
+const WINDOW: usize = 10;
+/// Windows with less than this part of what is asked for in a mean one tell nothing.
+const TOO_LITTLE: f64 = 0.2;
+/// A try that was held for over half of its time, and ended without having been sent on, costs this part of its
+/// worth.
+const HELD_COST: f64 = 0.3;
+
+/// How a thing stands after its last try so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// A try is open.
+    Open,
+    /// Refused.
+    Refused,
+    /// Failed, or broken off.
+    Failed,
+    /// The client left.
+    Left,
+}
+
+/// The first good answer to a thing.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    at: Time,
+    /// The try was inside the quota.
+    inside: bool,
+}
+
+/// A thing asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct Thing {
+    asked: Time,
+    class: usize,
+    plan: usize,
+    units: f64,
+    settled: bool,
+    /// One gateway that saw all first tries would have let it in.
+    let_in: bool,
+    served: Option<Served>,
+    outcome: Outcome,
+    /// Tries sent on beyond the quota, and tries held for too long.
+    beyond: u16,
+    held: u16,
+}
+
+/// All things asked for, in the order of their first tries.
+#[derive(Debug)]
+pub(crate) struct Worth {
+    classes: Vec<ClassSpec>,
+    plans: Vec<PlanSpec>,
+    start: Time,
+    things: Vec<Thing>,
+}
+
+/// The figures.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    pub(crate) whole: f64,
+    pub(crate) worst_10s: f64,
+    pub(crate) worst_plan: f64,
+    pub(crate) figure: f64,
+    /// By plan.
+    pub(crate) plans: Vec<f64>,
+}
+
+/// Worth asked for, and worth earned.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    offered: f64,
+    earned: f64,
+}
+
+impl Sum {
+    fn add(&mut self, other: Sum) {
+        self.offered += other.offered;
+        self.earned += other.earned;
+    }
+
+    /// At most 1; also 1 where nothing was asked for.
+    fn share(&self) -> f64 {
+        if self.offered <= 0.0 {
+            return 1.0;
+        }
+        (self.earned / self.offered).min(1.0)
+    }
+}
+
+impl Worth {
+    pub(crate) fn new(site: &Site, start: Time) -> Worth {
+        Worth { classes: site.classes.clone(), plans: site.plans.clone(), start, things: Vec::new() }
+    }
+
+    /// A thing is asked for the first time; its position.
+    pub(crate) fn asked(
+        &mut self,
+        asked: Time,
+        class: usize,
+        plan: usize,
+        units: f64,
+        let_in: bool,
+    ) -> usize {
+        self.things.push(Thing {
+            asked,
+            class,
+            plan,
+            units,
+            settled: false,
+            let_in,
+            served: None,
+            outcome: Outcome::Open,
+            beyond: 0,
+            held: 0,
+        });
+        self.things.len() - 1
+    }
+
+    pub(crate) fn asked_again(&mut self, thing: usize) {
+        self.things[thing].outcome = Outcome::Open;
+    }
+
+    /// A good answer told the true units. By how many more, and whether the one gateway let it in; once.
+    pub(crate) fn settle(&mut self, thing: usize, units: f64) -> Option<(f64, bool)> {
+        let thing = &mut self.things[thing];
+        if thing.settled {
+            return None;
+        }
+        thing.settled = true;
+        let more = units - thing.units;
+        thing.units = units;
+        Some((more, thing.let_in))
+    }
+
+    /// A try was sent on beyond the quota.
+    pub(crate) fn sent_beyond(&mut self, thing: usize) {
+        let beyond = &mut self.things[thing].beyond;
+        *beyond = beyond.saturating_add(1);
+    }
+
+    /// A try was held for too long.
+    pub(crate) fn held(&mut self, thing: usize) {
+        let held = &mut self.things[thing].held;
+        *held = held.saturating_add(1);
+    }
+
+    /// A try was served. True: within the aim.
+    pub(crate) fn served(&mut self, thing: usize, at: Time, inside: bool) -> bool {
+        let thing = &mut self.things[thing];
+        thing.served.get_or_insert(Served { at, inside });
+        at.saturating_sub(thing.asked) <= self.classes[thing.class].aim
+    }
+
+    /// A try ended in another way.
+    pub(crate) fn unserved(&mut self, thing: usize, outcome: Outcome) {
+        self.things[thing].outcome = outcome;
+    }
+
+    fn worth(&self, thing: &Thing) -> f64 {
+        self.classes[thing.class].worth * self.plans[thing.plan].price * thing.units
+    }
+
+    /// Share of its worth that a thing earned by when it was served.
+    fn in_time(&self, thing: &Thing) -> f64 {
+        let class = &self.classes[thing.class];
+        let Some(served) = &thing.served else { return 0.0 };
+        match served.at.saturating_sub(thing.asked) {
+            after if after <= class.aim => 1.0,
+            after if after <= class.deadline => class.late_worth,
+            _ => 0.0,
+        }
+    }
+
+    fn whole(&self, thing: &Thing) -> Sum {
+        let (plan, worth) = (&self.plans[thing.plan], self.worth(thing));
+        let extra = |inside: bool| if inside { 1.0 } else { plan.extra_worth };
+        let served = thing.served.as_ref().map_or(0.0, |served| self.in_time(thing) * extra(served.inside));
+        let costs = f64::from(thing.beyond) * plan.overrun_cost + f64::from(thing.held) * HELD_COST;
+        Sum { offered: worth * extra(thing.let_in), earned: worth * (served - costs) }
+    }
+
+    fn inside(&self, thing: &Thing) -> Sum {
+        let worth = self.worth(thing);
+        let offered = if thing.let_in { worth } else { 0.0 };
+        let inside = thing.served.as_ref().is_some_and(|served| served.inside);
+        Sum { offered, earned: if inside { worth * self.in_time(thing) } else { 0.0 } }
+    }
+
+    pub(crate) fn shares(&self) -> Shares {
+        let mut all = Sum::default();
+        let mut seconds: Vec<Sum> = Vec::new();
+        let mut plans = vec![Sum::default(); self.plans.len()];
+        for thing in &self.things {
+            let (sum, inside) = (self.whole(thing), self.inside(thing));
+            let second = (thing.asked.saturating_sub(self.start) / SECOND) as usize;
+            if seconds.len() <= second {
+                seconds.resize(second + 1, Sum::default());
+            }
+            all.add(sum);
+            seconds[second].add(sum);
+            plans[thing.plan].add(inside);
+        }
+        let (whole, worst_10s) = (all.share(), worst_window(&seconds, all.offered));
+        let plans: Vec<f64> = plans.iter().map(Sum::share).collect();
+        let worst_plan = plans.iter().copied().fold(1.0, f64::min);
+        let figure = WEIGHTS[0] * whole + WEIGHTS[1] * worst_10s + WEIGHTS[2] * worst_plan;
+        Shares { whole, worst_10s, worst_plan, figure, plans }
+    }
+
+    /// Counts of all things, by class and by plan.
+    pub(crate) fn counts(&self) -> (Counts, Vec<Counts>, Vec<Counts>) {
+        let mut all = Counts::default();
+        let mut classes = vec![Counts::default(); self.classes.len()];
+        let mut plans = vec![Counts::default(); self.plans.len()];
+        for thing in &self.things {
+            let aim = self.classes[thing.class].aim;
+            for counts in [&mut all, &mut classes[thing.class], &mut plans[thing.plan]] {
+                counts.asked += 1;
+                match (&thing.served, thing.outcome) {
+                    (Some(served), _) => {
+                        counts.served += 1;
+                        counts.in_aim += u64::from(served.at.saturating_sub(thing.asked) <= aim);
+                    }
+                    (None, Outcome::Refused) => counts.refused += 1,
+                    (None, Outcome::Left) => counts.left += 1,
+                    (None, Outcome::Open | Outcome::Failed) => counts.failed += 1,
+                }
+            }
+        }
+        (all, classes, plans)
+    }
+}
+
+/// The worst window, by the arrival of first tries. A shorter run is one window.
+fn worst_window(seconds: &[Sum], offered: f64) -> f64 {
+    let length = WINDOW.min(seconds.len()).max(1);
+    let mean = offered * length as f64 / seconds.len().max(1) as f64;
+    let sums = seconds.windows(length).map(|window| {
+        let mut sum = Sum::default();
+        window.iter().for_each(|second| sum.add(*second));
+        sum
+    });
+    sums.filter(|sum| sum.offered >= TOO_LITTLE * mean).map(|sum| sum.share()).fold(1.0, f64::min)
+}
--- /dev/null
+++ b/crates/judge/tests/judge/effects.rs
@@ -0,0 +1,134 @@
+//! Nothing twice.
+
+use crate::day::{first, order, read, Ask, Day, READ, SERVED};
+use fennelbeam_judge::Rule;
+use fennelbeam_model::draw;
+use fennelbeam_model::scenario::{Effect, Site};
+use fennelbeam_model::seen::{Dealt, Got};
+use fennelbeam_model::SECOND;
+
+/// An attempt at host 0 that came to this, if to anything.
+fn attempt(ask: Ask, dealt: Option<Dealt>, out: bool) -> Day {
+    let mut day = Day::default();
+    day.ask(0, ask).receive(5, ask.request, 0);
+    if let Some(dealt) = dealt {
+        day.end(20, ask.request, 0, dealt);
+    }
+    if out {
+        day.out(20, ask.request, 0);
+    }
+    day
+}
+
+/// What an attempt may come to, and whether it proves that it never ran.
+const ENDS: [(Option<Dealt>, bool, bool); 9] = [
+    (Some(Dealt::TurnedAway), true, true),
+    (Some(Dealt::TurnedAway), false, true),
+    (Some(Dealt::Dropped), true, true),
+    (Some(Dealt::Served), true, false),
+    (Some(Dealt::Failed), true, false),
+    (Some(Dealt::Unheard), true, false),
+    (Some(Dealt::Unheard), false, false),
+    (None, true, false),
+    (None, false, false),
+];
+
+#[test]
+fn an_order_is_sent_again_only_when_it_is_proved_not_to_have_run() {
+    for (dealt, out, proof) in ENDS {
+        let again = |ask: Ask| {
+            let mut day = attempt(ask, dealt, out);
+            day.receive(30, ask.request, 1).done(60, ask.request, 1, Dealt::Served);
+            day.answer(61, ask.request, SERVED).broken()
+        };
+        let rules = if proof { vec![] } else { vec![Rule::NothingTwice] };
+        assert_eq!(again(order(first(1))), rules, "{dealt:?}, out: {out}");
+        assert_eq!(again(read(first(1))), [], "{dealt:?}, out: {out}");
+    }
+}
+
+#[test]
+fn an_order_is_refused_only_when_it_is_proved_not_to_have_run() {
+    for (dealt, out, proof) in ENDS {
+        let end = |ask: Ask, got: Got| attempt(ask, dealt, out).answer(30, ask.request, got).broken();
+        let rules = if proof { vec![] } else { vec![Rule::NothingTwice] };
+        assert_eq!(end(order(first(1)), Got::Busy(None)), rules, "{dealt:?}, out: {out}");
+        assert_eq!(end(order(first(1)), Got::Failed), [], "{dealt:?}, out: {out}");
+        assert_eq!(end(read(first(1)), Got::Busy(None)), [], "{dealt:?}, out: {out}");
+    }
+}
+
+#[test]
+fn what_ran_is_remembered_when_later_attempts_did_not() {
+    let id = first(1);
+    let mut day = attempt(order(id), Some(Dealt::Unheard), true);
+    day.receive(30, id, 1).done(35, id, 1, Dealt::TurnedAway).receive(40, id, 2).answer(50, id, SERVED);
+    // Named once for the request.
+    assert_eq!(day.broken(), [Rule::NothingTwice]);
+}
+
+#[test]
+fn a_refused_order_goes_to_no_host() {
+    let mut day = Day::default();
+    day.refuse(0, order(first(1)));
+    assert_eq!(day.broken(), []);
+    assert_eq!(day.receive_sent(1, 5, first(1), 0).broken(), [Rule::NothingTwice]);
+}
+
+#[test]
+fn a_clients_own_retry_is_no_repeat() {
+    let mut day = Day::default();
+    day.refuse(0, order(draw::id(1, 0))).serve(200, order(draw::id(1, 1)));
+    assert_eq!(day.broken(), []);
+    let mut ran = attempt(order(draw::id(1, 0)), Some(Dealt::Failed), true);
+    ran.answer(30, draw::id(1, 0), Got::Failed).serve(200, order(draw::id(1, 1)));
+    assert_eq!(ran.broken(), []);
+}
+
+#[test]
+fn a_keyed_request_is_repeated_while_hosts_remember_it() {
+    let mut site = Site::default();
+    site.classes[READ as usize].effect = Effect::Keyed(SECOND / 2);
+    let broken = |first_dealt: Dealt, again_ms: u64| {
+        let id = first(1);
+        let mut day = Day::default();
+        day.ask(0, read(id)).receive(100, id, 0).done(120, id, 0, first_dealt);
+        day.receive_sent(again_ms, again_ms + 100, id, 1).answer(again_ms + 110, id, Got::Busy(None));
+        day.broken_at(&site)
+    };
+    // From the sending of the first that may have run, with the 50 ms that all limits get.
+    assert_eq!(broken(Dealt::Unheard, 650), []);
+    assert_eq!(broken(Dealt::Unheard, 651), [Rule::NothingTwice]);
+    assert_eq!(broken(Dealt::TurnedAway, 651), []);
+}
+
+#[test]
+fn where_there_are_no_second_copies_none_is_out_beside_the_first() {
+    let site = Site { second_copies: false, ..Site::default() };
+    let broken = |out_ms: Option<u64>| {
+        let id = first(1);
+        let mut day = Day::default();
+        day.ask(0, read(id)).receive(10, id, 0).receive(100, id, 1).done(200, id, 1, Dealt::Served);
+        day.answer(201, id, SERVED);
+        out_ms.map(|ms| day.done(ms, id, 0, Dealt::Unheard).broken_at(&site));
+        assert_eq!(day.broken(), [], "the default site allows them");
+        day.broken_at(&site)
+    };
+    assert_eq!(broken(Some(90)), []);
+    // The end of its connection was on its way while the second came.
+    assert_eq!(broken(Some(150)), []);
+    assert_eq!(broken(Some(151)), [Rule::NothingTwice]);
+    assert_eq!(broken(None), [Rule::NothingTwice]);
+}
+
+#[test]
+fn a_request_has_so_many_attempts_at_the_most() {
+    let id = first(1);
+    let mut day = Day::default();
+    day.ask(0, read(id));
+    for n in 0..4 {
+        day.receive(10 + 10 * n, id, n as u32).done(15 + 10 * n, id, n as u32, Dealt::TurnedAway);
+    }
+    assert_eq!(day.clone().answer(60, id, Got::Busy(None)).broken(), []);
+    assert_eq!(day.receive(50, id, 4).answer(60, id, Got::Busy(None)).broken(), [Rule::NothingTwice]);
+}
--- /dev/null
+++ b/crates/model/src/counter/amount.rs
@@ -0,0 +1,123 @@
+//! Amounts as decimal numbers.
+
+use std::fmt;
+use std::ops::{Add, AddAssign};
+
+/// Units in one whole.
+const WHOLE: i128 = 1_000_000_000_000_000;
+/// Decimal places that are kept.
+const PLACES: usize = 15;
+/// Digits of a total that the counter promises, and all that it tells.
+const DIGITS: u32 = 7;
+
+/// A decimal amount, exact to 15 places: sums do not depend on the order of their parts, and what is added
+/// and taken away again leaves nothing behind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Amount(i128);
+
+impl Amount {
+    /// The largest amount of a call; the smallest is its negative.
+    pub const MOST: Amount = Amount(1_000_000_000 * WHOLE);
+
+    /// Reads a decimal number such as `-2.5`; `None`: it is none, or beyond [`Amount::MOST`]. Places beyond
+    /// the 15th are cut.
+    pub fn parse(text: &[u8]) -> Option<Amount> {
+        let (negative, digits) = match text.split_first()? {
+            (b'-', rest) => (true, rest),
+            (b'+', rest) => (false, rest),
+            _ => (false, text),
+        };
+        let point = digits.iter().position(|b| *b == b'.');
+        let (whole, places) = match point {
+            Some(at) => (&digits[..at], &digits[at + 1..]),
+            None => (digits, &[][..]),
+        };
+        let is_number = !(whole.is_empty() && places.is_empty());
+        if !is_number || !whole.iter().chain(places).all(u8::is_ascii_digit) {
+            return None;
+        }
+        let padded = places.iter().chain(std::iter::repeat(&b'0')).take(PLACES);
+        let magnitude = whole
+            .iter()
+            .chain(padded)
+            .try_fold(0_i128, |sum, digit| sum.checked_mul(10)?.checked_add(i128::from(digit - b'0')))?;
+        let amount = Amount(if negative { -magnitude } else { magnitude });
+        (magnitude <= Amount::MOST.0).then_some(amount)
+    }
+
+    /// The nearest number that a float can hold, or one next to it.
+    pub fn as_f64(self) -> f64 {
+        self.0 as f64 / WHOLE as f64
+    }
+}
+
+impl Add for Amount {
+    type Output = Amount;
+    fn add(self, other: Amount) -> Amount {
+        Amount(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Amount {
+    fn add_assign(&mut self, other: Amount) {
+        *self = *self + other;
+    }
+}
+
+/// As the counter tells totals: seven digits, no more than it promises, so that nobody comes to lean on more.
+impl fmt::Display for Amount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let magnitude = self.0.unsigned_abs();
+        let length = magnitude.checked_ilog10().map_or(1, |log| log + 1);
+        let step = 10_u128.pow(length.saturating_sub(DIGITS));
+        let rounded = (magnitude.saturating_add(step / 2)) / step * step;
+        let (whole, places) = (rounded / WHOLE as u128, rounded % WHOLE as u128);
+        let sign = if self.0 < 0 { "-" } else { "" };
+        if places == 0 {
+            return write!(f, "{sign}{whole}");
+        }
+        let places = format!("{places:0PLACES$}");
+        write!(f, "{sign}{whole}.{}", places.trim_end_matches('0'))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Option<Amount> {
+        Amount::parse(text.as_bytes())
+    }
+
+    #[test]
+    fn decimal_numbers_are_read_and_nothing_else() {
+        for (text, told) in [
+            ("-2.5", "-2.5"),
+            ("+3", "3"),
+            (".25", "0.25"),
+            ("7.", "7"),
+            ("0", "0"),
+            ("-0", "0"),
+            ("1000000000", "1000000000"),
+            ("0.0000001", "0.0000001"),
+        ] {
+            assert_eq!(read(text).map(|amount| amount.to_string()).as_deref(), Some(told), "{text}");
+        }
+        let long = "9".repeat(100);
+        for text in ["", "-", ".", "1e3", "nan", "inf", "1,5", "0x1", " 1", "--1", "1000000000.1", &long] {
+            assert_eq!(read(text), None, "{text}");
+        }
+    }
+
+    #[test]
+    fn sums_are_exact_and_told_to_seven_digits() {
+        let sum =
+            |parts: &[&str]| parts.iter().filter_map(|part| read(part)).fold(Amount::default(), Add::add);
+        assert_eq!(sum(&["0.1", "0.2", "-0.3"]), Amount::default());
+        assert_eq!(sum(&["1000000000", "0.000001", "-1000000000"]).to_string(), "0.000001");
+        assert_eq!(sum(&["123456.75"]).to_string(), "123456.8");
+        assert_eq!(sum(&["-9999999.6"]).to_string(), "-10000000");
+        assert_eq!(sum(&["1.00000049"]).to_string(), "1");
+        assert!((sum(&["123456.789"]).as_f64() - 123_456.789).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/model/src/file/events.rs
@@ -0,0 +1,518 @@
+//! What stands behind `at 10 s:`.
+
+use super::errors::{Parsed, Place, Reason};
+use super::figure::{number_text, share_text, span_text};
+use super::line::{Bounds, Line};
+use super::{MOST_GATEWAYS, MOST_HOSTS, MOST_LENGTH, MOST_NUMBERS};
+use crate::scenario::{CounterFault, DiscoveryFault, Event, Side, Which};
+use crate::{Span, MS};
+use std::fmt;
+
+/// The words that events begin with. The one without a verb begins with its share: `10 % of the clients leave
+/// early for 10 s`.
+pub const VERBS: [&str; 14] = [
+    "kill",
+    "restart",
+    "reload",
+    "traffic",
+    "slow",
+    "pause",
+    "drain",
+    "add",
+    "replace",
+    "heavy",
+    "garble",
+    "cut",
+    "counter",
+    "discovery",
+];
+
+/// How long something lasts.
+const LASTING: Bounds<Span> = (MS, MOST_LENGTH);
+/// A span that may be nothing.
+const WITHIN: Bounds<Span> = (0, MOST_LENGTH);
+/// A share that hits something.
+const SHARE: Bounds<f64> = (0.0001, 1.0);
+/// How many times slower or costlier.
+const WORSE: Bounds<f64> = (1.0, 1000.0);
+
+/// Where parts of an event stand that only the whole file tells right from wrong.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Marks(pub Vec<Place>);
+
+/// What an event names, in the order of the text: one for each of its [`Marks`].
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Named<'a> {
+    Gateway(u32),
+    Host(u32),
+    Building(u32),
+    Gateways(u32),
+    Hosts(u32),
+    Class(&'a str),
+}
+
+/// A kind of machine that events hit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Machines {
+    Gateways,
+    Hosts,
+}
+
+impl Machines {
+    fn plural(self) -> &'static str {
+        match self {
+            Machines::Gateways => "gateways",
+            Machines::Hosts => "hosts",
+        }
+    }
+
+    fn singular(self) -> &'static str {
+        match self {
+            Machines::Gateways => "gateway",
+            Machines::Hosts => "host",
+        }
+    }
+}
+
+/// An event being read.
+struct Reader<'l, 'a> {
+    line: &'l mut Line<'a>,
+    marks: Marks,
+}
+
+/// Reads an event up to the end of its line.
+pub(super) fn read(line: &mut Line<'_>) -> Parsed<(Event, Marks)> {
+    let mut reader = Reader { line, marks: Marks::default() };
+    let event = reader.event()?;
+    reader.line.require_end()?;
+    Ok((event, reader.marks))
+}
+
+impl Reader<'_, '_> {
+    fn event(&mut self) -> Parsed<Event> {
+        if self.line.is_at_figure() {
+            return self.leaving();
+        }
+        match self.line.one_of("event", &VERBS)? {
+            "kill" => self.kill(),
+            "restart" => Ok(match self.machines()? {
+                (Machines::Gateways, which) => Event::RestartGateways(which),
+                (Machines::Hosts, which) => Event::RestartHosts(which),
+            }),
+            "reload" => Ok(Event::ReloadGateways(self.only(Machines::Gateways)?)),
+            "traffic" => self.traffic(),
+            "slow" => {
+                let which = self.only(Machines::Hosts)?;
+                Ok(Event::SlowHosts(which, self.line.times("x", WORSE)?, self.lasting()?))
+            }
+            "pause" => Ok(Event::PauseHosts(self.only(Machines::Hosts)?, self.lasting()?)),
+            "drain" => self.drain(),
+            "add" => self.add(),
+            "replace" => self.replace(),
+            "heavy" => self.heavy(),
+            "garble" => self.garble(),
+            "cut" => self.cut(),
+            "counter" => self.counter(),
+            _ => self.discovery(),
+        }
+    }
+
+    fn leaving(&mut self) -> Parsed<Event> {
+        let share = self.line.share("clients", SHARE)?;
+        for word in ["of", "the", "clients", "leave", "early"] {
+            self.line.require(word)?;
+        }
+        Ok(Event::Impatient(share, self.lasting()?))
+    }
+
+    fn kill(&mut self) -> Parsed<Event> {
+        let (machines, which) = self.machines()?;
+        let back = if self.line.is_at_end() { None } else { self.lasting_or_good()? };
+        Ok(match machines {
+            Machines::Gateways => Event::KillGateways(which, back),
+            Machines::Hosts => Event::KillHosts(which, back),
+        })
+    }
+
+    fn traffic(&mut self) -> Parsed<Event> {
+        let times = self.line.times("x", (0.0, 1000.0))?;
+        let lasting = self.lasting()?;
+        let mut rise = 0;
+        if self.line.another()? {
+            self.line.require("rising")?;
+            self.line.require("in")?;
+            rise = self.line.span("rising in", WITHIN)?;
+        }
+        Ok(Event::Traffic(times, lasting, rise))
+    }
+
+    fn drain(&mut self) -> Parsed<Event> {
+        let which = self.only(Machines::Hosts)?;
+        let over = if self.line.accept("over") { self.line.span("over", WITHIN)? } else { 0 };
+        self.line.require_mark(',')?;
+        self.line.require("gone")?;
+        self.line.require("after")?;
+        Ok(Event::DrainHosts(which, over, self.line.span("gone after", WITHIN)?))
+    }
+
+    fn add(&mut self) -> Parsed<Event> {
+        let count = self.line.count("add", (1, MOST_HOSTS), "hosts")?;
+        Ok(Event::AddHosts(count))
+    }
+
+    fn replace(&mut self) -> Parsed<Event> {
+        let which = self.only(Machines::Hosts)?;
+        let same = self.line.another()?;
+        if same {
+            for word in ["at", "the", "same", "addresses"] {
+                self.line.require(word)?;
+            }
+        }
+        Ok(Event::ReplaceHosts(which, same))
+    }
+
+    fn heavy(&mut self) -> Parsed<Event> {
+        let share = self.line.share("heavy", SHARE)?;
+        self.line.require("of")?;
+        self.mark();
+        let class = self.line.name("class")?.to_owned();
+        Ok(Event::Heavy(class, share, self.line.times("x", WORSE)?, self.lasting()?))
+    }
+
+    fn garble(&mut self) -> Parsed<Event> {
+        let share = self.line.share("garble", SHARE)?;
+        self.line.require("of")?;
+        self.line.require("the")?;
+        let whose = self.line.one_of("owner of answers", &["hosts'", "counter's"])?;
+        self.line.require("answers")?;
+        let lasting = self.lasting()?;
+        Ok(match whose {
+            "hosts'" => Event::GarbleHosts(share, lasting),
+            _ => Event::GarbleCounter(share, lasting),
+        })
+    }
+
+    fn cut(&mut self) -> Parsed<Event> {
+        let one = self.side()?;
+        self.line.require("from")?;
+        let other = self.side()?;
+        let lasting = self.lasting()?;
+        let resets = self.line.another()?;
+        if resets {
+            self.line.require("with")?;
+            self.line.require("resets")?;
+        }
+        Ok(Event::Cut(one, other, lasting, resets))
+    }
+
+    fn side(&mut self) -> Parsed<Side> {
+        self.line.accept("the");
+        Ok(match self.line.one_of("side", &["building", "gateway", "host", "counter", "clients"])? {
+            "building" => Side::Building(self.numbered("building", 100)?),
+            "gateway" => Side::Gateway(self.numbered("gateway", MOST_GATEWAYS)?),
+            "host" => Side::Host(self.numbered("host", MOST_HOSTS)?),
+            "counter" => Side::Counter,
+            _ => Side::Clients,
+        })
+    }
+
+    fn counter(&mut self) -> Parsed<Event> {
+        let faults = ["lost", "silent", "mute", "slow", "split", "fresh", "flapping", "full"];
+        let fault = match self.line.one_of("counter fault", &faults)? {
+            "lost" => CounterFault::Lost,
+            "silent" => CounterFault::Silent,
+            "mute" => CounterFault::Mute,
+            "slow" => {
+                let (from, to) = self.line.spans("slow", WITHIN)?;
+                CounterFault::Slow(from, to)
+            }
+            "split" => CounterFault::Split(self.groups()?),
+            "fresh" => return Ok(Event::Counter(CounterFault::Fresh, 0)),
+            "flapping" => {
+                self.line.require("every")?;
+                CounterFault::Flapping(self.line.span("every", LASTING)?)
+            }
+            _ => CounterFault::Full,
+        };
+        Ok(Event::Counter(fault, self.lasting()?))
+    }
+
+    /// `1 2 | 3`.
+    fn groups(&mut self) -> Parsed<Vec<Vec<u32>>> {
+        let mut groups = Vec::new();
+        loop {
+            let mut group = vec![self.numbered("gateway", MOST_GATEWAYS)?];
+            while self.line.is_at_figure() {
+                group.push(self.numbered("gateway", MOST_GATEWAYS)?);
+            }
+            groups.push(group);
+            if !self.line.accept_mark('|') {
+                break;
+            }
+        }
+        if groups.len() < 2 {
+            return self.line.expected("`|` and another group of gateways");
+        }
+        Ok(groups)
+    }
+
+    fn discovery(&mut self) -> Parsed<Event> {
+        let faults = ["silent", "late", "repeats", "reordered"];
+        let fault = match self.line.one_of("discovery fault", &faults)? {
+            "silent" => DiscoveryFault::Silent,
+            "late" => {
+                self.line.require("by")?;
+                DiscoveryFault::Late(self.line.span("late by", LASTING)?)
+            }
+            "repeats" => DiscoveryFault::Repeats,
+            _ => DiscoveryFault::Reordered,
+        };
+        Ok(Event::Discovery(fault, self.lasting()?))
+    }
+
+    /// `for 6 s`.
+    fn lasting(&mut self) -> Parsed<Span> {
+        self.line.require("for")?;
+        self.line.span("for", LASTING)
+    }
+
+    /// `for 6 s`, or `for good`.
+    fn lasting_or_good(&mut self) -> Parsed<Option<Span>> {
+        self.line.require("for")?;
+        if self.line.accept("good") {
+            return Ok(None);
+        }
+        self.line.span("for", LASTING).map(Some)
+    }
+
+    /// Machines of this kind alone.
+    fn only(&mut self, wanted: Machines) -> Parsed<Which> {
+        self.which(&[wanted]).map(|(_, which)| which)
+    }
+
+    fn machines(&mut self) -> Parsed<(Machines, Which)> {
+        self.which(&[Machines::Gateways, Machines::Hosts])
+    }
+
+    /// `all hosts`, `20 % of the hosts`, `2 hosts` or `hosts 2, 5`, of one of these kinds.
+    fn which(&mut self, kinds: &[Machines]) -> Parsed<(Machines, Which)> {
+        if self.line.accept("all") {
+            return Ok((self.kind(kinds)?, Which::All));
+        }
+        if self.line.is_at_share() {
+            let share = self.line.share("share", SHARE)?;
+            self.line.require("of")?;
+            self.line.accept("the");
+            return Ok((self.kind(kinds)?, Which::Share(share)));
+        }
+        if self.line.is_at_figure() {
+            self.mark();
+            let count = self.line.count("count", (1, MOST_HOSTS), "")?;
+            return Ok((self.kind(kinds)?, Which::Count(count)));
+        }
+        let kind = self.kind(kinds)?;
+        Ok((kind, Which::These(self.numbers(kind)?)))
+    }
+
+    fn kind(&mut self, kinds: &[Machines]) -> Parsed<Machines> {
+        let found =
+            kinds.iter().find(|kind| self.line.accept(kind.plural()) || self.line.accept(kind.singular()));
+        if let Some(found) = found {
+            return Ok(*found);
+        }
+        let names: Vec<String> = kinds.iter().map(|kind| format!("`{}`", kind.plural())).collect();
+        self.line.expected(names.join(" or "))
+    }
+
+    /// `2, 5 and 7`.
+    fn numbers(&mut self, kind: Machines) -> Parsed<Vec<u32>> {
+        let most = match kind {
+            Machines::Gateways => MOST_GATEWAYS,
+            Machines::Hosts => MOST_HOSTS,
+        };
+        let mut numbers = vec![self.numbered(kind.singular(), most)?];
+        while self.line.accept_comma_before_figure() || self.line.accept("and") {
+            if numbers.len() == MOST_NUMBERS {
+                return self.line.fault(Reason::ManyNumbers);
+            }
+            numbers.push(self.numbered(kind.singular(), most)?);
+        }
+        Ok(numbers)
+    }
+
+    /// The number of a machine or building.
+    fn numbered(&mut self, kind: &'static str, most: u32) -> Parsed<u32> {
+        self.mark();
+        self.line.count(kind, (1, most), "")
+    }
+
+    fn mark(&mut self) {
+        self.marks.0.push(self.line.place());
+    }
+}
+
+/// What an event names, as its marks stand.
+pub(super) fn named(event: &Event) -> Vec<Named<'_>> {
+    match event {
+        Event::KillGateways(which, _) | Event::RestartGateways(which) | Event::ReloadGateways(which) => {
+            named_machines(which, Named::Gateway, Named::Gateways)
+        }
+        Event::SlowHosts(which, _, _)
+        | Event::PauseHosts(which, _)
+        | Event::DrainHosts(which, _, _)
+        | Event::KillHosts(which, _)
+        | Event::RestartHosts(which)
+        | Event::ReplaceHosts(which, _) => named_machines(which, Named::Host, Named::Hosts),
+        Event::Heavy(class, ..) => vec![Named::Class(class)],
+        Event::Cut(one, other, ..) => [one, other].into_iter().filter_map(named_side).collect(),
+        Event::Counter(CounterFault::Split(groups), _) => {
+            groups.iter().flatten().map(|gateway| Named::Gateway(*gateway)).collect()
+        }
+        Event::Traffic(..)
+        | Event::AddHosts(_)
+        | Event::GarbleHosts(..)
+        | Event::GarbleCounter(..)
+        | Event::Counter(..)
+        | Event::Discovery(..)
+        | Event::Impatient(..) => Vec::new(),
+    }
+}
+
+fn named_machines(
+    which: &Which,
+    one: fn(u32) -> Named<'static>,
+    many: fn(u32) -> Named<'static>,
+) -> Vec<Named<'static>> {
+    match which {
+        Which::All | Which::Share(_) => Vec::new(),
+        Which::Count(count) => vec![many(*count)],
+        Which::These(these) => these.iter().copied().map(one).collect(),
+    }
+}
+
+fn named_side(side: &Side) -> Option<Named<'static>> {
+    match side {
+        Side::Building(number) => Some(Named::Building(*number)),
+        Side::Gateway(number) => Some(Named::Gateway(*number)),
+        Side::Host(number) => Some(Named::Host(*number)),
+        Side::Counter | Side::Clients => None,
+    }
+}
+
+/// The words of a scenario file.
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let gateways = |which| machines_text(Machines::Gateways, which);
+        let hosts = |which| machines_text(Machines::Hosts, which);
+        match self {
+            Event::KillGateways(which, back) => write!(f, "kill {} {}", gateways(which), back_text(*back)),
+            Event::RestartGateways(which) => write!(f, "restart {}", gateways(which)),
+            Event::ReloadGateways(which) => write!(f, "reload {}", gateways(which)),
+            Event::Traffic(times, span, rise) => {
+                write!(f, "traffic x {} for {}", number_text(*times), span_text(*span))?;
+                write_if(f, *rise > 0, format_args!(", rising in {}", span_text(*rise)))
+            }
+            Event::SlowHosts(which, times, span) => {
+                write!(f, "slow {} x {} for {}", hosts(which), number_text(*times), span_text(*span))
+            }
+            Event::PauseHosts(which, span) => write!(f, "pause {} for {}", hosts(which), span_text(*span)),
+            Event::DrainHosts(which, over, gone) => {
+                write!(f, "drain {}", hosts(which))?;
+                write_if(f, *over > 0, format_args!(" over {}", span_text(*over)))?;
+                write!(f, ", gone after {}", span_text(*gone))
+            }
+            Event::KillHosts(which, back) => write!(f, "kill {} {}", hosts(which), back_text(*back)),
+            Event::RestartHosts(which) => write!(f, "restart {}", hosts(which)),
+            Event::AddHosts(count) => {
+                write!(f, "add {}", machines_text(Machines::Hosts, &Which::Count(*count)))
+            }
+            Event::ReplaceHosts(which, same) => {
+                write!(f, "replace {}", hosts(which))?;
+                write_if(f, *same, format_args!(", at the same addresses"))
+            }
+            Event::Heavy(class, share, times, span) => {
+                let (share, times, span) = (share_text(*share), number_text(*times), span_text(*span));
+                write!(f, "heavy {share} of {class} x {times} for {span}")
+            }
+            Event::GarbleHosts(share, span) => {
+                write!(f, "garble {} of the hosts' answers for {}", share_text(*share), span_text(*span))
+            }
+            Event::GarbleCounter(share, span) => {
+                write!(f, "garble {} of the counter's answers for {}", share_text(*share), span_text(*span))
+            }
+            Event::Cut(one, other, span, resets) => {
+                write!(f, "cut {} from {} for {}", side_text(one), side_text(other), span_text(*span))?;
+                write_if(f, *resets, format_args!(", with resets"))
+            }
+            Event::Counter(fault, span) => counter_text(f, fault, *span),
+            Event::Discovery(fault, span) => {
+                let fault = discovery_text(fault);
+                write!(f, "discovery {fault} for {}", span_text(*span))
+            }
+            Event::Impatient(share, span) => {
+                write!(f, "{} of the clients leave early for {}", share_text(*share), span_text(*span))
+            }
+        }
+    }
+}
+
+fn write_if(f: &mut fmt::Formatter<'_>, wanted: bool, text: fmt::Arguments<'_>) -> fmt::Result {
+    if wanted {
+        f.write_fmt(text)?;
+    }
+    Ok(())
+}
+
+fn machines_text(kind: Machines, which: &Which) -> String {
+    let numbers = |these: &[u32]| these.iter().map(u32::to_string).collect::<Vec<_>>().join(", ");
+    match which {
+        Which::All => format!("all {}", kind.plural()),
+        Which::Share(share) => format!("{} of the {}", share_text(*share), kind.plural()),
+        Which::Count(1) => format!("1 {}", kind.singular()),
+        Which::Count(count) => format!("{count} {}", kind.plural()),
+        Which::These(these) if these.len() == 1 => format!("{} {}", kind.singular(), numbers(these)),
+        Which::These(these) => format!("{} {}", kind.plural(), numbers(these)),
+    }
+}
+
+fn back_text(back: Option<Span>) -> String {
+    back.map_or("for good".into(), |span| format!("for {}", span_text(span)))
+}
+
+fn side_text(side: &Side) -> String {
+    match side {
+        Side::Building(number) => format!("building {number}"),
+        Side::Gateway(number) => format!("gateway {number}"),
+        Side::Host(number) => format!("host {number}"),
+        Side::Counter => "the counter".into(),
+        Side::Clients => "the clients".into(),
+    }
+}
+
+fn counter_text(f: &mut fmt::Formatter<'_>, fault: &CounterFault, span: Span) -> fmt::Result {
+    f.write_str("counter ")?;
+    match fault {
+        CounterFault::Lost => f.write_str("lost")?,
+        CounterFault::Silent => f.write_str("silent")?,
+        CounterFault::Mute => f.write_str("mute")?,
+        CounterFault::Slow(from, to) => write!(f, "slow {} to {}", span_text(*from), span_text(*to))?,
+        CounterFault::Split(groups) => {
+            let group = |group: &Vec<u32>| group.iter().map(u32::to_string).collect::<Vec<_>>().join(" ");
+            write!(f, "split {}", groups.iter().map(group).collect::<Vec<_>>().join(" | "))?;
+        }
+        // It forgets at one moment: there is nothing to last.
+        CounterFault::Fresh => return f.write_str("fresh"),
+        CounterFault::Flapping(every) => write!(f, "flapping every {}", span_text(*every))?,
+        CounterFault::Full => f.write_str("full")?,
+    }
+    write!(f, " for {}", span_text(span))
+}
+
+fn discovery_text(fault: &DiscoveryFault) -> String {
+    match fault {
+        DiscoveryFault::Silent => "silent".into(),
+        DiscoveryFault::Late(by) => format!("late by {}", span_text(*by)),
+        DiscoveryFault::Repeats => "repeats".into(),
+        DiscoveryFault::Reordered => "reordered".into(),
+    }
+}
--- /dev/null
+++ b/crates/model/src/file/shipped.rs
@@ -0,0 +1,23 @@
+//! The scenarios that come with the program.
+
+/// Name and text, in the order in which people meet them.
+const SHIPPED: &[(&str, &str)] = &[
+    ("calm", include_str!("../../../../scenarios/calm.scenario")),
+    ("night", include_str!("../../../../scenarios/night.scenario")),
+    ("cold-start", include_str!("../../../../scenarios/cold-start.scenario")),
+    ("shrinking-fleet", include_str!("../../../../scenarios/shrinking-fleet.scenario")),
+    ("slow-nodes", include_str!("../../../../scenarios/slow-nodes.scenario")),
+    ("counter-lost", include_str!("../../../../scenarios/counter-lost.scenario")),
+    ("garbled-answers", include_str!("../../../../scenarios/garbled-answers.scenario")),
+    ("planned-restarts", include_str!("../../../../scenarios/planned-restarts.scenario")),
+];
+
+/// The names and texts of the shipped scenarios; each is a file for [`super::parse`].
+pub fn shipped() -> &'static [(&'static str, &'static str)] {
+    SHIPPED
+}
+
+/// The text of the shipped scenario with this name.
+pub fn find(name: &str) -> Option<&'static str> {
+    SHIPPED.iter().find(|(shipped, _)| *shipped == name).map(|(_, text)| *text)
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod rng;
 pub mod scenario;
 pub mod seen;
+pub mod settings;
 pub mod traffic;
 
 /// A moment in nanoseconds.
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,166 @@
+//! What the platform tells a gateway of this site at its start: the settings, and the configuration document
+//! around them. Times are whole nanoseconds, work and worth as in the scenario.
+
+use crate::scenario::{ClassSpec, Effect, PlanSpec, Scenario};
+use crate::{Span, MS, SECOND};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// A connection that is not up by then counts as failed.
+pub const DIAL_TIMEOUT: Span = 250 * MS;
+/// Requests that a connection to a host carries at once.
+pub const STREAMS: u32 = 1;
+
+/// The settings of a gateway, numbered from 0.
+///
+/// Probes, load reports and messages between gateways are off: the model's hosts give none. What a scenario
+/// does not speak of (prices, weights of the result, CPU) is as at `iasi-park`.
+pub fn settings(scenario: &Scenario, gateway: u32) -> Value {
+    let (site, traffic) = (&scenario.site, &scenario.traffic);
+    let buildings: Vec<String> = (0..site.buildings).map(building).collect();
+    let classes: Vec<Value> = site.classes.iter().map(class).collect();
+    let plans: Vec<Value> = site.plans.iter().map(plan).collect();
+    json!({
+        "allowed": allowed(scenario),
+        "balancers": site.gateways,
+        "clients": {"marks-retry": false},
+        "discovery": "automatic",
+        "domain": {
+            "count-fee": 0.02,
+            "counter-timeout": site.counter.timeout,
+            "metering": 0,
+            "peer-intake": 0.0,
+            "post-paid": traffic.guess_cv > 0.0,
+            "shared-counter": site.counter.on,
+            "units-top": traffic.most_units,
+        },
+        "family": "gate",
+        "feedback": {"fields": [], "how": "none"},
+        "goal": {"whole": 0.55, "worst-class": 0.0, "worst-tenant": 0.25, "worst-window": 0.2},
+        "localities": buildings,
+        "machine-types": [machine_type(scenario)],
+        "me": gateway,
+        "prices": prices(),
+        "rules": {
+            "answer-slack": site.rules.answer_slack,
+            "cold": site.host.cold,
+            "cold-share": site.host.cold_share,
+            "drain-grace": site.rules.drain_grace,
+            "fall": site.rules.fall,
+            "fall-multiple": site.rules.fall_multiple,
+            "must-ask-in": 10 * SECOND,
+        },
+        "services": classes,
+        "tariffs": plans,
+        "tick": 4 * MS,
+        "tier": 0,
+        "tiers": ["hosts"],
+        "weights": "none",
+        "zone": gateway % site.buildings.max(1),
+    })
+}
+
+/// The kind of machine that all hosts are, as discovery and the settings name it.
+pub fn machine_type(scenario: &Scenario) -> String {
+    format!("std-{}core", scenario.site.host.cores)
+}
+
+/// The name of a building, numbered from 0, as discovery and the settings give it.
+pub fn building(number: u32) -> String {
+    format!("building-{}", number + 1)
+}
+
+fn allowed(scenario: &Scenario) -> Value {
+    let site = &scenario.site;
+    json!({
+        "cancel": true,
+        "conn-idle": site.host.idle,
+        "cpu-us-per-request": 0.0,
+        "cpu-us-per-s": 400_000,
+        "dial-timeout": DIAL_TIMEOUT,
+        "max-attempts": site.max_attempts,
+        "max-open": 20_000,
+        "max-retry-after": site.retry_after.unwrap_or(0),
+        "max-streams": STREAMS,
+        "may-duplicate": site.second_copies,
+        "peer-messages": false,
+        "probes": false,
+        "retry-after": site.retry_after.is_some(),
+    })
+}
+
+fn prices() -> Value {
+    json!({
+        "connection": 0.0, "cross-zone": 0.01, "discovery": 0.0, "handshake": 0.0, "late-fail": 0.08,
+        "moves": 0.0, "origin": 0.0, "peer": 0.0, "probe": 0.01, "waste": 0.08,
+    })
+}
+
+fn class(class: &ClassSpec) -> Value {
+    let (semantics, key_ttl) = match class.effect {
+        Effect::Safe => ("safe", 0),
+        Effect::Keyed(window) => ("keyed", window),
+        Effect::Unsafe => ("unsafe", 0),
+    };
+    json!({
+        "aim": class.aim,
+        "dedup-scope": "all",
+        "hard-limit": class.deadline,
+        "key-ttl": key_ttl,
+        "late-worth": class.late_worth,
+        "name": class.name,
+        "semantics": semantics,
+        "stream": false,
+        "worth": class.worth,
+    })
+}
+
+fn plan(plan: &PlanSpec) -> Value {
+    json!({
+        "burst": plan.burst,
+        "cap-slack": plan.ceiling_slack,
+        "ceiling-rate": plan.ceiling_rate,
+        "concurrency": plan.open,
+        "extra-worth": plan.extra_worth,
+        "name": plan.name,
+        "never-over-depth": plan.ceiling_burst,
+        "overrun-cost": plan.overrun_cost,
+        "refill": plan.rate,
+        "worth-factor": plan.price,
+    })
+}
+
+/// What is a gateway's own at one start of its process.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The counter; told only where the site has one.
+    pub counter: SocketAddr,
+    /// For random numbers, new with each start.
+    pub seed: u64,
+    /// The list of hosts as it last had it, in discovery's form.
+    pub known: Value,
+}
+
+/// The configuration document of a gateway, numbered from 0.
+pub fn document(scenario: &Scenario, gateway: u32, start: &Start) -> Value {
+    let site = &scenario.site;
+    let mut document = json!({
+        "name": start.name,
+        "listen": start.listen.to_string(),
+        "discovery": start.discovery.to_string(),
+        "seed": format!("{:016x}", start.seed),
+        "limits": {"cores": 1.0, "memory_mb": site.memory_mb, "sockets": site.sockets},
+        "known": start.known,
+        "settings": settings(scenario, gateway),
+    });
+    if site.counter.on {
+        document["counter"] = start.counter.to_string().into();
+    }
+    document
+}
--- /dev/null
+++ b/crates/model/tests/settings.rs
@@ -0,0 +1,148 @@
+//! What gateways of a scenario's site are told, as the gateway itself reads it.
+
+use fennelbeam_model::file::parse;
+use fennelbeam_model::scenario::{Effect, Scenario};
+use fennelbeam_model::settings::{building, document, machine_type, settings, Start};
+use fennelbeam_model::{MS, SECOND};
+use fennelbeam_settings::Site;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+
+fn told(scenario: &Scenario, gateway: u32) -> Site {
+    Site::parse(&settings(scenario, gateway)).expect("the gateway reads what the model writes")
+}
+
+/// A scenario that is as usual nowhere that gateways are told of.
+fn unusual() -> Scenario {
+    let text = "scenario \"unusual\"\nsite\n\
+        gateways 5, buildings 2, max-attempts 3, second-copies no, retry-after 800 ms\n\
+        sockets 512, memory 100 MB\n\
+        host cores 4, cold 30 % for 12 s, idle 9 s\n\
+        counter timeout 60 ms\n\
+        rules drain-grace 300 ms, fall x 2.5 for 2 s, answer-slack 70 ms\n\
+        class bulk share 84 %, work 90 ms, aim 1 s, deadline 3 s, worth 1.5, late-worth 30 %, keyed for 4 s\n\
+        only classes bulk, unit-order\n\
+        plan gold share 52 %, rate 12.5 units/s, burst 20 units, open 5, price 2, extra-worth 10 %\n\
+        plan gold overrun-cost 50 %, ceiling-rate 20 units/s, ceiling-burst 30 units, ceiling-slack 2 units\n\
+        plan gold spread 4 gateways\n\
+        only plans gold, standard\n\
+        traffic\nmost-units 9 units, guess-cv 0";
+    parse("unusual.scenario", text).expect("a scenario")
+}
+
+#[test]
+fn a_gateway_reads_the_figures_of_the_scenario() {
+    let scenario = unusual();
+    let site = told(&scenario, 3);
+    assert_eq!((site.settings.gateways, site.settings.zone), (5, 1));
+    assert_eq!((site.settings.max_attempts, site.settings.may_duplicate), (3, false));
+    assert_eq!(site.settings.max_retry_after, Some(800 * MS));
+    assert_eq!((site.settings.counter, site.settings.counter_timeout), (true, 60 * MS));
+    assert_eq!((site.settings.cold_share, site.settings.cold), (0.3, 12 * SECOND));
+    assert_eq!((site.conn_idle, site.dial_timeout, site.units_top), (9 * SECOND, 250 * MS, 9.0));
+    assert!(site.settings.may_cancel && !site.settings.must_subscribe && !site.answers_report);
+    assert_eq!((site.zones, site.kinds), (vec![building(0), building(1)], vec![machine_type(&scenario)]));
+}
+
+#[test]
+fn a_gateway_reads_classes_and_plans_in_their_order() {
+    let scenario = unusual();
+    let site = told(&scenario, 0);
+    assert_eq!(site.classes, ["bulk", "unit-order"]);
+    assert_eq!(site.plans, ["gold", "standard"]);
+    for (told, class) in site.settings.classes.iter().zip(&scenario.site.classes) {
+        assert_eq!((told.aim, told.deadline), (class.aim, class.deadline));
+        assert_eq!((told.worth, told.late_worth), (class.worth, class.late_worth));
+        let effect = match class.effect {
+            Effect::Safe => fennelbeam_policy::api::Effect::Safe,
+            Effect::Keyed(window) => {
+                fennelbeam_policy::api::Effect::Keyed(fennelbeam_policy::api::Scope::All, window)
+            }
+            Effect::Unsafe => fennelbeam_policy::api::Effect::Unsafe,
+        };
+        assert_eq!(told.effect, effect);
+    }
+    for (told, plan) in site.settings.plans.iter().zip(&scenario.site.plans) {
+        assert_eq!((told.rate, told.burst, told.open), (plan.rate, plan.burst, plan.open));
+        assert_eq!((told.price, told.extra_worth), (plan.price, plan.extra_worth));
+        assert_eq!(told.overrun_cost, plan.overrun_cost);
+        let ceiling = (told.ceiling_rate, told.ceiling_burst, told.ceiling_slack);
+        assert_eq!(ceiling, (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack));
+    }
+}
+
+#[test]
+fn a_site_without_advice_or_counter_says_so() {
+    let mut scenario = Scenario::default();
+    assert_eq!(told(&scenario, 0).settings.max_retry_after, None);
+    scenario.site.counter.on = false;
+    assert!(!told(&scenario, 0).settings.counter);
+    assert_eq!(document(&scenario, 0, &start()).get("counter"), None);
+}
+
+#[test]
+fn the_settings_have_the_keys_of_the_platform_and_no_others() {
+    let keys = |value: &Value| value.as_object().map(|map| map.keys().cloned().collect::<BTreeSet<_>>());
+    let set = |names: &str| Some(names.split(' ').map(str::to_owned).collect::<BTreeSet<_>>());
+    let told = settings(&Scenario::default(), 2);
+    assert_eq!(
+        keys(&told),
+        set("allowed balancers clients discovery domain family feedback goal localities machine-types me prices \
+             rules services tariffs tick tier tiers weights zone")
+    );
+    assert_eq!(
+        keys(&told["allowed"]),
+        set("cancel conn-idle cpu-us-per-request cpu-us-per-s dial-timeout max-attempts max-open \
+             max-retry-after max-streams may-duplicate peer-messages probes retry-after")
+    );
+    assert_eq!(
+        keys(&told["domain"]),
+        set("count-fee counter-timeout metering peer-intake post-paid shared-counter units-top")
+    );
+    assert_eq!(
+        keys(&told["rules"]),
+        set("answer-slack cold cold-share drain-grace fall fall-multiple must-ask-in")
+    );
+    assert_eq!(
+        keys(&told["services"][0]),
+        set("aim dedup-scope hard-limit key-ttl late-worth name semantics stream worth")
+    );
+    assert_eq!(
+        keys(&told["tariffs"][0]),
+        set(
+            "burst cap-slack ceiling-rate concurrency extra-worth name never-over-depth overrun-cost refill \
+             worth-factor"
+        )
+    );
+    assert_eq!((told["me"].as_u64(), told["zone"].as_u64()), (Some(2), Some(2)));
+    // Spans are whole numbers, as the platform writes them.
+    assert_eq!(told["services"][0]["aim"], json!(600_000_000_u64));
+    assert_eq!(told["rules"]["drain-grace"], json!(250_000_000_u64));
+}
+
+fn start() -> Start {
+    Start {
+        name: "gateway-2".into(),
+        listen: ([127, 0, 0, 1], 7002).into(),
+        discovery: ([127, 0, 0, 1], 8500).into(),
+        counter: ([127, 0, 0, 1], 6400).into(),
+        seed: 0x5e,
+        known: json!({"generation": 0, "reset": true, "instances": []}),
+    }
+}
+
+#[test]
+fn the_document_is_the_one_of_the_deployment_page() {
+    let scenario = unusual();
+    let wanted = json!({
+        "name": "gateway-2",
+        "listen": "127.0.0.1:7002",
+        "discovery": "127.0.0.1:8500",
+        "counter": "127.0.0.1:6400",
+        "seed": "000000000000005e",
+        "limits": {"cores": 1.0, "memory_mb": 100, "sockets": 512},
+        "known": {"generation": 0, "reset": true, "instances": []},
+        "settings": settings(&scenario, 1),
+    });
+    assert_eq!(document(&scenario, 1, &start()), wanted);
+}
