Give the program a command line: serve, check, rehearse

Need: a program of an ordinary repository says what it can do, and the platform's line run must go on meaning what it means.

--- /dev/null
+++ b/crates/fennelbeam/src/command.rs
@@ -0,0 +1,64 @@
+//! The command line.
+
+use clap::{Args, Parser, Subcommand};
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+/// An API gateway that holds customers to shared quotas before a common back end.
+///
+/// Without a command it serves, with the configuration that ROUTER_CONFIG names.
+#[derive(Debug, Parser)]
+#[command(name = "fennelbeam", version, after_help = EXIT_CODES)]
+pub struct CommandLine {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+const EXIT_CODES: &str = "\
+Exit status: 0 done as asked; 1 could not start, or a configuration that cannot be used; 2 wrong usage.
+Signals: SIGHUP reads the configuration again (addresses of discovery and the counter);
+SIGTERM answers all that was taken, then ends with 0.";
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve until SIGTERM
+    Serve(ConfigFile),
+    /// Read a configuration, say what is wrong with it or what it means, and end
+    Check {
+        /// The configuration file
+        config: PathBuf,
+    },
+    /// Rehearse a whole site on this machine; hands over to `fennelbeam-rehearse` beside this program
+    #[command(disable_help_flag = true)]
+    Rehearse {
+        /// Words for `fennelbeam-rehearse`
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<OsString>,
+    },
+}
+
+/// Which configuration.
+#[derive(Args, Debug, Default)]
+pub struct ConfigFile {
+    /// The configuration file, in place of the one that ROUTER_CONFIG names
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use clap::CommandFactory;
+
+    #[test]
+    fn the_command_line_is_sound() {
+        CommandLine::command().debug_assert();
+    }
+
+    #[test]
+    fn no_words_mean_to_serve_as_the_platform_does() {
+        assert!(CommandLine::parse_from(["fennelbeam"]).command.is_none());
+    }
+}
--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -1,17 +1,28 @@
-//! One real gateway: configuration, signals, start and stop.
+//! One real gateway: command line, configuration and signals.
 
+mod command;
 mod descriptors;
 
 use anyhow::{Context as _, Result};
+use clap::Parser;
+use command::{Command, CommandLine, ConfigFile};
 use fennelbeam_env::Real;
 use fennelbeam_gateway::{Config, Signal, MIN_SOCKETS};
+use std::ffi::OsString;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal as UnixSignal, SignalKind};
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
-    match run() {
+    let done = match CommandLine::parse().command {
+        None => serve(ConfigFile::default()),
+        Some(Command::Serve(file)) => serve(file),
+        Some(Command::Check { config }) => check(&config),
+        Some(Command::Rehearse { words }) => rehearse(words),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fennelbeam: {error:#}");
@@ -20,35 +31,39 @@
     }
 }
 
-fn run() -> Result<()> {
+fn serve(file: ConfigFile) -> Result<()> {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve())
+    runtime.block_on(run(file))
 }
 
-async fn serve() -> Result<()> {
+async fn run(file: ConfigFile) -> Result<()> {
     // Before all else: without a handler either signal ends the process.
     let signals = signals()?;
-    let mut config = configuration()?;
+    let path = match file.config {
+        Some(path) => path,
+        None => PathBuf::from(std::env::var_os("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?),
+    };
+    let mut config = read(&path)?;
     config.sockets = descriptors::granted(config.sockets);
     anyhow::ensure!(
         config.sockets >= MIN_SOCKETS,
         "{} descriptors are too few: {MIN_SOCKETS} are the least (see ulimit -n)",
         config.sockets
     );
-    fennelbeam_gateway::serve(Real::start(), config, configuration, signals).await
+    fennelbeam_gateway::serve(Real::start(), config, move || read(&path), signals).await
 }
 
-/// Reads the file that `ROUTER_CONFIG` names.
-fn configuration() -> Result<Config> {
-    let path = std::env::var("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
-    let text = std::fs::read(&path).with_context(|| format!("cannot read {path}"))?;
-    Config::parse(&text).with_context(|| format!("cannot use {path}"))
+fn read(path: &Path) -> Result<Config> {
+    let text = std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
+    Config::parse(&text).with_context(|| format!("cannot use {}", path.display()))
 }
 
 /// SIGHUP and SIGTERM, in the order of their coming.
 fn signals() -> Result<UnboundedReceiver<Signal>> {
     let (tell, signals) = mpsc::unbounded_channel();
-    let (terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     for (mut source, what) in [(terminate, Signal::Terminate), (hangup, Signal::Reload)] {
         let tell = tell.clone();
         tokio::spawn(async move {
@@ -57,3 +72,28 @@
     }
     Ok(signals)
 }
+
+/// Says in a few lines what the configuration means.
+fn check(path: &Path) -> Result<()> {
+    let config = read(path)?;
+    let settings = &config.site.settings;
+    println!("{}: can be used", path.display());
+    println!("  {} listens on {}, asks discovery at {}", config.name, config.listen, config.discovery);
+    match config.counter.filter(|_| settings.counter) {
+        Some(counter) => println!("  counts quotas with the counter at {counter}"),
+        None => println!("  counts quotas by itself: the settings allow no counter"),
+    }
+    println!("  {} descriptors, {} MB", config.sockets, config.memory >> 20);
+    println!("  classes: {}", config.site.classes.join(", "));
+    println!("  plans: {}", config.site.plans.join(", "));
+    println!("  knows {} hosts before discovery speaks", config.known.instances.len());
+    Ok(())
+}
+
+/// The rehearsal is a program of its own, so that nothing simulated is ever part of this one.
+fn rehearse(words: Vec<OsString>) -> Result<()> {
+    let program = std::env::current_exe()?.with_file_name("fennelbeam-rehearse");
+    let error = std::process::Command::new(&program).args(words).exec();
+    let hint = "build it with: cargo build --release -p fennelbeam-rehearse";
+    Err(error).with_context(|| format!("cannot start {} ({hint})", program.display()))
+}
