--- a/crates/model/src/traffic/spells.rs
+++ b/crates/model/src/traffic/spells.rs
@@ -50,7 +50,7 @@
     pub(super) fn new(kind: Kind, rng: Rng) -> Spells {
         let mut spells = Spells { rng, kind, loud: false, until: Time::MAX };
         if kind.lengths().is_some() {
-            // One draw more than in the middle of the walk, for what has passed of the first.
+            // The other way round, since a turn follows; then a part of the first one has passed already.
             spells.loud = !spells.rng.chance(kind.loud_share());
             spells.until = 0;
             spells.turn();
--- /dev/null
+++ b/crates/rehearse/src/director.rs
@@ -0,0 +1,424 @@
+//! What happens to a site and when: the events of the scenario, and what follows from them later.
+
+use crate::site::SiteOf;
+use crate::stage::{Post, Signal, Stage};
+use anyhow::Result;
+use fennelbeam_env::{Span, Time};
+use fennelbeam_model::agent::Notice;
+use fennelbeam_model::rng::Rng;
+use fennelbeam_model::scenario::{Event, Side, Which};
+use fennelbeam_model::seen::{Told, What};
+use std::collections::BTreeMap;
+
+const MS: Span = 1_000_000;
+const SECOND: Span = 1_000 * MS;
+/// Loads are taken this often.
+const SAMPLE: Span = SECOND;
+/// Processes that have ended are looked for this often.
+const LOOK: Span = 20 * MS;
+/// SIGKILL comes no sooner than the longest deadline and this after SIGTERM.
+const AFTER_DEADLINE: Span = 700 * MS;
+/// A gateway that was stopped as planned is started again after this.
+const CHANGEOVER: Span = 500 * MS;
+
+/// What is to be done at its time.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The counter takes calls from now on.
+    Open,
+    /// The event at this place of the scenario.
+    Event(usize),
+    Sample,
+    Look,
+    StartGateway(u32),
+    /// A gateway, in this process of it, has had its time to stop.
+    KillGateway(u32, u32),
+    Usual(u32),
+    Drain(u32),
+    Gone(u32),
+    HostBack(u32),
+    /// A cut, and the gateways that clients were cut from.
+    Heal(u64, Vec<u32>),
+}
+
+/// Plays a scenario's events on a site.
+pub struct Director<S: Stage> {
+    /// The site.
+    pub site: SiteOf<S>,
+    due: BTreeMap<(Time, u64), Step>,
+    next: u64,
+    /// Whether a host has been missed already after it fell.
+    missed: Vec<u32>,
+    /// What went wrong with a process of a gateway, in words.
+    pub troubles: Vec<String>,
+}
+
+impl<S: Stage> Director<S> {
+    /// The events of the site's scenario, counted from `start`.
+    pub fn new(site: SiteOf<S>, start: Time) -> Self {
+        let ats: Vec<Time> = site.scenario.events.iter().map(|timed| start + timed.at).collect();
+        let mut director =
+            Director { site, due: BTreeMap::new(), next: 0, missed: Vec::new(), troubles: Vec::new() };
+        director.plan(start, Step::Open);
+        for (place, at) in ats.into_iter().enumerate() {
+            director.plan(at, Step::Event(place));
+        }
+        director.plan(start + SAMPLE, Step::Sample);
+        director.plan(start, Step::Look);
+        director
+    }
+
+    /// When something is to be done next.
+    pub fn next_due(&self) -> Time {
+        self.due.keys().next().map_or(Time::MAX, |(at, _)| *at)
+    }
+
+    /// Does all that is due by now.
+    pub fn step(&mut self) -> Result<()> {
+        let now = self.site.stage.now();
+        while self.next_due() <= now {
+            let Some((_, step)) = self.due.pop_first() else { break };
+            self.take(now, step)?;
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self, at: Time, step: Step) {
+        self.due.insert((at, self.next), step);
+        self.next += 1;
+    }
+
+    fn take(&mut self, now: Time, step: Step) -> Result<()> {
+        match step {
+            Step::Open => self.site.counter.open(),
+            Step::Event(place) => self.event(now, place)?,
+            Step::Sample => {
+                self.sample();
+                self.plan(now + SAMPLE, Step::Sample);
+            }
+            Step::Look => {
+                self.look(now)?;
+                self.plan(now + LOOK, Step::Look);
+            }
+            Step::StartGateway(gateway) => {
+                if self.site.gateways[gateway as usize].up.is_none() {
+                    self.site.start_gateway(gateway)?;
+                }
+            }
+            Step::KillGateway(gateway, incarnation) => {
+                if self.site.gateways[gateway as usize].up == Some(incarnation) {
+                    self.signal(gateway, Signal::Kill);
+                }
+            }
+            Step::Usual(host) => self.on_host(host, |host| host.slow(1.0)),
+            Step::Drain(host) => self.drain(host),
+            Step::Gone(host) => self.stop_host(host, Notice::Given),
+            Step::HostBack(host) => {
+                if self.site.hosts[host as usize].running.is_none() {
+                    self.site.restart_host(host)?;
+                }
+            }
+            Step::Heal(cut, from_clients) => {
+                self.site.stage.heal(cut);
+                for gateway in from_clients {
+                    self.site.see(What::ClientsCut { gateway, cut: false });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, now: Time, place: usize) -> Result<()> {
+        let event = self.site.scenario.events[place].event.clone();
+        self.site.see(What::Event { text: event.to_string() });
+        let mut rng = Rng::stream(self.site.seed, "event", place as u64);
+        match event {
+            Event::KillGateways(which, outage) => {
+                for gateway in self.gateways(&which, &mut rng) {
+                    self.signal(gateway, Signal::Kill);
+                    if let Some(outage) = outage {
+                        self.plan(now + outage, Step::StartGateway(gateway));
+                    }
+                }
+            }
+            Event::RestartGateways(which) => {
+                for gateway in self.gateways(&which, &mut rng) {
+                    self.restart_gateway(now, gateway);
+                }
+            }
+            Event::ReloadGateways(which) => {
+                for gateway in self.gateways(&which, &mut rng) {
+                    self.reload_gateway(gateway)?;
+                }
+            }
+            // Clients know of it from the start.
+            Event::Traffic(..) => {}
+            Event::SlowHosts(which, times, span) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.on_host(host, |host| host.slow(times));
+                    self.plan(now + span, Step::Usual(host));
+                }
+            }
+            Event::PauseHosts(which, span) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.on_host(host, |host| host.pause(now + span));
+                }
+            }
+            Event::DrainHosts(which, over, gone_after) => {
+                let hosts = self.hosts(&which, &mut rng);
+                let all = hosts.len().max(1) as u64;
+                for (n, host) in (0..).zip(hosts) {
+                    let at = now + over / all * n;
+                    self.plan(at, Step::Drain(host));
+                    self.plan(at + gone_after, Step::Gone(host));
+                }
+            }
+            Event::KillHosts(which, outage) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.stop_host(host, Notice::Missed);
+                    if let Some(outage) = outage {
+                        self.plan(now + outage, Step::HostBack(host));
+                    }
+                }
+            }
+            Event::RestartHosts(which) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.end_host(host);
+                    self.site.restart_host(host)?;
+                }
+            }
+            Event::AddHosts(count) => {
+                for _ in 0..count {
+                    self.site.add_host(None)?;
+                }
+            }
+            Event::ReplaceHosts(which, same_address) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.stop_host(host, Notice::Given);
+                    self.site.add_host(same_address.then_some(host))?;
+                }
+            }
+            Event::Heavy(class, share, times, span) => self.heavy(now, &class, share, times, span),
+            Event::GarbleHosts(share, span) => {
+                self.site.weather.garble = Some((share, now + span));
+                self.on_all_hosts(|host| host.garble(share, now + span));
+            }
+            Event::GarbleCounter(share, span) => self.site.counter.garble(share, span),
+            Event::Cut(a, b, span, reset) => self.cut(now, &a, &b, span, reset),
+            Event::Counter(fault, span) => self.site.counter.fail(fault, span),
+            Event::Discovery(fault, span) => self.site.registry.fail(now, fault, span),
+            Event::Impatient(share, span) => self.site.clients.set_impatient(share, span),
+        }
+        Ok(())
+    }
+
+    // ---- Gateways
+
+    /// The gateways that are meant, of those that are up.
+    fn gateways(&self, which: &Which, rng: &mut Rng) -> Vec<u32> {
+        let up = |post: &u32| self.site.gateways[*post as usize].up.is_some();
+        let all = self.site.gateways.len() as u32;
+        choose(which, all, (0..all).filter(up).collect(), rng)
+    }
+
+    fn signal(&mut self, gateway: u32, signal: Signal) {
+        if signal != Signal::Reload {
+            self.site.see(What::GatewaySignalled { gateway, kill: signal == Signal::Kill });
+            self.site.gateways[gateway as usize].ending = true;
+        }
+        self.site.stage.signal(gateway, signal);
+    }
+
+    fn restart_gateway(&mut self, now: Time, gateway: u32) {
+        let longest = self.site.scenario.site.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let post = &mut self.site.gateways[gateway as usize];
+        post.again = true;
+        let Some(incarnation) = post.up else { return };
+        self.site.clients.planned_stop(gateway);
+        self.signal(gateway, Signal::Terminate);
+        self.plan(now + longest + AFTER_DEADLINE, Step::KillGateway(gateway, incarnation));
+    }
+
+    fn reload_gateway(&mut self, gateway: u32) -> Result<()> {
+        self.site.move_agent(gateway)?;
+        let incarnation = self.site.gateways[gateway as usize].up.unwrap_or(0);
+        let document = self.site.document(gateway, incarnation);
+        self.site.stage.replace_document(gateway, &document)?;
+        self.signal(gateway, Signal::Reload);
+        Ok(())
+    }
+
+    /// Takes note of processes that have ended, and of hosts that were pushed over.
+    fn look(&mut self, now: Time) -> Result<()> {
+        for exit in self.site.stage.exits() {
+            let gateway = exit.gateway;
+            let post = &mut self.site.gateways[gateway as usize];
+            if post.up != Some(exit.incarnation) {
+                continue;
+            }
+            post.up = None;
+            let (meant, again) = (post.ending && exit.error.is_none(), post.again);
+            self.site.see(What::GatewayDown { gateway, meant });
+            if let Some(error) = exit.error {
+                self.troubles.push(format!("gateway {}: {error}", gateway + 1));
+            }
+            if again {
+                self.plan(now + CHANGEOVER, Step::StartGateway(gateway));
+            }
+        }
+        self.miss_fallen();
+        Ok(())
+    }
+
+    // ---- Hosts
+
+    /// The hosts that are meant: a share is of those in service.
+    fn hosts(&self, which: &Which, rng: &mut Rng) -> Vec<u32> {
+        let in_service = self.site.in_service();
+        choose(which, in_service.len() as u32, in_service, rng)
+    }
+
+    fn on_host(&self, host: u32, act: impl Fn(&HostOf<S>)) {
+        if let Some(host) = &self.site.hosts[host as usize].running {
+            act(host);
+        }
+    }
+
+    fn on_all_hosts(&self, act: impl Fn(&HostOf<S>)) {
+        self.site.hosts.iter().filter_map(|host| host.running.as_ref()).for_each(act);
+    }
+
+    fn drain(&mut self, host: u32) {
+        if self.site.hosts[host as usize].running.is_some() {
+            self.site.hosts[host as usize].draining = true;
+            self.on_host(host, |host| host.drain());
+            self.site.tell(host, Told::Draining, Notice::Given);
+        }
+    }
+
+    /// A host's process ends, without a word to discovery.
+    fn end_host(&mut self, host: u32) {
+        if let Some(running) = self.site.hosts[host as usize].running.take() {
+            running.stop();
+        }
+    }
+
+    fn stop_host(&mut self, host: u32, notice: Notice) {
+        if self.site.hosts[host as usize].running.is_some() {
+            self.end_host(host);
+            self.site.tell(host, Told::Gone, notice);
+        }
+    }
+
+    /// A host that was pushed over has died without a word.
+    fn miss_fallen(&mut self) {
+        let fell = |host: &HostOf<S>| host.fallen();
+        let hosts = (0..).zip(&self.site.hosts);
+        let fallen = hosts.filter(|(_, host)| host.running.as_ref().is_some_and(fell));
+        let fallen: Vec<u32> = fallen.map(|(number, _)| number).collect();
+        for number in fallen {
+            if !self.missed.contains(&number) {
+                self.missed.push(number);
+                self.site.tell(number, Told::Gone, Notice::Missed);
+            }
+        }
+    }
+
+    fn sample(&self) {
+        self.on_all_hosts(|host| host.sample());
+    }
+
+    fn heavy(&mut self, now: Time, class: &str, share: f64, times: f64, span: Span) {
+        let classes = &self.site.scenario.site.classes;
+        let Some(class) = classes.iter().position(|known| known.name == class) else { return };
+        self.site.weather.heavy = Some((class, share, times, now + span));
+        self.on_all_hosts(|host| host.heavy(class, share, times, now + span));
+    }
+
+    // ---- The network
+
+    fn cut(&mut self, now: Time, a: &Side, b: &Side, span: Span, reset: bool) {
+        let (a, b) = (self.posts(a), self.posts(b));
+        let cut = self.site.stage.cut(&a, &b, reset);
+        let clients = |side: &[Post]| side.contains(&Post::Clients);
+        let others = match (clients(&a), clients(&b)) {
+            (true, _) => b,
+            (_, true) => a,
+            _ => Vec::new(),
+        };
+        let gateway = |post: Post| match post {
+            Post::Gateway(gateway) => Some(gateway),
+            _ => None,
+        };
+        let from_clients: Vec<u32> = others.into_iter().filter_map(gateway).collect();
+        for gateway in &from_clients {
+            self.site.see(What::ClientsCut { gateway: *gateway, cut: true });
+        }
+        self.plan(now + span, Step::Heal(cut, from_clients));
+    }
+
+    fn posts(&self, side: &Side) -> Vec<Post> {
+        let site = &self.site.scenario.site;
+        let places = self.site.hosts.iter().map(|host| host.place);
+        match side {
+            Side::Building(number) => {
+                let here = |n: &u32| n % site.buildings.max(1) + 1 == *number;
+                let mut posts: Vec<Post> = (0..site.gateways).filter(here).map(Post::Gateway).collect();
+                let mut places: Vec<u32> = places.filter(here).collect();
+                places.sort_unstable();
+                places.dedup();
+                posts.extend(places.into_iter().map(Post::Host));
+                // The counter stands in the first one.
+                posts.extend((*number == 1).then_some(Post::Counter));
+                posts
+            }
+            Side::Gateway(number) => vec![Post::Gateway(number - 1)],
+            Side::Host(number) => {
+                let place = self.site.hosts.get(*number as usize - 1).map(|host| host.place);
+                place.map(Post::Host).into_iter().collect()
+            }
+            Side::Counter => vec![Post::Counter],
+            Side::Clients => vec![Post::Clients],
+        }
+    }
+}
+
+type HostOf<S> = fennelbeam_standins::host::HostStandIn<<S as Stage>::Env>;
+
+/// Who is meant: a share is of `all`; whoever is drawn is drawn of the `present` ones, numbered from 0.
+fn choose(which: &Which, all: u32, mut present: Vec<u32>, rng: &mut Rng) -> Vec<u32> {
+    match which {
+        Which::All => present,
+        Which::These(these) => present.into_iter().filter(|number| these.contains(&(number + 1))).collect(),
+        Which::Share(_) | Which::Count(_) => {
+            rng.shuffle(&mut present);
+            present.truncate(which.count(all) as usize);
+            present.sort_unstable();
+            present
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn forty_one_percent_of_three_is_one_and_drawn_by_the_seed() {
+        let draw = |seed| {
+            let mut rng = Rng::stream(seed, "event", 0);
+            choose(&Which::Share(0.41), 3, vec![0, 1, 2], &mut rng)
+        };
+        assert!((0..20).all(|seed| draw(seed).len() == 1));
+        assert_eq!(draw(7), draw(7));
+        assert!((0..20).any(|seed| draw(seed) != draw(7)));
+    }
+
+    #[test]
+    fn those_that_are_named_are_meant_if_they_are_there() {
+        let mut rng = Rng::stream(1, "event", 0);
+        assert_eq!(choose(&Which::These(vec![3, 1, 9]), 3, vec![0, 2], &mut rng), [0, 2]);
+        assert_eq!(choose(&Which::Count(5), 3, vec![0, 2], &mut rng), [0, 2]);
+        assert_eq!(choose(&Which::All, 3, vec![], &mut rng), [0_u32; 0]);
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/lib.rs
@@ -0,0 +1,15 @@
+//! Rehearsals of a whole site: gateways, hosts, the counter, discovery and clients, through a scenario of
+//! failures. In virtual time the real network side runs once per gateway in one process, on a simulated
+//! network, and the same seed gives the same run to the byte; on real sockets the release program runs once
+//! per gateway, before the same stand-ins. A judge looks at what passes on the wires.
+
+mod director;
+mod play;
+mod real;
+mod site;
+mod stage;
+mod swarm;
+mod virtual_time;
+
+pub use play::{play_real, play_virtual, Played, Progress, RealOptions, VirtualOptions};
+pub use swarm::{only, random_scenario, shrink, Found, Swarm};
--- /dev/null
+++ b/crates/rehearse/src/main.rs
@@ -0,0 +1,265 @@
+//! The program that rehearses.
+
+use anyhow::{bail, Context, Result};
+use clap::Parser;
+use fennelbeam_model::file;
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_rehearse::{
+    only, play_real, play_virtual, random_scenario, Played, Progress, RealOptions, Swarm, VirtualOptions,
+};
+use fennelbeam_report::{html, json, progress, speed_line, table, Heading};
+use fennelbeam_sim::Packet;
+use std::fs::File;
+use std::io::{self, BufWriter, IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Rehearse a whole site on this machine: gateways, hosts, counter, discovery and clients.
+///
+/// Without a scenario the calm day is played, in virtual time, and a table says how it went.
+#[derive(Debug, Parser)]
+#[command(name = "fennelbeam-rehearse", version, after_help = EXIT_CODES)]
+struct CommandLine {
+    /// A scenario's file, or the name of a shipped one (see --list)
+    #[arg(default_value = "calm")]
+    scenario: String,
+    /// List the shipped scenarios
+    #[arg(long)]
+    list: bool,
+    /// All chance comes from it
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Play on real sockets and in real time, with the release program once per gateway
+    #[arg(long, conflicts_with_all = ["digest", "trace", "swarm", "swarm_site"])]
+    real: bool,
+    /// The gateway's program for --real, in place of the one beside this program
+    #[arg(long, value_name = "PROGRAM", requires = "real")]
+    gateway: Option<PathBuf>,
+    /// Keep the gateways' logs of --real in this folder
+    #[arg(long, value_name = "FOLDER", requires = "real")]
+    logs: Option<PathBuf>,
+    /// Print one hash over everything that passed on any wire, and nothing else
+    #[arg(long)]
+    digest: bool,
+    /// Write a line for everything that arrives on any wire
+    #[arg(long, value_name = "FILE")]
+    trace: Option<PathBuf>,
+    /// Write what the judge found as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write one self-contained HTML page with plots
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Play so many short random sites with random faults, until a rule breaks
+    #[arg(long, value_name = "COUNT", conflicts_with_all = ["digest", "trace"])]
+    swarm: Option<u64>,
+    /// Sites of a swarm that are played at once
+    #[arg(long, value_name = "COUNT", requires = "swarm")]
+    jobs: Option<usize>,
+    /// Play the random site with this number, as a swarm does
+    #[arg(long, value_name = "NUMBER", conflicts_with = "swarm")]
+    swarm_site: Option<u64>,
+    /// Of the events of that site, only these, counted from 1
+    #[arg(long, value_name = "PLACES", value_delimiter = ',', requires = "swarm_site")]
+    only: Option<Vec<usize>>,
+    /// Print the scenario as a file, and do not play it
+    #[arg(long)]
+    show: bool,
+    /// Log of the gateways in virtual time, to standard error: error, warn, info, debug
+    #[arg(long, value_name = "LEVEL")]
+    log: Option<tracing_subscriber::filter::LevelFilter>,
+}
+
+const EXIT_CODES: &str = "\
+Exit status: 0 all rules kept; 1 a rule was broken, or it could not be played; 2 wrong usage;
+3 a process did not give its turn back for 20 s.";
+
+fn main() -> ExitCode {
+    let line = CommandLine::parse();
+    if let Some(level) = line.log {
+        let log = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false).without_time();
+        log.with_max_level(level).init();
+    }
+    match run(&line) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("fennelbeam-rehearse: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Whether all rules were kept.
+fn run(line: &CommandLine) -> Result<bool> {
+    if line.list {
+        list();
+        return Ok(true);
+    }
+    if let Some(count) = line.swarm {
+        return Ok(swarm(line, count));
+    }
+    let (scenario, seed) = scenario(line)?;
+    if line.show {
+        print!("{}", file::to_text(&scenario));
+        return Ok(true);
+    }
+    let begun = Instant::now();
+    let played =
+        if line.real { real(line, &scenario, seed) } else { in_virtual_time(line, &scenario, seed) }?;
+    let heading = Heading {
+        title: scenario.title.clone(),
+        site: scenario.name.clone(),
+        seed,
+        length_s: scenario.length as f64 / 1e9,
+        virtual_time: !line.real,
+        wall_s: Some(begun.elapsed().as_secs_f64()),
+        digest: played.digest.map(|digest| format!("{digest:032x}")),
+    };
+    show(line, &played, &heading)?;
+    Ok(played.verdict.breaches.is_empty() && played.troubles.is_empty())
+}
+
+fn scenario(line: &CommandLine) -> Result<(Scenario, u64)> {
+    if let Some(number) = line.swarm_site {
+        let scenario = random_scenario(number);
+        let kept = line.only.as_ref().map(|kept| only(&scenario, kept));
+        return Ok((kept.unwrap_or(scenario), number));
+    }
+    let name = &line.scenario;
+    if let Some(text) = file::find(name) {
+        return Ok((file::parse(&format!("{name}.scenario"), text)?, line.seed));
+    }
+    let path = Path::new(name);
+    if !path.exists() && path.extension().is_none() {
+        bail!("no shipped scenario is called `{name}`, and there is no such file (see --list)");
+    }
+    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {name}"))?;
+    Ok((file::parse(name, &text)?, line.seed))
+}
+
+fn list() {
+    for (name, text) in file::shipped() {
+        let title = file::parse(name, text).map_or_else(|error| error.to_string(), |played| played.title);
+        println!("{name:<18} {title}");
+    }
+}
+
+fn in_virtual_time(line: &CommandLine, scenario: &Scenario, seed: u64) -> Result<Played> {
+    let trace = line.trace.as_ref().map(|path| tracer(path)).transpose()?;
+    let mut meter = Meter::new();
+    let mut told = |now: Progress| meter.tell(now);
+    let options = VirtualOptions { trace, stop_at_breach: false, progress: Some(&mut told) };
+    let played = play_virtual(scenario, seed, options);
+    meter.end();
+    played
+}
+
+fn real(line: &CommandLine, scenario: &Scenario, seed: u64) -> Result<Played> {
+    let beside = || Ok::<_, io::Error>(std::env::current_exe()?.with_file_name("fennelbeam"));
+    let program = line.gateway.clone().map_or_else(beside, Ok)?;
+    if !program.exists() {
+        bail!(
+            "there is no {}: build it with `cargo build --release`, or name one with --gateway",
+            program.display()
+        );
+    }
+    let mut meter = Meter::new();
+    let mut told = |now: Progress| meter.tell(now);
+    let options = RealOptions { program, logs: line.logs.clone(), progress: Some(&mut told) };
+    let played = play_real(scenario, seed, options);
+    meter.end();
+    played
+}
+
+/// Writes a line for each thing that arrives. What cannot be written is lost, and said once at the end.
+fn tracer(path: &Path) -> Result<Box<dyn FnMut(&Packet) + Send>> {
+    let file = File::create(path).with_context(|| format!("cannot write {}", path.display()))?;
+    let mut file = BufWriter::new(file);
+    Ok(Box::new(move |packet| {
+        let _ = writeln!(file, "{packet}");
+    }))
+}
+
+fn show(line: &CommandLine, played: &Played, heading: &Heading) -> Result<()> {
+    let write = |path: &PathBuf, text: String| {
+        std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))
+    };
+    if let Some(path) = &line.json {
+        write(path, json(&played.verdict, heading))?;
+    }
+    if let Some(path) = &line.report {
+        write(path, html(&played.verdict, heading))?;
+    }
+    if line.digest {
+        println!("{}", heading.digest.as_deref().unwrap_or("-"));
+        return Ok(());
+    }
+    print!("{}", table(&played.verdict, heading));
+    for trouble in &played.troubles {
+        println!("{trouble}");
+    }
+    if let Some(cpu) = played.gateway_cpu_s {
+        let each = cpu * 1e6 / played.tries.max(1) as f64;
+        println!("gateways: {cpu:.2} s of CPU, {each:.0} us a try");
+    }
+    if let Some(speed) = speed_line(heading) {
+        eprintln!("{speed}");
+    }
+    Ok(())
+}
+
+/// Whether no site of the swarm went wrong.
+fn swarm(line: &CommandLine, count: u64) -> bool {
+    let cores = || std::thread::available_parallelism().map_or(1, |cores| cores.get());
+    let swarm = Swarm { count, seed: line.seed, jobs: line.jobs.unwrap_or_else(cores) };
+    let (seen, begun) = (io::stderr().is_terminal(), Instant::now());
+    let found = swarm.play(&|through| {
+        if seen {
+            eprint!("\r{through} of {count} sites");
+        }
+    });
+    if seen {
+        eprintln!();
+    }
+    let Some(found) = found else {
+        println!("{count} random sites from {}: no rule broken", line.seed);
+        eprintln!("{:.1} s", begun.elapsed().as_secs_f64());
+        return true;
+    };
+    let places: Vec<String> = found.kept.iter().map(usize::to_string).collect();
+    let places = if places.is_empty() { "0".to_owned() } else { places.join(",") };
+    println!("site {}: {}", found.site, found.what);
+    for place in &found.kept {
+        let timed = &found.scenario.events[place - 1];
+        println!("  at {:.1} s: {}", timed.at as f64 / 1e9, timed.event);
+    }
+    println!("again: fennelbeam-rehearse --swarm-site {} --only {places}", found.site);
+    false
+}
+
+/// The progress line, where somebody sees it.
+struct Meter {
+    seen: bool,
+    begun: Instant,
+}
+
+impl Meter {
+    fn new() -> Meter {
+        Meter { seen: io::stderr().is_terminal(), begun: Instant::now() }
+    }
+
+    fn tell(&mut self, now: Progress) {
+        if self.seen {
+            let speed = now.done_s / self.begun.elapsed().as_secs_f64().max(1e-9);
+            eprint!("\r{}", progress(now.done_s, now.total_s, now.served, now.offered, speed));
+        }
+    }
+
+    fn end(&self) {
+        if self.seen {
+            eprintln!();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/play.rs
@@ -0,0 +1,269 @@
+//! A scenario from its first request to its last answer.
+
+use crate::director::Director;
+use crate::real::RealStage;
+use crate::site::{SiteOf, HEAD_START};
+use crate::stage::{Post, Stage};
+use crate::virtual_time::VirtualStage;
+use anyhow::Result;
+use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_judge::{Judge, Verdict};
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_model::seen::{Got, What};
+use fennelbeam_sim::{Halt, Packet, Watchdog};
+use fennelbeam_standins::Recorder;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+const SECOND: Span = 1_000_000_000;
+/// What the virtual clock shows at first: some day, at a moment where the names of counts change.
+const EPOCH: Time = 1_800_000_000 * SECOND;
+/// After the last request's time is up, the rest gets this long to come to an end.
+const TAIL: Span = 5 * SECOND;
+/// In a real rehearsal, sightings are judged this often.
+const REAL_BEAT: Span = SECOND / 100;
+/// A single turn of a simulated task may take this long on the machine's own clock.
+const STUCK: Duration = Duration::from_secs(20);
+
+/// How far a rehearsal is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Seconds from the first request.
+    pub done_s: f64,
+    /// Seconds in all.
+    pub total_s: f64,
+    /// Tries that came so far.
+    pub offered: u64,
+    /// Tries served so far.
+    pub served: u64,
+}
+
+/// Who is told how far a rehearsal is, once a second of it.
+pub type OnProgress<'a> = Option<&'a mut dyn FnMut(Progress)>;
+
+/// What a rehearsal came to.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// What the judge found.
+    pub verdict: Verdict,
+    /// The hash over everything that passed on any wire, in virtual time.
+    pub digest: Option<u128>,
+    /// What went wrong with processes of gateways, in words.
+    pub troubles: Vec<String>,
+    /// Seconds of CPU that all gateways took, on real sockets.
+    pub gateway_cpu_s: Option<f64>,
+    /// Tries that came to gateways.
+    pub tries: u64,
+}
+
+/// How to play in virtual time.
+#[derive(Default)]
+pub struct VirtualOptions<'a> {
+    /// Sees everything that arrives on any wire.
+    pub trace: Option<Box<dyn FnMut(&Packet) + Send>>,
+    /// Ends at the first broken rule.
+    pub stop_at_breach: bool,
+    /// Is told how far it is.
+    pub progress: OnProgress<'a>,
+}
+
+/// How to play on real sockets.
+pub struct RealOptions<'a> {
+    /// The gateway's program.
+    pub program: PathBuf,
+    /// Where its logs go.
+    pub logs: Option<PathBuf>,
+    /// Is told how far it is.
+    pub progress: OnProgress<'a>,
+}
+
+/// Looks at sightings as they come.
+struct Bench {
+    recorder: Recorder,
+    judge: Judge,
+    start: Time,
+    total_s: f64,
+    offered: u64,
+    served: u64,
+    told_s: u64,
+}
+
+impl Bench {
+    fn new(scenario: &Scenario, start: Time) -> Bench {
+        Bench {
+            recorder: Recorder::default(),
+            judge: Judge::new(&scenario.site, &scenario.traffic, start),
+            start,
+            total_s: scenario.length as f64 / SECOND as f64,
+            offered: 0,
+            served: 0,
+            told_s: 0,
+        }
+    }
+
+    /// Judges what has been seen. Whether a rule is broken.
+    fn judge(&mut self) -> bool {
+        for seen in self.recorder.take() {
+            match seen.what {
+                What::Asked { .. } => self.offered += 1,
+                What::Answered { got: Got::Served(true), .. } => self.served += 1,
+                _ => {}
+            }
+            self.judge.see(&seen);
+        }
+        !self.judge.breaches().is_empty()
+    }
+
+    fn tell(&mut self, now: Time, progress: &mut OnProgress<'_>) {
+        let done_s = now.saturating_sub(self.start) / SECOND;
+        let Some(progress) = progress.as_mut().filter(|_| done_s > self.told_s) else { return };
+        self.told_s = done_s;
+        progress(Progress {
+            done_s: (done_s as f64).min(self.total_s),
+            total_s: self.total_s,
+            offered: self.offered,
+            served: self.served,
+        });
+    }
+
+    /// All breaches of a run that ended early are in the verdict, too.
+    fn finish(mut self, now: Time) -> (Verdict, u64) {
+        self.judge();
+        (self.judge.finish(now), self.offered)
+    }
+}
+
+/// When all has to have ended, for a first request at `start`.
+fn end(scenario: &Scenario, start: Time) -> Time {
+    let longest = scenario.site.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    scenario.end(start) + longest * u64::from(scenario.traffic.retries + 1) + TAIL
+}
+
+/// Plays a scenario in virtual time. The same seed gives the same run to the byte.
+///
+/// # Errors
+/// Where the site cannot be put up, or a process panics or spins: the message names it.
+pub fn play_virtual(scenario: &Scenario, seed: u64, mut options: VirtualOptions<'_>) -> Result<Played> {
+    let start = EPOCH + HEAD_START;
+    let mut bench = Bench::new(scenario, start);
+    let stage = VirtualStage::new(&scenario.site, seed, EPOCH);
+    let sim = stage.sim().clone();
+    let _watchdog = Watchdog::start(&sim, STUCK, |process| {
+        eprintln!("fennelbeam-rehearse: process {process} has not given its turn back for {STUCK:?}");
+        std::process::exit(3);
+    });
+    if let Some(trace) = options.trace.take() {
+        sim.trace(trace);
+    }
+    let site = SiteOf::put_up(scenario.clone(), seed, stage, start, bench.recorder.clone())?;
+    let done = Arc::new(AtomicBool::new(false));
+    site.watch_clients(&done);
+    let director = Arc::new(Mutex::new(Director::new(site, start)));
+    let failed = Arc::new(Mutex::new(None));
+    let last = end(scenario, start);
+    let mut halted = None;
+    while !done.load(Ordering::Relaxed) && sim.now() < last {
+        let due = lock(&director).next_due().min(last);
+        let (acting, fails) = (director.clone(), failed.clone());
+        sim.at(due, move |_| {
+            if let Err(error) = lock(&acting).step() {
+                *lock(&fails) = Some(error);
+            }
+        });
+        if let Err(halt) = sim.run_until(due) {
+            halted = Some(halt);
+            break;
+        }
+        if let Some(error) = lock(&failed).take() {
+            return Err(error);
+        }
+        let broken = bench.judge();
+        if broken && options.stop_at_breach {
+            break;
+        }
+        bench.tell(sim.now(), &mut options.progress);
+    }
+    let troubles = std::mem::take(&mut lock(&director).troubles);
+    drop(director);
+    if let Some(halt) = halted {
+        return Err(Halt::into(halt));
+    }
+    let (verdict, tries) = bench.finish(sim.now());
+    Ok(Played { verdict, digest: Some(sim.digest()), troubles, gateway_cpu_s: None, tries })
+}
+
+/// Plays a scenario on real sockets and in real time.
+///
+/// # Errors
+/// Where the site cannot be put up, or the program cannot be started.
+pub fn play_real(scenario: &Scenario, seed: u64, options: RealOptions<'_>) -> Result<Played> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(real(scenario, seed, options))
+}
+
+async fn real(scenario: &Scenario, seed: u64, mut options: RealOptions<'_>) -> Result<Played> {
+    let stage = RealStage::new(&scenario.site, &options.program, options.logs)?;
+    let env = stage.env();
+    let start = env.now() + HEAD_START;
+    let mut bench = Bench::new(scenario, start);
+    let site = SiteOf::put_up(scenario.clone(), seed, stage, start, bench.recorder.clone())?;
+    let done = Arc::new(AtomicBool::new(false));
+    site.watch_clients(&done);
+    let mut director = Director::new(site, start);
+    let last = end(scenario, start);
+    while !done.load(Ordering::Relaxed) && env.now() < last {
+        env.sleep_until(director.next_due().min(env.now() + REAL_BEAT)).await;
+        director.step()?;
+        director.be_silent();
+        bench.judge();
+        bench.tell(env.now(), &mut options.progress);
+    }
+    let cpu = director.site.stage.cpu_s();
+    let (verdict, tries) = bench.finish(env.now());
+    let troubles = std::mem::take(&mut director.troubles);
+    Ok(Played { verdict, digest: None, troubles, gateway_cpu_s: Some(cpu), tries })
+}
+
+impl Director<RealStage> {
+    /// Lets stand-ins do what a cut network would.
+    fn be_silent(&mut self) {
+        for silence in std::mem::take(&mut self.site.stage.silences) {
+            let gateway = silence.gateway;
+            match silence.post {
+                Post::Counter => {
+                    self.site.counter.set_silent(gateway, silence.silent);
+                    if silence.reset {
+                        self.site.counter.reset_gateway(gateway);
+                    }
+                }
+                Post::Host(place) => {
+                    let there = self.site.hosts.iter().filter(|host| host.place == place);
+                    for host in there.filter_map(|host| host.running.as_ref()) {
+                        host.set_silent(gateway, silence.silent);
+                        if silence.reset {
+                            host.reset_gateway(gateway);
+                        }
+                    }
+                }
+                Post::Gateway(_) | Post::Clients => {}
+            }
+        }
+    }
+}
+
+impl<S: Stage> SiteOf<S> {
+    /// Sets a flag when all clients are through.
+    fn watch_clients(&self, done: &Arc<AtomicBool>) {
+        let (clients, done) = (self.clients.waiter(), done.clone());
+        self.stage.process(Post::Clients, "end").spawn(async move {
+            clients.await;
+            done.store(true, Ordering::Relaxed);
+        });
+    }
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rehearse/src/site.rs
@@ -0,0 +1,344 @@
+//! The stand-ins of a site, and what is known of its machines.
+
+use crate::stage::{Post, Stage};
+use anyhow::{Context, Result};
+use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_model::agent::{Member, Notice, Registry};
+use fennelbeam_model::draw::Draws;
+use fennelbeam_model::rng::Rng;
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_model::seen::{Told, What};
+use fennelbeam_model::settings::{building, document, machine_type, Start};
+use fennelbeam_model::traffic::Scale;
+use fennelbeam_standins::agent::{AgentConfig, AgentStandIn, SharedRegistry};
+use fennelbeam_standins::client::{ClientConfig, Clients};
+use fennelbeam_standins::counter::{CounterConfig, CounterStandIn};
+use fennelbeam_standins::host::{HostConfig, HostStandIn, Settled};
+use fennelbeam_standins::Recorder;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// Connections that the front has to a gateway at the most: the platform's clients hold a third of the
+/// descriptors for requests.
+const FRONT_SHARE: u32 = 3;
+
+/// A host of the site, in the order of their coming.
+pub struct Machine<E: Env> {
+    /// Its id in discovery.
+    pub id: String,
+    /// The machine that it stands on: the number of the host that first stood there.
+    pub place: u32,
+    /// Where each gateway reaches it.
+    pub addrs: Vec<SocketAddr>,
+    /// The running stand-in; `None`: it is gone.
+    pub running: Option<HostStandIn<E>>,
+    /// It has been told to drain.
+    pub draining: bool,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    pub started_ms: u64,
+}
+
+/// A gateway of the site.
+pub struct GatewayPost<E: Env> {
+    /// Its agent of discovery.
+    pub agent: AgentStandIn<E>,
+    /// Its process, counted from 0; `None`: it is down.
+    pub up: Option<u32>,
+    /// Processes that it has had.
+    pub starts: u32,
+    /// Its end is the scenario's doing.
+    pub ending: bool,
+    /// It is to be started again as soon as it has ended.
+    pub again: bool,
+}
+
+/// What is at work for a while, also on hosts that come meanwhile.
+#[derive(Clone, Debug, Default)]
+pub struct Weather {
+    /// This share of the hosts' answers comes spoilt, until then.
+    pub garble: Option<(f64, Time)>,
+    /// This share of a class's requests, by its position, costs so many times the usual work, until then.
+    pub heavy: Option<(usize, f64, f64, Time)>,
+}
+
+/// All stand-ins of a site, and its gateways.
+pub struct SiteOf<S: Stage> {
+    /// What is played.
+    pub scenario: Scenario,
+    /// All chance comes from it.
+    pub seed: u64,
+    /// The stage.
+    pub stage: S,
+    /// The truth of discovery.
+    pub registry: SharedRegistry,
+    /// The counter.
+    pub counter: CounterStandIn<S::Env>,
+    /// All hosts that there have been.
+    pub hosts: Vec<Machine<S::Env>>,
+    /// The gateways.
+    pub gateways: Vec<GatewayPost<S::Env>>,
+    /// The clients.
+    pub clients: Clients<S::Env>,
+    /// What is at work for a while.
+    pub weather: Weather,
+    recorder: Recorder,
+    draws: Draws,
+    settled: Settled,
+}
+
+impl<S: Stage> SiteOf<S> {
+    /// Puts up a site whose clients begin at `start`. Its gateways are started, and given until then to get
+    /// ready.
+    pub fn put_up(
+        scenario: Scenario,
+        seed: u64,
+        mut stage: S,
+        start: Time,
+        recorder: Recorder,
+    ) -> Result<Self> {
+        let draws = Draws::new(seed, &scenario.traffic);
+        let settled = Settled::default();
+        let site = scenario.site.clone();
+        let mut hosts = Vec::new();
+        let maker =
+            Maker { scenario: &scenario, seed, draws: &draws, settled: &settled, recorder: &recorder };
+        for number in 0..site.hosts {
+            let host = maker.host(&stage, number, number, &[], false);
+            hosts.push(host.with_context(|| format!("cannot put up host {}", number + 1))?);
+        }
+        let members = hosts.iter().enumerate().map(|(n, host)| member(&scenario, n as u32, host)).collect();
+        let registry = Registry::new(&site.discovery, seed, site.gateways, members);
+        let registry = SharedRegistry::new(registry);
+        let counter = CounterStandIn::start(
+            stage.process(Post::Counter, "counter"),
+            CounterConfig {
+                spec: site.counter.clone(),
+                seed,
+                listen: vec![stage.address(Post::Counter); site.gateways as usize],
+                recorder: recorder.clone(),
+                lag: stage.lag(Post::Counter),
+            },
+        );
+        let counter = counter.context("cannot put up the counter")?;
+        let mut gateways = Vec::new();
+        for gateway in 0..site.gateways {
+            let agent = start_agent(&stage, &registry, gateway, &recorder)?;
+            gateways.push(GatewayPost { agent, up: None, starts: 0, ending: false, again: false });
+        }
+        let clients = Clients::start(
+            stage.process(Post::Clients, "clients"),
+            ClientConfig {
+                site: site.clone(),
+                traffic: scenario.traffic.clone(),
+                draws: draws.clone(),
+                seed,
+                gateways: (0..site.gateways).map(|gateway| stage.gateway_address(gateway)).collect(),
+                scales: Scale::of(&scenario.events),
+                start,
+                length: scenario.length,
+                recorder: recorder.clone(),
+                most_connections: (site.sockets / FRONT_SHARE) as usize,
+            },
+        );
+        let weather = Weather::default();
+        // The stage is moved in last: what borrows it above is done.
+        stage.exits();
+        let mut put_up = SiteOf {
+            scenario,
+            seed,
+            stage,
+            registry,
+            counter,
+            hosts,
+            gateways,
+            clients,
+            weather,
+            recorder,
+            draws,
+            settled,
+        };
+        (0..site.gateways).try_for_each(|gateway| put_up.start_gateway(gateway))?;
+        Ok(put_up)
+    }
+
+    /// Writes down a sighting of now.
+    pub fn see(&self, what: What) {
+        self.recorder.see(self.stage.now(), what);
+    }
+
+    /// Starts a gateway's process, with nothing but the list of hosts that its agent has.
+    pub fn start_gateway(&mut self, gateway: u32) -> Result<()> {
+        let post = &mut self.gateways[gateway as usize];
+        let incarnation = post.starts;
+        post.starts += 1;
+        post.up = Some(incarnation);
+        post.ending = false;
+        post.again = false;
+        let document = self.document(gateway, incarnation);
+        self.stage
+            .start_gateway(gateway, incarnation, &document)
+            .with_context(|| format!("cannot start gateway {}", gateway + 1))?;
+        self.see(What::GatewayUp { gateway });
+        Ok(())
+    }
+
+    /// The configuration document of a gateway, as of now.
+    pub fn document(&self, gateway: u32, incarnation: u32) -> Value {
+        let now = self.stage.now();
+        let known = self.registry.list(now, gateway).and_then(|text| serde_json::from_str(&text).ok());
+        let mut rng = Rng::stream(self.seed, "gateway", u64::from(gateway) << 32 | u64::from(incarnation));
+        let start = Start {
+            name: format!("n{gateway}"),
+            listen: self.stage.gateway_address(gateway),
+            discovery: self.gateways[gateway as usize].agent.addr(),
+            counter: self.counter.addrs()[gateway as usize],
+            seed: rng.bits(),
+            known: known.unwrap_or_else(|| json!({"generation": 0, "reset": true, "instances": []})),
+        };
+        document(&self.scenario, gateway, &start)
+    }
+
+    /// Moves a gateway's agent to another address; the old one closes a while later.
+    pub fn move_agent(&mut self, gateway: u32) -> Result<()> {
+        let agent = start_agent(&self.stage, &self.registry, gateway, &self.recorder)?;
+        let old = std::mem::replace(&mut self.gateways[gateway as usize].agent, agent);
+        old.retire();
+        Ok(())
+    }
+
+    /// A new host comes, cold; at a place where another was, or at one of its own.
+    pub fn add_host(&mut self, place: Option<u32>) -> Result<u32> {
+        let number = self.hosts.len() as u32;
+        let addrs = place.map_or(Vec::new(), |old| self.hosts[old as usize].addrs.clone());
+        let place = place.map_or(number, |old| self.hosts[old as usize].place);
+        let host = self.maker().host(&self.stage, number, place, &addrs, true)?;
+        self.hosts.push(host);
+        self.weather_on(number);
+        self.tell(number, Told::InService, Notice::Given);
+        Ok(number)
+    }
+
+    /// A host's process starts anew where it was, cold.
+    pub fn restart_host(&mut self, number: u32) -> Result<()> {
+        let old = &self.hosts[number as usize];
+        let (place, addrs, id) = (old.place, old.addrs.clone(), old.id.clone());
+        let mut host = self.maker().host(&self.stage, number, place, &addrs, true)?;
+        host.id = id;
+        self.hosts[number as usize] = host;
+        self.weather_on(number);
+        self.tell(number, Told::InService, Notice::Given);
+        Ok(())
+    }
+
+    /// Discovery gets to know how a host is now.
+    pub fn tell(&self, number: u32, lifecycle: Told, notice: Notice) {
+        let mut member = member(&self.scenario, number, &self.hosts[number as usize]);
+        member.lifecycle = lifecycle;
+        self.registry.change(self.stage.now(), member, notice);
+    }
+
+    /// Numbers of the hosts that run and are not told to go.
+    pub fn in_service(&self) -> Vec<u32> {
+        let runs = |host: &Machine<S::Env>| host.running.is_some() && !host.draining;
+        (0..).zip(&self.hosts).filter(|(_, host)| runs(host)).map(|(number, _)| number).collect()
+    }
+
+    fn maker(&self) -> Maker<'_> {
+        Maker {
+            scenario: &self.scenario,
+            seed: self.seed,
+            draws: &self.draws,
+            settled: &self.settled,
+            recorder: &self.recorder,
+        }
+    }
+
+    /// What is at work for a while is at work on this host too.
+    fn weather_on(&self, number: u32) {
+        let Some(host) = &self.hosts[number as usize].running else { return };
+        if let Some((share, until)) = self.weather.garble {
+            host.garble(share, until);
+        }
+        if let Some((class, share, times, until)) = self.weather.heavy {
+            host.heavy(class, share, times, until);
+        }
+    }
+}
+
+/// What it takes to make a host.
+struct Maker<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    draws: &'a Draws,
+    settled: &'a Settled,
+    recorder: &'a Recorder,
+}
+
+impl Maker<'_> {
+    /// A host that listens at these addresses, or at new ones of its place.
+    fn host<S: Stage>(
+        &self,
+        stage: &S,
+        number: u32,
+        place: u32,
+        addrs: &[SocketAddr],
+        cold: bool,
+    ) -> Result<Machine<S::Env>> {
+        let site = &self.scenario.site;
+        let post = Post::Host(place);
+        let listen = match addrs {
+            [] => vec![stage.address(post); site.gateways as usize],
+            old => old.to_vec(),
+        };
+        let config = HostConfig {
+            number,
+            spec: site.host.clone(),
+            rules: site.rules.clone(),
+            classes: site.classes.clone(),
+            draws: self.draws.clone(),
+            seed: self.seed,
+            cold,
+            listen,
+            recorder: self.recorder.clone(),
+            lag: stage.lag(post),
+            settled: self.settled.clone(),
+        };
+        let started_ms = if cold { stage.now() / 1_000_000 } else { 0 };
+        let running = HostStandIn::start(stage.process(post, &format!("host {}", number + 1)), config)?;
+        let addrs = running.addrs();
+        let id = format!("s-{:08x}", Rng::stream(self.seed, "host id", u64::from(number)).bits() as u32);
+        Ok(Machine { id, place, addrs, running: Some(running), draining: false, started_ms })
+    }
+}
+
+fn start_agent<S: Stage>(
+    stage: &S,
+    registry: &SharedRegistry,
+    gateway: u32,
+    recorder: &Recorder,
+) -> Result<AgentStandIn<S::Env>> {
+    let post = Post::Gateway(gateway);
+    let listen = stage.address(post);
+    let config = AgentConfig { registry: registry.clone(), gateway, listen, recorder: recorder.clone() };
+    let agent = AgentStandIn::start(stage.process(post, &format!("agent {}", gateway + 1)), config);
+    agent.with_context(|| format!("cannot put up the agent of gateway {}", gateway + 1))
+}
+
+/// A host as discovery knows it. Cells are of three hosts of one building.
+fn member<E: Env>(scenario: &Scenario, number: u32, host: &Machine<E>) -> Member {
+    let buildings = scenario.site.buildings.max(1);
+    Member {
+        id: host.id.clone(),
+        host: number,
+        addrs: host.addrs.clone(),
+        zone: building(host.place % buildings),
+        machine_type: machine_type(scenario),
+        cell: host.place / buildings / 3 * buildings + host.place % buildings,
+        lifecycle: Told::InService,
+        weight: 1.0,
+        started_ms: host.started_ms,
+    }
+}
+
+/// Time that a site gets to start up before its clients begin.
+pub const HEAD_START: Span = 2_000_000_000;
--- /dev/null
+++ b/crates/rehearse/src/stage.rs
@@ -0,0 +1,81 @@
+//! Where a site is played: machines, gateways and the network between them. The virtual stage has them all
+//! in one process; the real one starts the release program once per gateway on loopback sockets.
+
+use fennelbeam_env::{Env, Span, Time};
+use serde_json::Value;
+use std::io;
+use std::net::SocketAddr;
+
+/// A machine of the site. Numbers are counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Post {
+    /// Of a gateway, and of its agent of discovery.
+    Gateway(u32),
+    /// Of a host, by its place: a host that comes at the address of another stands on its machine.
+    Host(u32),
+    /// Of the counter.
+    Counter,
+    /// Of all clients.
+    Clients,
+}
+
+/// A gateway's process that has ended.
+#[derive(Clone, Debug)]
+pub struct Exit {
+    /// Which gateway.
+    pub gateway: u32,
+    /// Which of its processes, counted from 0.
+    pub incarnation: u32,
+    /// Why, where it was not in the ordinary way.
+    pub error: Option<String>,
+}
+
+/// What a process of a gateway is told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGHUP.
+    Reload,
+    /// SIGTERM.
+    Terminate,
+    /// SIGKILL.
+    Kill,
+}
+
+/// Where a site is played.
+pub trait Stage {
+    /// The world that the stand-ins run in.
+    type Env: Env;
+
+    /// A new process for a stand-in on this machine.
+    fn process(&self, post: Post, name: &str) -> Self::Env;
+
+    /// Where a stand-in on this machine may listen; port 0 takes a free one.
+    fn address(&self, post: Post) -> SocketAddr;
+
+    /// Where a gateway listens, the same after each start.
+    fn gateway_address(&self, gateway: u32) -> SocketAddr;
+
+    /// The way that messages of a stand-in at this machine take beside what the network does by itself.
+    fn lag(&self, post: Post) -> Span;
+
+    /// Starts a gateway's process with this configuration document.
+    fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()>;
+
+    /// Puts another document in the place of a gateway's.
+    fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()>;
+
+    /// Signals a gateway's process.
+    fn signal(&mut self, gateway: u32, signal: Signal);
+
+    /// Processes of gateways that have ended since this was last asked.
+    fn exits(&mut self) -> Vec<Exit>;
+
+    /// Parts two sides from one another; true: with resets. Gives a number to heal it by.
+    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64;
+
+    /// Takes a cut away.
+    fn heal(&mut self, cut: u64);
+
+    /// Now.
+    fn now(&self) -> Time;
+}
--- /dev/null
+++ b/crates/rehearse/src/virtual_time.rs
@@ -0,0 +1,162 @@
+//! The virtual stage: the real network side, once per gateway, in processes of a simulated machine room.
+
+use crate::stage::{Exit, Post, Signal, Stage};
+use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_gateway::{serve, Config};
+use fennelbeam_model::scenario::{NetworkSpec, Site};
+use fennelbeam_sim::{Cut, CutId, Machine, Place, ProcessId, Sim, SimConfig, SimEnv};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc::{self, UnboundedSender};
+
+/// Where gateways listen on their machines.
+const PORT: u16 = 6379;
+
+/// A gateway's process that runs.
+struct Running {
+    process: ProcessId,
+    incarnation: u32,
+    signals: UnboundedSender<fennelbeam_gateway::Signal>,
+    document: Arc<Mutex<String>>,
+}
+
+/// A stage in virtual time.
+pub struct VirtualStage {
+    sim: Sim,
+    buildings: u32,
+    descriptors: usize,
+    machines: Arc<Mutex<BTreeMap<Post, Machine>>>,
+    running: BTreeMap<u32, Running>,
+    exits: Arc<Mutex<Vec<Exit>>>,
+    cuts: BTreeMap<u64, CutId>,
+    next_cut: u64,
+}
+
+impl VirtualStage {
+    /// An empty one whose clock shows `start`.
+    pub fn new(site: &Site, seed: u64, start: Time) -> VirtualStage {
+        let network: NetworkSpec = site.network.clone();
+        VirtualStage {
+            sim: Sim::new(SimConfig { seed, start, network }),
+            buildings: site.buildings.max(1),
+            descriptors: site.sockets as usize,
+            machines: Arc::default(),
+            running: BTreeMap::new(),
+            exits: Arc::default(),
+            cuts: BTreeMap::new(),
+            next_cut: 0,
+        }
+    }
+
+    /// The machine room.
+    pub fn sim(&self) -> &Sim {
+        &self.sim
+    }
+
+    fn machine(&self, post: Post) -> Machine {
+        let place = |number: u32| Place::Building(number % self.buildings);
+        let (name, place) = match post {
+            Post::Gateway(number) => (format!("gateway {}", number + 1), place(number)),
+            Post::Host(number) => (format!("host {}", number + 1), place(number)),
+            Post::Counter => ("counter".to_owned(), place(0)),
+            Post::Clients => ("clients".to_owned(), Place::Client),
+        };
+        lock(&self.machines).entry(post).or_insert_with(|| self.sim.machine(&name, place)).clone()
+    }
+
+    fn end(&mut self, gateway: u32) {
+        let Some(running) = self.running.remove(&gateway) else { return };
+        self.sim.kill(running.process);
+        lock(&self.exits).push(Exit { gateway, incarnation: running.incarnation, error: None });
+    }
+}
+
+impl Stage for VirtualStage {
+    type Env = SimEnv;
+
+    fn process(&self, post: Post, name: &str) -> SimEnv {
+        self.machine(post).process(name)
+    }
+
+    fn address(&self, post: Post) -> SocketAddr {
+        SocketAddr::new(self.machine(post).ip(), 0)
+    }
+
+    fn gateway_address(&self, gateway: u32) -> SocketAddr {
+        SocketAddr::new(self.machine(Post::Gateway(gateway)).ip(), PORT)
+    }
+
+    fn lag(&self, _post: Post) -> Span {
+        0
+    }
+
+    fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()> {
+        let name = format!("gateway {}.{incarnation}", gateway + 1);
+        let env = self.machine(Post::Gateway(gateway)).process(&name);
+        env.set_descriptors(self.descriptors);
+        let document = Arc::new(Mutex::new(document.to_string()));
+        let config = Config::parse(lock(&document).as_bytes()).map_err(io::Error::other)?;
+        let (signals, inbox) = mpsc::unbounded_channel();
+        let again = document.clone();
+        let again = move || Config::parse(lock(&again).as_bytes());
+        let (exits, own) = (self.exits.clone(), env.clone());
+        env.spawn(async move {
+            let ended = serve(own.clone(), config, again, inbox).await;
+            let error = ended.err().map(|error| format!("{error:#}"));
+            lock(&exits).push(Exit { gateway, incarnation, error });
+            own.exit();
+        });
+        let process = env.process_id();
+        self.running.insert(gateway, Running { process, incarnation, signals, document });
+        Ok(())
+    }
+
+    fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()> {
+        if let Some(running) = self.running.get(&gateway) {
+            *lock(&running.document) = document.to_string();
+        }
+        Ok(())
+    }
+
+    fn signal(&mut self, gateway: u32, signal: Signal) {
+        let told = match signal {
+            Signal::Kill => return self.end(gateway),
+            Signal::Reload => fennelbeam_gateway::Signal::Reload,
+            Signal::Terminate => fennelbeam_gateway::Signal::Terminate,
+        };
+        if let Some(running) = self.running.get(&gateway) {
+            // One that has ended takes none.
+            let _ = running.signals.send(told);
+        }
+    }
+
+    fn exits(&mut self) -> Vec<Exit> {
+        std::mem::take(&mut *lock(&self.exits))
+    }
+
+    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64 {
+        let ids = |side: &[Post]| side.iter().map(|post| self.machine(*post).id()).collect();
+        let how = if reset { Cut::Reset } else { Cut::Silent };
+        let cut = self.sim.cut(ids(a), ids(b), how);
+        self.next_cut += 1;
+        self.cuts.insert(self.next_cut, cut);
+        self.next_cut
+    }
+
+    fn heal(&mut self, cut: u64) {
+        if let Some(cut) = self.cuts.remove(&cut) {
+            self.sim.heal(cut);
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.sim.now()
+    }
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/report/src/facts.rs
@@ -0,0 +1,384 @@
+//! The figures as tables, the same for the terminal and the page.
+
+use crate::number::{count, fixed, percent, share, NONE};
+use crate::rules;
+use crate::words::clip;
+use fennelbeam_judge::{Counts, CustomerFigures, HostFigures, Verdict};
+
+/// Customers shown in a table of them.
+const CUSTOMERS: usize = 5;
+/// Hosts shown one by one.
+const HOSTS: usize = 24;
+/// Classes and plans shown one by one.
+const NAMES: usize = 24;
+/// Characters of a plan's name in a plot.
+const NAME: usize = 40;
+/// Characters of a plan's name beside a customer's number, which takes much room itself.
+const PLAN: usize = 12;
+/// Notes shown one by one.
+const NOTES: usize = 10;
+
+/// A column.
+pub(crate) struct Column {
+    /// What is in it. A `|` is where the terminal breaks the line.
+    pub label: &'static str,
+    /// Words, which stand to the left, rather than numbers.
+    pub words: bool,
+}
+
+impl Column {
+    /// The label in one line.
+    pub(crate) fn line(&self) -> String {
+        self.label.replace('|', " ")
+    }
+}
+
+/// A row.
+#[derive(Default)]
+pub(crate) struct Row {
+    /// As many as there are columns; raw text, which may come from files.
+    pub cells: Vec<String>,
+    /// It tells of something that went wrong.
+    pub bad: bool,
+}
+
+/// A table.
+pub(crate) struct Section {
+    /// Its heading.
+    pub title: &'static str,
+    /// Its columns.
+    pub columns: Vec<Column>,
+    /// Its rows.
+    pub rows: Vec<Row>,
+    /// Rows left out.
+    pub more: usize,
+    /// The first column holds names of figures of ours, not of the site's parts.
+    pub fixed_rows: bool,
+    /// Its rows are sentences; it has no columns.
+    pub running: bool,
+}
+
+impl Section {
+    /// A table with no rows yet; labels that begin with `<` are of columns of words.
+    fn new(title: &'static str, labels: &[&'static str]) -> Section {
+        let columns = labels
+            .iter()
+            .map(|label| match label.strip_prefix('<') {
+                Some(label) => Column { label, words: true },
+                None => Column { label, words: false },
+            })
+            .collect();
+        Section { title, columns, rows: Vec::new(), more: 0, fixed_rows: false, running: false }
+    }
+
+    fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(Row { cells: cells.into_iter().collect(), bad: false });
+    }
+}
+
+/// All tables, in the order in which they are shown.
+pub(crate) fn sections(verdict: &Verdict) -> Vec<Section> {
+    let mut sections = vec![
+        requests(verdict),
+        latency(verdict),
+        by_class_and_plan(verdict),
+        worth(verdict),
+        calls(verdict),
+        quotas(verdict),
+        beyond(verdict),
+        refused_longest(verdict),
+        hosts(verdict),
+    ];
+    if !verdict.notes.is_empty() {
+        sections.push(notes(verdict));
+    }
+    sections
+}
+
+/// The verdict in two sentences: rules, then figures.
+pub(crate) fn sentences(verdict: &Verdict) -> (String, String) {
+    let counts = &verdict.counts;
+    let asked = counts.asked as f64;
+    let figures = if counts.asked == 0 {
+        "Nothing was asked.".into()
+    } else {
+        format!(
+            "{} % of what was asked was served, {} % within its aim; the site's figure is {}.",
+            percent(counts.served as f64, asked),
+            percent(counts.in_aim as f64, asked),
+            fixed(verdict.worth, 3)
+        )
+    };
+    (rules::sentence(verdict), figures)
+}
+
+/// The name of a plan, by its position; clipped, since it stands in many places.
+pub(crate) fn plan_name(verdict: &Verdict, plan: usize) -> String {
+    match verdict.plans.get(plan) {
+        Some(figures) if !figures.name.is_empty() => clip(&figures.name, NAME),
+        _ => format!("plan {plan}"),
+    }
+}
+
+fn requests(verdict: &Verdict) -> Section {
+    let mut section = Section::new("Requests", &["<", "number", "% of asked"]);
+    section.fixed_rows = true;
+    let counts = &verdict.counts;
+    let kinds = [
+        ("asked", counts.asked),
+        ("served", counts.served),
+        ("within the aim", counts.in_aim),
+        ("refused", counts.refused),
+        ("failed", counts.failed),
+        ("left", counts.left),
+    ];
+    for (kind, number) in kinds {
+        section.row([kind.into(), count(number), percent(number as f64, counts.asked as f64)]);
+    }
+    section
+}
+
+fn by_class_and_plan(verdict: &Verdict) -> Section {
+    let labels = ["<", "<name", "asked", "served", "within|the aim", "refused", "failed", "left"];
+    let mut section = Section::new("Requests by class and plan, % of asked", &labels);
+    let classes = verdict.classes.iter().take(NAMES).map(|class| ("class", &class.name, &class.counts));
+    let plans = verdict.plans.iter().take(NAMES).map(|plan| ("plan", &plan.name, &plan.counts));
+    for (kind, name, counts) in classes.chain(plans) {
+        section.row([kind.into(), name.clone()].into_iter().chain(shares(counts)));
+    }
+    section.more = verdict.classes.len().saturating_sub(NAMES) + verdict.plans.len().saturating_sub(NAMES);
+    section
+}
+
+/// Things asked for, and the rest as shares of them.
+fn shares(counts: &Counts) -> Vec<String> {
+    let of_asked = |number: u64| percent(number as f64, counts.asked as f64);
+    vec![
+        count(counts.asked),
+        of_asked(counts.served),
+        of_asked(counts.in_aim),
+        of_asked(counts.refused),
+        of_asked(counts.failed),
+        of_asked(counts.left),
+    ]
+}
+
+fn latency(verdict: &Verdict) -> Section {
+    let mut section =
+        Section::new("Latency of served tries, ms", &["<class", "p50", "p95", "p99", "longest"]);
+    for class in verdict.classes.iter().take(NAMES) {
+        let latency = &class.latency;
+        // A class without served tries has no latencies, and 0 ms would read as a good one.
+        let ms = |value: f64| if class.counts.served == 0 { NONE.into() } else { fixed(value, 0) };
+        let times = [latency.p50_ms, latency.p95_ms, latency.p99_ms, latency.max_ms].map(ms);
+        section.row([class.name.clone()].into_iter().chain(times));
+    }
+    section.more = verdict.classes.len().saturating_sub(NAMES);
+    section
+}
+
+fn worth(verdict: &Verdict) -> Section {
+    let mut section = Section::new("Worth, 1 at the most", &["<", "worth", "part, %"]);
+    section.fixed_rows = true;
+    let parts = [
+        ("whole run", verdict.worth_whole, "55"),
+        ("worst 10 s", verdict.worth_worst_10s, "20"),
+        ("worst plan", verdict.worth_worst_plan, "25"),
+        ("the site's figure", verdict.worth, "100"),
+    ];
+    for (name, value, part) in parts {
+        section.row([name.into(), fixed(value, 3), part.into()]);
+    }
+    section
+}
+
+fn quotas(verdict: &Verdict) -> Section {
+    let labels = [
+        "<plan",
+        "customers",
+        "units|asked",
+        "units|passed",
+        "units|beyond",
+        "beyond,|% of passed",
+        "worth,|%",
+        "refused with|room, %",
+    ];
+    let mut section = Section::new("Quotas by plan", &labels);
+    for plan in verdict.plans.iter().take(NAMES) {
+        section.row([
+            plan.name.clone(),
+            count(plan.customers),
+            fixed(plan.asked_units, 0),
+            fixed(plan.passed_units, 0),
+            fixed(plan.beyond_units, 0),
+            percent(plan.beyond_units, plan.passed_units),
+            share(plan.worth_share),
+            share(plan.refused_with_room),
+        ]);
+    }
+    section.more = verdict.plans.len().saturating_sub(NAMES);
+    section
+}
+
+fn beyond(verdict: &Verdict) -> Section {
+    let customers = verdict.customers.iter().filter(|customer| customer.beyond_units > 0.0);
+    customers_table("Customers furthest beyond their quota", verdict, customers.collect())
+}
+
+fn refused_longest(verdict: &Verdict) -> Section {
+    let refused = |customer: &&CustomerFigures| customer.longest_refused_s > 0.0;
+    let mut customers: Vec<&CustomerFigures> = verdict.customers.iter().filter(refused).collect();
+    customers.sort_by(|a, b| b.longest_refused_s.total_cmp(&a.longest_refused_s));
+    customers_table("Customers refused longest with units left", verdict, customers)
+}
+
+fn customers_table(title: &'static str, verdict: &Verdict, customers: Vec<&CustomerFigures>) -> Section {
+    let labels = [
+        "<customer",
+        "<plan",
+        "units|asked",
+        "units|allowed",
+        "units|passed",
+        "units|beyond",
+        "refused,|%",
+        "refused|for, s",
+    ];
+    let mut section = Section::new(title, &labels);
+    for customer in customers.iter().take(CUSTOMERS) {
+        section.row([
+            customer_name(customer.customer),
+            clip(&plan_name(verdict, customer.plan as usize), PLAN),
+            fixed(customer.asked_units, 0),
+            fixed(customer.allowed_units, 0),
+            fixed(customer.passed_units, 0),
+            fixed(customer.beyond_units, 1),
+            percent(customer.refused as f64, customer.asked as f64),
+            fixed(customer.longest_refused_s, 1),
+        ]);
+    }
+    section.more = customers.len().saturating_sub(CUSTOMERS);
+    section
+}
+
+fn hosts(verdict: &Verdict) -> Section {
+    let labels = ["<host", "received", "served", "turned|away", "connections", "fell"];
+    let mut section = Section::new("Hosts", &labels);
+    for host in shown_hosts(&verdict.hosts) {
+        section.row(host_cells(host_name(host.host), host, if host.fell { "fell" } else { "" }));
+        if let Some(row) = section.rows.last_mut() {
+            row.bad = host.fell;
+        }
+    }
+    section.more = verdict.hosts.len().saturating_sub(HOSTS);
+    if !verdict.hosts.is_empty() {
+        let fell = verdict.hosts.iter().filter(|host| host.fell).count();
+        section.row(host_cells("all".into(), &all_hosts(&verdict.hosts), &count(fell as u64)));
+    }
+    section
+}
+
+fn host_cells(name: String, host: &HostFigures, fell: &str) -> Vec<String> {
+    let numbers = [host.received, host.served, host.turned_away, host.connections].map(count);
+    [name].into_iter().chain(numbers).chain([fell.to_owned()]).collect()
+}
+
+/// A customer's number as it stands on the wire, and in the texts of breaches.
+fn customer_name(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// A host's number, as in the texts of breaches.
+pub(crate) fn host_name(number: u32) -> String {
+    number.to_string()
+}
+
+/// Those that fit; where not all do, first those that fell and then the ones that got most. In order of their
+/// numbers.
+fn shown_hosts(hosts: &[HostFigures]) -> Vec<&HostFigures> {
+    let mut shown: Vec<&HostFigures> = hosts.iter().collect();
+    shown.sort_by_key(|host| (!host.fell, std::cmp::Reverse(host.received), host.host));
+    shown.truncate(HOSTS);
+    shown.sort_by_key(|host| host.host);
+    shown
+}
+
+fn all_hosts(hosts: &[HostFigures]) -> HostFigures {
+    hosts.iter().fold(HostFigures::default(), |sum, host| HostFigures {
+        received: sum.received.saturating_add(host.received),
+        served: sum.served.saturating_add(host.served),
+        turned_away: sum.turned_away.saturating_add(host.turned_away),
+        connections: sum.connections.saturating_add(host.connections),
+        ..sum
+    })
+}
+
+fn calls(verdict: &Verdict) -> Section {
+    let mut section = Section::new("Calls", &["<", "per request"]);
+    section.fixed_rows = true;
+    section.row(["attempts at hosts".into(), fixed(verdict.attempts_per_request, 3)]);
+    section.row(["counter calls".into(), fixed(verdict.counter_calls_per_request, 3)]);
+    section
+}
+
+/// What the judge itself doubts.
+fn notes(verdict: &Verdict) -> Section {
+    let mut section = Section::new("Notes of the judge", &[]);
+    section.running = true;
+    for note in verdict.notes.iter().take(NOTES) {
+        section.row([note.clone()]);
+    }
+    section.more = verdict.notes.len().saturating_sub(NOTES);
+    section
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The operators' page.
+    const PAGE: &str = include_str!("../../../docs/rehearsal-report.md");
+
+    #[test]
+    fn the_operators_page_tells_of_every_title_label_and_rule() {
+        let page = PAGE.split_whitespace().collect::<Vec<_>>().join(" ");
+        let verdict = Verdict { notes: vec!["doubt".into()], ..Verdict::default() };
+        let mut labels: Vec<String> = rules::facts(&verdict).iter().map(|fact| fact.name.into()).collect();
+        for section in sections(&verdict) {
+            labels.push(section.title.into());
+            labels.extend(section.columns.iter().map(Column::line));
+            if section.fixed_rows {
+                labels.extend(section.rows.iter().map(|row| row.cells[0].clone()));
+            }
+        }
+        labels.extend(crate::page::titles().iter().map(|title| title.to_string()));
+        labels.retain(|label| !label.is_empty());
+        assert!(labels.len() > 60, "labels are missing: {labels:?}");
+        let untold: Vec<&String> =
+            labels.iter().filter(|label| !page.contains(&format!("**{label}**"))).collect();
+        assert!(untold.is_empty(), "docs/rehearsal-report.md says nothing of {untold:?}");
+    }
+
+    #[test]
+    fn of_many_hosts_those_that_fell_are_shown_and_all_are_summed() {
+        let host = |host| HostFigures { host, received: 10, fell: host == 499, ..HostFigures::default() };
+        let verdict = Verdict { hosts: (0..500).map(host).collect(), ..Verdict::default() };
+        let section = hosts(&verdict);
+        let names: Vec<&str> = section.rows.iter().map(|row| row.cells[0].as_str()).collect();
+        assert_eq!(names.len(), HOSTS + 1);
+        assert!(names.contains(&"499") && section.rows[HOSTS - 1].bad);
+        assert_eq!((section.rows[HOSTS].cells[1].as_str(), section.more), ("5,000", 500 - HOSTS));
+    }
+
+    #[test]
+    fn customers_refused_longest_come_first_and_those_never_refused_not_at_all() {
+        let customer = |customer, longest_refused_s| CustomerFigures {
+            customer,
+            longest_refused_s,
+            ..CustomerFigures::default()
+        };
+        let customers = vec![customer(1, 0.0), customer(2, 1.5), customer(3, 9.0)];
+        let section = refused_longest(&Verdict { customers, ..Verdict::default() });
+        let ids: Vec<&str> = section.rows.iter().map(|row| row.cells[0].as_str()).collect();
+        assert_eq!(ids, ["0000000000000003", "0000000000000002"]);
+    }
+}
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,4 +1,4 @@
-//! Shows what the judge found: a table for the end of a rehearsal, JSON for programs, and one page with plots.
+//! Shows what the judge found: a table for the end of a rehearsal, JSON for programs, and a page with plots.
 //!
 //! All three come from the same [`Verdict`] and are the same text for the same verdict: no clock is read and
 //! nothing depends on the order of a hash. Texts from scenario files (titles, names, words of events) are
--- /dev/null
+++ b/crates/sim/src/timers.rs
@@ -0,0 +1,133 @@
+//! What is due when, and the timers of tasks.
+
+use crate::net::connection::Side;
+use crate::shared::Shared;
+use crate::slab::Key;
+use fennelbeam_env::{Sleep, Time};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+
+/// When something is due, and its turn among what is due then.
+pub(crate) type Due = (Time, u64);
+
+/// Something that happens by itself.
+pub(crate) enum Event {
+    /// A timer falls due.
+    Timer(Waker),
+    /// The first of what is on its way on a connection, from this side, arrives.
+    Arrive(Key, Side),
+    /// A request for a connection arrives.
+    Syn(Key),
+    /// A request for a connection has been sent often enough.
+    SynOver(Key),
+}
+
+/// All that is due some time.
+pub(crate) struct Agenda {
+    events: BTreeMap<Due, Event>,
+    order: Arc<AtomicU64>,
+}
+
+impl Agenda {
+    /// `order` gives turns.
+    pub(crate) fn new(order: Arc<AtomicU64>) -> Agenda {
+        Agenda { events: BTreeMap::new(), order }
+    }
+
+    pub(crate) fn add(&mut self, at: Time, event: Event) -> Due {
+        let due = (at, self.order.fetch_add(1, Ordering::Relaxed));
+        self.events.insert(due, event);
+        due
+    }
+
+    pub(crate) fn remove(&mut self, due: Due) -> Option<Event> {
+        self.events.remove(&due)
+    }
+
+    /// The next event, if it is due by now.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<Event> {
+        let first = self.events.first_entry()?;
+        (first.key().0 <= now).then(|| first.remove())
+    }
+
+    /// When the next event is due.
+    pub(crate) fn next(&self) -> Option<Time> {
+        self.events.keys().next().map(|due| due.0)
+    }
+
+    /// Forgets everything and gives it, to be dropped where no lock is held.
+    pub(crate) fn clear(&mut self) -> BTreeMap<Due, Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Lets `waker` wait for the timer at `due`; the one who waited before.
+    fn wait(&mut self, due: Due, waker: &Waker) -> Option<Event> {
+        match self.events.get(&due) {
+            Some(Event::Timer(old)) if old.will_wake(waker) => None,
+            _ => self.events.insert(due, Event::Timer(waker.clone())),
+        }
+    }
+}
+
+/// A timer of a task. Its turn among those for the same moment is that of its making, or of its last reset.
+pub struct SimSleep {
+    shared: Arc<Shared>,
+    due: Due,
+    /// It stands on the agenda, as far as it knows.
+    set: bool,
+}
+
+impl SimSleep {
+    pub(crate) fn new(shared: Arc<Shared>, at: Time) -> SimSleep {
+        let due = (at, shared.next_turn());
+        SimSleep { shared, due, set: false }
+    }
+
+    fn unset(&mut self) -> Option<Event> {
+        let set = std::mem::replace(&mut self.set, false);
+        set.then(|| self.shared.room(|room| room.agenda.remove(self.due))).flatten()
+    }
+}
+
+impl Future for SimSleep {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.due.0 <= self.shared.now() {
+            drop(self.unset());
+            return Poll::Ready(());
+        }
+        let old = self.shared.room(|room| room.agenda.wait(self.due, cx.waker()));
+        drop(old);
+        self.set = true;
+        Poll::Pending
+    }
+}
+
+impl Sleep for SimSleep {
+    fn deadline(&self) -> Time {
+        self.due.0
+    }
+
+    fn reset(mut self: Pin<&mut Self>, at: Time) {
+        let waiting = self.unset();
+        self.due = (at, self.shared.next_turn());
+        // Who waits for it goes on waiting, and is woken at once if the moment has passed.
+        if let Some(Event::Timer(waker)) = waiting {
+            if at <= self.shared.now() {
+                return waker.wake();
+            }
+            self.shared.room(|room| room.agenda.events.insert(self.due, Event::Timer(waker)));
+            self.set = true;
+        }
+    }
+}
+
+impl Drop for SimSleep {
+    fn drop(&mut self) {
+        drop(self.unset());
+    }
+}
--- /dev/null
+++ b/crates/sim/tests/room/main.rs
@@ -0,0 +1,10 @@
+//! The room, by subject.
+
+mod descriptors;
+mod faults;
+mod halts;
+mod http;
+mod network;
+mod repeat;
+mod support;
+mod tasks;
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -1,1 +1,298 @@
-//! To come.
+//! The stand-in for discovery: an agent for each gateway that speaks HTTP/1.1 over any [`Env`]. What it tells
+//! when is in the model; here are the sockets.
+
+mod http;
+
+use crate::Recorder;
+use bytes::BytesMut;
+use fennelbeam_env::{Env, Listener, Span, Stream, Task, Time};
+use fennelbeam_model::agent::{Line, Member, Notice, Registry, Watch};
+use fennelbeam_model::scenario::DiscoveryFault;
+use fennelbeam_model::seen::What;
+use fennelbeam_model::MS;
+use fennelbeam_resp as resp;
+use http::Request;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::sync::Notify;
+
+const BACKLOG: u32 = 64;
+/// Between tries to accept when the system does not let it.
+const PAUSE: Span = 20 * MS;
+/// A retired agent closes what is still open after this.
+const RETIRED: Span = 1500 * MS;
+
+/// A registry that agents share with whoever changes it.
+#[derive(Clone, Debug)]
+pub struct SharedRegistry(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    registry: Mutex<Registry>,
+    /// For all who wait for something to tell.
+    stirred: Notify,
+}
+
+impl SharedRegistry {
+    /// Shares a registry.
+    pub fn new(registry: Registry) -> SharedRegistry {
+        SharedRegistry(Arc::new(Inner { registry: Mutex::new(registry), stirred: Notify::new() }))
+    }
+
+    /// See [`Registry::change`].
+    pub fn change(&self, now: Time, member: Member, notice: Notice) -> u64 {
+        let generation = self.lock().change(now, member, notice);
+        self.0.stirred.notify_waiters();
+        generation
+    }
+
+    /// It fails for so many nanoseconds, see [`Registry::fail`].
+    pub fn fail(&self, now: Time, fault: DiscoveryFault, span: Span) {
+        self.lock().fail(now, fault, now.saturating_add(span));
+        self.0.stirred.notify_waiters();
+    }
+
+    /// All faults are over.
+    pub fn heal(&self) {
+        self.lock().heal();
+        self.0.stirred.notify_waiters();
+    }
+
+    /// All hosts as they are, by number.
+    pub fn members(&self) -> Vec<Member> {
+        self.lock().members().into_iter().cloned().collect()
+    }
+
+    /// The list that a gateway's agent has at this time as JSON, if it is not silent.
+    pub fn list(&self, now: Time, gateway: u32) -> Option<String> {
+        self.lock().list(now, gateway).map(|line| line.text)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Registry> {
+        self.0.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What an agent is like.
+#[derive(Clone, Debug)]
+pub struct AgentConfig {
+    /// What it tells of.
+    pub registry: SharedRegistry,
+    /// Number of its gateway, from 0.
+    pub gateway: u32,
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Takes down what is told.
+    pub recorder: Recorder,
+}
+
+/// A running agent. It runs on when this is dropped.
+#[derive(Debug)]
+pub struct AgentStandIn<E: Env> {
+    shared: Arc<Shared<E>>,
+    addr: SocketAddr,
+    accepts: E::Task,
+}
+
+#[derive(Debug)]
+struct Shared<E> {
+    env: E,
+    registry: SharedRegistry,
+    gateway: u32,
+    recorder: Recorder,
+    /// When open connections are closed.
+    closing: Mutex<Option<Time>>,
+    retired: Notify,
+}
+
+impl<E: Env> AgentStandIn<E> {
+    /// Listens, and serves until it is stopped.
+    pub fn start(env: E, config: AgentConfig) -> io::Result<AgentStandIn<E>> {
+        let AgentConfig { registry, gateway, listen, recorder } = config;
+        if gateway >= registry.lock().agents() {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "the registry has no such gateway"));
+        }
+        let listener = env.listen(listen, BACKLOG)?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            env,
+            registry,
+            gateway,
+            recorder,
+            closing: Mutex::new(None),
+            retired: Notify::new(),
+        });
+        let accepts = shared.env.spawn(accept(shared.clone(), listener));
+        Ok(AgentStandIn { shared, addr, accepts })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Takes no new connections, and closes the open ones 1.5 s later: another agent takes its place.
+    pub fn retire(&self) {
+        self.end(RETIRED);
+    }
+
+    /// Takes no new connections, and closes the open ones at once.
+    pub fn stop(&self) {
+        self.end(0);
+    }
+
+    fn end(&self, after: Span) {
+        self.accepts.abort();
+        let at = self.shared.env.now().saturating_add(after);
+        *self.shared.closing.lock().unwrap_or_else(PoisonError::into_inner) = Some(at);
+        self.shared.retired.notify_waiters();
+    }
+}
+
+async fn accept<E: Env>(shared: Arc<Shared<E>>, mut listener: E::Listener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                shared.env.spawn(connection(shared.clone(), stream));
+            }
+            Err(_) => shared.env.sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Serves a connection until it ends, or the agent closes it.
+async fn connection<E: Env>(shared: Arc<Shared<E>>, stream: E::Stream) {
+    let (mut reader, mut writer) = stream.into_split();
+    tokio::select! {
+        biased;
+        () = shared.closed() => {}
+        // However it ends, there is nobody to tell.
+        _ = shared.serve(&mut reader, &mut writer) => {}
+    }
+}
+
+impl<E: Env> Shared<E> {
+    /// Comes when open connections are to be closed.
+    async fn closed(&self) {
+        loop {
+            let retired = self.retired.notified();
+            let closing = *self.closing.lock().unwrap_or_else(PoisonError::into_inner);
+            match closing {
+                // It may yet be brought forward.
+                Some(at) => tokio::select! {
+                    biased;
+                    () = self.env.sleep_until(at) => return,
+                    () = retired => {}
+                },
+                None => retired.await,
+            }
+        }
+    }
+
+    /// Answers requests until one is a watch, which lasts as long as the connection.
+    async fn serve<R, W>(&self, reader: &mut R, writer: &mut W) -> Result<(), resp::RespError>
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let mut input = BytesMut::new();
+        loop {
+            let request = loop {
+                match http::take(&mut input) {
+                    Some(request) => break request,
+                    None => resp::fill(reader, &mut input).await?,
+                }
+            };
+            match request {
+                Request::List => {
+                    let list = self.when_it_speaks(|registry, now| registry.list(now, self.gateway)).await;
+                    writer.write_all(&http::whole(&list.text)).await?;
+                    self.told(&list);
+                }
+                Request::Watch(after) => return self.watch(reader, writer, &mut input, after).await,
+                Request::Unknown => writer.write_all(http::NOT_FOUND).await?,
+                Request::Bad => {
+                    writer.write_all(http::BAD_REQUEST).await?;
+                    writer.shutdown().await?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// An agent that is silent answers once it no longer is.
+    async fn when_it_speaks<T>(&self, mut ask: impl FnMut(&mut Registry, Time) -> Option<T>) -> T {
+        loop {
+            let stirred = self.registry.0.stirred.notified();
+            let (answer, silent) = {
+                let (mut registry, now) = (self.registry.lock(), self.env.now());
+                (ask(&mut registry, now), registry.silent_until(now))
+            };
+            if let Some(answer) = answer {
+                return answer;
+            }
+            tokio::select! {
+                biased;
+                () = stirred => {}
+                () = self.env.sleep_until(silent.unwrap_or_default()) => {}
+            }
+        }
+    }
+
+    async fn watch<R, W>(
+        &self,
+        reader: &mut R,
+        writer: &mut W,
+        input: &mut BytesMut,
+        after: Option<u64>,
+    ) -> Result<(), resp::RespError>
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let open = |registry: &mut Registry, now| Watch::open(registry, now, self.gateway, after);
+        let (mut watch, first) = self.when_it_speaks(open).await;
+        writer.write_all(http::CHUNKED).await?;
+        self.tell(writer, &first).await?;
+        loop {
+            let stirred = self.registry.0.stirred.notified();
+            let (lines, due) = {
+                let (mut registry, now) = (self.registry.lock(), self.env.now());
+                (watch.take(&mut registry, now), watch.next_due(&registry, now))
+            };
+            for line in &lines {
+                self.tell(writer, line).await?;
+            }
+            if !lines.is_empty() {
+                continue;
+            }
+            tokio::select! {
+                biased;
+                () = stirred => {}
+                () = self.env.sleep_until(due) => {}
+                // What still comes is no request any more; its end is the end.
+                read = resp::fill(reader, input) => {
+                    read?;
+                    input.clear();
+                }
+            }
+        }
+    }
+
+    async fn tell<W: AsyncWrite + Unpin>(&self, writer: &mut W, line: &Line) -> io::Result<()> {
+        writer.write_all(&http::chunk(&line.text)).await?;
+        self.told(line);
+        Ok(())
+    }
+
+    /// The connection has taken all of a line.
+    fn told(&self, line: &Line) {
+        let (now, gateway) = (self.env.now(), self.gateway);
+        for entry in &line.told {
+            let (host, state, started) = (entry.host, entry.state, entry.started);
+            self.recorder.see(now, What::Told { gateway, host, state, started });
+        }
+    }
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -1,9 +1,14 @@
 //! The stand-in for clients and the front that they come through.
 //!
 //! One task sends each thing that is asked for on its way when its time comes; a task of its own sees it
-//! through all its tries. The front ([`front`]) knows which gateways are in service and keeps the connections
-//! that lie idle; each connection ([`line`]) is a task that carries one request at a time, writes down what it
-//! sees, and watches for bytes that nobody asked for while it lies idle.
+//! through all its tries. The front knows which gateways are in service and keeps the connections that lie
+//! idle; each connection is a task that carries one request at a time, writes down what it sees, and watches
+//! for bytes that nobody asked for while it lies idle.
+//!
+//! A request is written down as asked at the write that is whole, once. If its connection breaks before, or
+//! ends cleanly without a byte of an answer and so early that the two have crossed (on a connection that had
+//! carried a request before), it is sent once more under the same id on a new connection, and the client's time
+//! goes on from the first write. A try that comes to no gateway is not written down, only counted.
 
 mod call;
 mod front;
@@ -23,6 +28,7 @@
 use front::Front;
 use open::{Hold, Open};
 use rude::Rude;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -132,6 +138,12 @@
         self.open.ended().await;
     }
 
+    /// The same, for a task of its own.
+    pub fn waiter(&self) -> impl Future<Output = ()> + Send + 'static {
+        let open = self.open.clone();
+        async move { open.ended().await }
+    }
+
     /// From now on a gateway, counted from 0, is reached here.
     pub fn gateway_address(&self, gateway: u32, address: SocketAddr) {
         self.crowd.front.set_address(gateway, address);
--- /dev/null
+++ b/crates/standins/src/client/thing.rs
@@ -0,0 +1,158 @@
+//! One thing that somebody asks for, through all its tries.
+
+use super::front::{NoWay, Way};
+use super::line::{Carried, Job, Line, Stay};
+use super::open::Hold;
+use super::Crowd;
+use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_model::draw;
+use fennelbeam_model::seen::{Got, What};
+use fennelbeam_model::traffic::{Arrival, Ended};
+use fennelbeam_model::MS;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Asks until it is served or the client gives up.
+pub(super) async fn see_through<E: Env>(crowd: Arc<Crowd<E>>, arrival: Arrival, _hold: Hold) {
+    let (thing, class) = (arrival.thing, arrival.class);
+    let began = crowd.env.now();
+    let mut patience = crowd.behaviour.patience(thing, class);
+    for tries in 1.. {
+        let until = crowd.env.now().saturating_add(patience);
+        let ended = Try::new(&crowd, &arrival, tries - 1, until).run().await;
+        let spent = crowd.env.now().saturating_sub(began);
+        let Some(again) = crowd.behaviour.again(thing, class, tries, spent, ended) else { return };
+        crowd.env.sleep(again.wait).await;
+        patience = again.patience;
+    }
+}
+
+/// What has been asked: it may have to be sent once more.
+#[derive(Clone, Copy)]
+struct Asked {
+    at: Time,
+    gateway: u32,
+}
+
+/// One try.
+struct Try<'a, E: Env> {
+    crowd: &'a Arc<Crowd<E>>,
+    arrival: &'a Arrival,
+    number: u32,
+    id: u64,
+    /// The end of the client's patience.
+    until: Time,
+    /// Set with the first command.
+    stay: Option<Stay>,
+    asked: Option<Asked>,
+    /// The connection broke before the whole command was read, so a new one is wanted.
+    again: bool,
+}
+
+/// What has become of a request at one gateway.
+enum Passed {
+    /// Not a byte of it was written, and another way may be open.
+    Nowhere,
+    /// There was no way in the time.
+    Unreached,
+    /// See [`Carried`].
+    Carried(Carried),
+}
+
+impl<'a, E: Env> Try<'a, E> {
+    fn new(crowd: &'a Arc<Crowd<E>>, arrival: &'a Arrival, number: u32, until: Time) -> Try<'a, E> {
+        let id = draw::id(arrival.thing, number);
+        Try { crowd, arrival, number, id, until, stay: None, asked: None, again: false }
+    }
+
+    async fn run(mut self) -> Ended {
+        loop {
+            let at = self.crowd.env.now().saturating_sub(self.crowd.start);
+            let usable = |gateway| self.crowd.front.is_usable(gateway, self.again);
+            let gateway = self.crowd.deal.pick(self.arrival, self.number, at, usable);
+            let Some(gateway) = gateway else { return self.given_up() };
+            match self.pass(gateway).await {
+                Passed::Nowhere => {}
+                Passed::Carried(Carried::Ended(got)) => return got.into(),
+                Passed::Carried(Carried::Left) => return Ended::Done,
+                Passed::Carried(Carried::Unsent) if !self.again => self.again = true,
+                Passed::Carried(Carried::Crossed(at)) if !self.again => {
+                    self.asked = Some(Asked { at, gateway });
+                    self.again = true;
+                }
+                Passed::Unreached | Passed::Carried(Carried::Unsent | Carried::Crossed(_)) => {
+                    return self.given_up();
+                }
+            }
+        }
+    }
+
+    /// The end of a try that could not be carried. A command that was never written whole has not run.
+    fn given_up(&self) -> Ended {
+        let Some(Asked { gateway, .. }) = self.asked else {
+            self.crowd.unreached.fetch_add(1, Ordering::Relaxed);
+            return Ended::Unreached;
+        };
+        let what = What::Answered { request: self.id, gateway, got: Got::Broken };
+        self.crowd.recorder.see(self.crowd.env.now(), what);
+        Ended::Failed
+    }
+
+    /// Passes the request to a gateway.
+    async fn pass(&mut self, gateway: u32) -> Passed {
+        let front = &self.crowd.front;
+        let (way, _place) = match front.way(gateway, self.again, self.until).await {
+            Ok(found) => found,
+            Err(NoWay::Out) => return Passed::Nowhere,
+            Err(NoWay::Unreached) => return Passed::Unreached,
+        };
+        let (reply, carried) = oneshot::channel();
+        let Some(job) = self.job(gateway, reply) else { return Passed::Unreached };
+        match way {
+            // If the connection has just ended, the job is dropped, and the reply with it.
+            Way::Idle(line) => drop(line.send(job)),
+            Way::New(stream) => {
+                let line = Line::new(front.clone(), gateway, stream);
+                self.crowd.env.spawn(line.run(job));
+            }
+        }
+        carried.await.map_or(Passed::Nowhere, Passed::Carried)
+    }
+
+    /// What is to be carried. `None`: the client's time is over.
+    fn job(&mut self, gateway: u32, reply: oneshot::Sender<Carried>) -> Option<Job> {
+        let patience = self.until.saturating_sub(self.crowd.env.now()) / MS * MS;
+        if patience == 0 {
+            return None;
+        }
+        let stay = *self.stay.get_or_insert_with(|| stay(self.crowd, self.arrival, self.number, patience));
+        Some(Job {
+            id: self.id,
+            command: self.crowd.caller.command(self.arrival, self.id, patience),
+            asked: self.asked.map_or_else(|| Ok(self.sighting(gateway, patience)), |asked| Err(asked.at)),
+            stay,
+            write_by: self.until,
+            reply,
+        })
+    }
+
+    fn sighting(&self, gateway: u32, patience: Span) -> What {
+        What::Asked {
+            request: self.id,
+            first_try: draw::first_try(self.id),
+            gateway,
+            customer: self.arrival.customer,
+            class: self.arrival.class,
+            plan: self.arrival.plan,
+            units: f64::from(self.crowd.caller.units(self.id)),
+            patience,
+        }
+    }
+}
+
+/// How long the client stays, drawn when it asks.
+fn stay<E: Env>(crowd: &Crowd<E>, arrival: &Arrival, number: u32, patience: Span) -> Stay {
+    let leave = crowd.behaviour.leaves(arrival.thing, number, patience, crowd.impatience());
+    Stay { leave, nothing: patience.saturating_add(crowd.slack) }
+}
