Mend what the first swarms found, in the gateway and in the stand-ins

The rest were the stand-ins' and the judge's: a host took the arrival of bytes held up by a cut for their sending (Reader::sent_at tells, in a simulated world), heavy requests counted against cold hosts by a weight that nobody who sends them can know, a client with no gateway left blamed the one that had closed between requests, and the list in a configuration did not count as told.

--- a/crates/env/src/lib.rs
+++ b/crates/env/src/lib.rs
@@ -129,6 +129,11 @@
     /// Whether neither bytes nor an end of the connection lie here unread. Asks the system itself, which may
     /// know of more than the runtime has been told.
     fn is_quiet(&self) -> bool;
+
+    /// When the first byte of what was read last was sent, where the world knows: only a simulated one does.
+    fn sent_at(&self) -> Option<Time> {
+        None
+    }
 }
 
 /// The sending half of a connection.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -541,7 +541,7 @@
         match *self.context.phase.borrow() {
             Phase::Starting => Reply::error("starting"),
             Phase::Ready => Reply::Text(Bytes::from_static(b"+PONG\r\n")),
-            Phase::Closing => Reply::error("stopping"),
+            Phase::Stopping | Phase::Closing => Reply::error("stopping"),
         }
     }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -59,6 +59,8 @@
     #[default]
     Starting,
     Ready,
+    /// New connections still come and are served, but no front should take this gateway in.
+    Stopping,
     /// Connections close when they are between requests.
     Closing,
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -124,6 +124,7 @@
     phase: watch::Sender<Phase>,
     mut unanswered: watch::Receiver<usize>,
 ) {
+    phase.send_replace(Phase::Stopping);
     env.sleep(STILL_ACCEPTING).await;
     accepting.abort();
     phase.send_replace(Phase::Closing);
--- a/crates/model/src/agent.rs
+++ b/crates/model/src/agent.rs
@@ -242,9 +242,8 @@
 }
 
 impl Agent {
-    /// Will hear of a change, after those before it.
+    /// Will hear of a change when it is due and all before it have been heard.
     fn wait(&mut self, now: Time, due: Time, change: Change, reordered: bool) {
-        let due = self.waiting.back().map_or(due, |last| last.due.max(due));
         let mut waiting = Waiting { due, change, swapped: false };
         let last = self.waiting.back_mut().filter(|last| reordered && last.due > now && !last.swapped);
         if let Some(last) = last {
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -104,7 +104,7 @@
         gateway: u32,
         /// When the first byte was sent (as far as the host can tell).
         first_byte: Time,
-        /// Work that it costs, in nanoseconds of one core at speed 1.
+        /// Work that one like it usually costs, in nanoseconds of one core at speed 1.
         work: Span,
     },
     /// A host is through with a command.
--- a/crates/model/tests/agent.rs
+++ b/crates/model/tests/agent.rs
@@ -170,6 +170,7 @@
     registry.change(START, draining(0), Notice::Given);
     registry.change(START, gone(0), Notice::Given);
     assert_eq!(watch.next_due(&registry, START), over);
+    assert!(registry.take_due(over - 1, 0).is_empty());
     assert!(watch.take(&mut registry, over - 1).is_empty(), "not even an empty line");
     assert!(Watch::open(&mut registry, over - 1, 0, Some(FIRST)).is_none());
     assert!(registry.list(over - 1, 0).is_none());
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -20,6 +20,8 @@
 const AFTER_DEADLINE: Span = 700 * MS;
 /// A gateway that was stopped as planned is started again after this.
 const CHANGEOVER: Span = 500 * MS;
+/// A process that starts anew in the place of another is there after this: its addresses are free by then.
+const ANEW: Span = 20 * MS;
 
 /// What is to be done at its time.
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     Drain(u32),
     Gone(u32),
     HostBack(u32),
+    /// A new host comes at the addresses of this one.
+    NewAt(u32),
     /// A cut, and the gateways that clients were cut from.
     Heal(u64, Vec<u32>),
 }
@@ -118,6 +122,7 @@
                     self.site.restart_host(host)?;
                 }
             }
+            Step::NewAt(host) => drop(self.site.add_host(Some(host))?),
             Step::Heal(cut, from_clients) => {
                 self.site.stage.heal(cut);
                 for gateway in from_clients {
@@ -184,7 +189,7 @@
             Event::RestartHosts(which) => {
                 for host in self.hosts(&which, &mut rng) {
                     self.end_host(host);
-                    self.site.restart_host(host)?;
+                    self.plan(now + ANEW, Step::HostBack(host));
                 }
             }
             Event::AddHosts(count) => {
@@ -195,7 +200,11 @@
             Event::ReplaceHosts(which, same_address) => {
                 for host in self.hosts(&which, &mut rng) {
                     self.stop_host(host, Notice::Given);
-                    self.site.add_host(same_address.then_some(host))?;
+                    if same_address {
+                        self.plan(now + ANEW, Step::NewAt(host));
+                    } else {
+                        self.site.add_host(None)?;
+                    }
                 }
             }
             Event::Heavy(class, share, times, span) => self.heavy(now, &class, share, times, span),
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -8,7 +8,7 @@
     only, play_real, play_virtual, random_scenario, Played, Progress, RealOptions, Swarm, VirtualOptions,
 };
 use fennelbeam_report::{html, json, progress, speed_line, table, Heading};
-use fennelbeam_sim::Packet;
+use fennelbeam_sim::{Packet, What};
 use std::fs::File;
 use std::io::{self, BufWriter, IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -75,6 +75,9 @@
 Exit status: 0 all rules kept; 1 a rule was broken, or it could not be played; 2 wrong usage;
 3 a process did not give its turn back for 20 s.";
 
+/// Bytes of what arrives that a trace shows.
+const SHOWN: usize = 300;
+
 fn main() -> ExitCode {
     let line = CommandLine::parse();
     if let Some(level) = line.log {
@@ -178,7 +181,12 @@
     let file = File::create(path).with_context(|| format!("cannot write {}", path.display()))?;
     let mut file = BufWriter::new(file);
     Ok(Box::new(move |packet| {
-        let _ = writeln!(file, "{packet}");
+        let _ = match &packet.what {
+            What::Data(bytes) => {
+                writeln!(file, "{packet} {}", bytes[..bytes.len().min(SHOWN)].escape_ascii())
+            }
+            _ => writeln!(file, "{packet}"),
+        };
     }))
 }
 
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -175,6 +175,7 @@
         post.ending = false;
         post.again = false;
         let document = self.document(gateway, incarnation);
+        self.see_known(gateway, &document["known"]);
         self.stage
             .start_gateway(gateway, incarnation, &document)
             .with_context(|| format!("cannot start gateway {}", gateway + 1))?;
@@ -182,6 +183,22 @@
         Ok(())
     }
 
+    /// The list in its configuration tells a gateway of hosts as discovery does.
+    fn see_known(&self, gateway: u32, known: &Value) {
+        let instances = known["instances"].as_array();
+        for entry in instances.into_iter().flatten() {
+            let host = self.hosts.iter().position(|host| entry["instanceId"] == host.id.as_str());
+            let Some(host) = host else { continue };
+            let state = match entry["lifecycle"].as_str() {
+                Some("in_service") => Told::InService,
+                Some("terminating") => Told::Draining,
+                _ => Told::Gone,
+            };
+            let started = entry["startedAtMs"].as_u64().unwrap_or(0) * 1_000_000;
+            self.see(What::Told { gateway, host: host as u32, state, started });
+        }
+    }
+
     /// The configuration document of a gateway, as of now.
     pub fn document(&self, gateway: u32, incarnation: u32) -> Value {
         let now = self.stage.now();
--- a/crates/sim/src/net/faults.rs
+++ b/crates/sim/src/net/faults.rs
@@ -1,6 +1,6 @@
 //! How things end: connections, listeners, processes, machines, and the ways between them.
 
-use super::connection::{Conn, EndId, Phase, Side};
+use super::connection::{Conn, EndId, Flying, Phase, Side};
 use super::place::{Cut, CutId, CutState, MachineId};
 use super::Room;
 use crate::digest::What;
@@ -193,7 +193,8 @@
             }
             for side in Side::BOTH {
                 if self.conns.get(conn).is_some_and(|conn| conn.end(side).is_alive()) {
-                    self.deliver(conn, side.other(), What::Reset);
+                    let flying = Flying { due: None, sent: self.now, what: What::Reset };
+                    self.deliver(conn, side.other(), flying);
                 }
             }
             self.free_if_over(conn);
--- a/crates/sim/src/net/stream.rs
+++ b/crates/sim/src/net/stream.rs
@@ -5,7 +5,7 @@
 use crate::process::ProcessId;
 use crate::shared::Shared;
 use crate::slab::Key;
-use fennelbeam_env::{Listener, Reader, Stream, Writer};
+use fennelbeam_env::{Listener, Reader, Stream, Time, Writer};
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 impl SimStream {
     fn new(shared: &Arc<Shared>, id: EndId, peer: SocketAddr) -> SimStream {
         SimStream {
-            reader: SimReader { shared: shared.clone(), id },
+            reader: SimReader { shared: shared.clone(), id, sent: None },
             writer: SimWriter { shared: shared.clone(), id },
             peer,
         }
@@ -93,15 +93,26 @@
 pub struct SimReader {
     shared: Arc<Shared>,
     id: EndId,
+    /// When the first byte of what was read last was sent.
+    sent: Option<Time>,
 }
 
 impl AsyncRead for SimReader {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.shared.room(|room| room.read(self.id, cx, buf))
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = self.shared.room(|room| room.read(self.id, cx, buf));
+        read.map_ok(|sent| self.sent = sent)
     }
 }
 
 impl Reader for SimReader {
+    fn sent_at(&self) -> Option<Time> {
+        self.sent
+    }
+
     fn is_quiet(&self) -> bool {
         self.shared.room(|room| room.is_quiet(self.id))
     }
--- a/crates/sim/tests/room/faults.rs
+++ b/crates/sim/tests/room/faults.rs
@@ -229,6 +229,47 @@
     assert_eq!(room.run(20 * SECOND), ["5002.4 ConnectionReset"]);
 }
 
+/// The host writes at 10 ms into a cut that ends at 100 ms; it would send that again at 210.6 ms.
+fn written_into_a_cut() -> Pair {
+    let room = pair();
+    let (a, b) = (vec![room.client_machine.id()], vec![room.host_machine.id()]);
+    room.sim.at(START + 5 * MS, move |sim| {
+        let cut = sim.cut(a, b, Cut::Silent);
+        sim.at(START + 100 * MS, move |sim| sim.heal(cut));
+    });
+    room
+}
+
+#[test]
+fn what_a_process_wrote_into_a_cut_dies_with_it() {
+    let room = written_into_a_cut();
+    room.serve(|env, mut stream| async move {
+        env.sleep_until(START + 10 * MS).await;
+        stream.write_all(b"lost").await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    room.note_what_comes();
+    let host = room.host.process_id();
+    room.sim.at(START + 20 * MS, move |sim| sim.kill(host));
+    assert_eq!(room.run(20 * SECOND), ["1.2 open"]);
+}
+
+#[test]
+fn a_closed_end_that_meets_bytes_gives_up_what_it_had_to_send_again() {
+    let room = written_into_a_cut();
+    room.serve(|env, mut stream| async move {
+        env.sleep_until(START + 10 * MS).await;
+        stream.write_all(b"lost").await.unwrap();
+    });
+    let notes = room.notes.clone();
+    room.ask(|env, mut stream| async move {
+        env.sleep_until(START + 110 * MS).await;
+        stream.write_all(b"anyone?").await.unwrap();
+        note_what_comes(&env, &notes, &mut stream).await;
+    });
+    assert_eq!(room.run(20 * SECOND), ["111.2 ConnectionReset"]);
+}
+
 #[test]
 fn a_writer_whose_reset_was_lost_in_a_cut_learns_by_what_it_writes_next() {
     let room = pair_in(1, NetworkSpec { window: 10, ..network() });
--- a/crates/standins/src/client/front.rs
+++ b/crates/standins/src/client/front.rs
@@ -240,11 +240,23 @@
             let state = front.with(gateway, |door| door.state);
             let Some(state @ (State::In | State::Suspect(_))) = state else { return };
             if front.leave(gateway, state, State::Leaving) {
+                front.clone().until_gone(gateway).await;
                 front.take_in(gateway).await;
             }
         });
     }
 
+    /// Asks a gateway until it no longer answers that it is ready: what it says until then is not of its next
+    /// start.
+    async fn until_gone(self: Arc<Self>, gateway: u32) {
+        while let Some(address) = self.address(gateway) {
+            if !matches!(self.env.timeout(PONG_WAIT, self.ping(address)).await, Ok(Ok(true))) {
+                return;
+            }
+            self.env.sleep(ASK_AGAIN).await;
+        }
+    }
+
     /// Asks a gateway until it answers that it is ready, and takes it in.
     async fn take_in(self: Arc<Self>, gateway: u32) {
         while let Some(address) = self.address(gateway) {
--- a/crates/standins/src/host/connection.rs
+++ b/crates/standins/src/host/connection.rs
@@ -3,12 +3,12 @@
 use super::state::{ConnId, Signals};
 use super::Shared;
 use bytes::BytesMut;
-use fennelbeam_env::{Env, Sleep, Stream, Time, Writer};
+use fennelbeam_env::{Env, Reader, Sleep, Stream, Time, Writer};
 use fennelbeam_resp::{decode, fill, RespError, MAX_FRAME};
 use std::io;
 use std::pin::pin;
 use std::sync::Arc;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 pub(super) struct Connection<E: Env> {
     pub shared: Arc<Shared<E>>,
@@ -40,7 +40,7 @@
         }
     }
 
-    async fn read(&self, reader: &mut (impl AsyncRead + Unpin)) -> Result<(), RespError> {
+    async fn read(&self, reader: &mut impl Reader) -> Result<(), RespError> {
         let mut buf = BytesMut::new();
         let mut first_byte: Time = 0;
         let mut last_bytes: Time = 0;
@@ -61,9 +61,9 @@
                     let came = self.shared.env.now();
                     self.come(came).await;
                     filled?;
-                    last_bytes = came;
+                    last_bytes = reader.sent_at().unwrap_or(came);
                     if fresh {
-                        first_byte = came;
+                        first_byte = last_bytes;
                     }
                 }
                 () = self.signals.room.notified(), if full => {}
