--- a/crates/judge/src/answers.rs
+++ b/crates/judge/src/answers.rs
@@ -1,6 +1,6 @@
 //! Each request that a running gateway took gets one final answer in time, and nothing goes out for it after.
 
-use crate::breaches::{Log, Subject};
+use crate::breaches::{Log, Nth, Subject};
 use crate::gateways::Gateways;
 use crate::tries::Try;
 use crate::{Rule, ALLOWANCE};
@@ -68,7 +68,7 @@
     }
 
     fn given(&mut self, now: Time, request: &mut Try, got: Got, log: &mut Log) {
-        let (id, gateway) = (request.id, request.gateway);
+        let (id, gateway) = (request.id, Nth(request.gateway));
         let mut breach = |what: &str| {
             let text = || format!("request {id:016x} {what} gateway {gateway}");
             log.breach(now, Rule::OneAnswer, Subject::Request(id), text);
@@ -116,7 +116,7 @@
     pub(crate) fn sent(&self, request: &Try, first_byte: Time, host: u32, log: &mut Log) {
         let Answer::Given(given) = request.answer else { return };
         if first_byte > given.saturating_add(ALLOWANCE) {
-            let (id, gateway) = (request.id, request.gateway);
+            let (id, gateway, host) = (request.id, Nth(request.gateway), Nth(host));
             log.breach(first_byte, Rule::OneAnswer, Subject::Request(id), || {
                 format!("request {id:016x} was sent to host {host} by gateway {gateway} after its answer")
             });
@@ -127,7 +127,7 @@
 /// Bytes came to a client that had asked for nothing.
 pub(crate) fn unasked(now: Time, gateway: u32, log: &mut Log) {
     log.breach(now, Rule::OneAnswer, Subject::Gateway(gateway), || {
-        format!("gateway {gateway} sent a client an answer to no request of its own")
+        format!("gateway {} sent a client an answer to no request of its own", Nth(gateway))
     });
 }
 
@@ -141,7 +141,7 @@
     }
     let why = if broken { "its client got no whole answer" } else { "no answer came in time" };
     log.breach(at, Rule::OneAnswer, Subject::Request(id), || {
-        format!("request {id:016x} was lost at gateway {gateway}: {why}")
+        format!("request {id:016x} was lost at gateway {}: {why}", Nth(gateway))
     });
     true
 }
--- a/crates/judge/src/breaches.rs
+++ b/crates/judge/src/breaches.rs
@@ -67,3 +67,13 @@
         (self.found, self.notes)
     }
 }
+
+/// A machine as people count: from 1, as scenarios do.
+#[derive(Clone, Copy)]
+pub(crate) struct Nth(pub(crate) u32);
+
+impl std::fmt::Display for Nth {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", u64::from(self.0) + 1)
+    }
+}
--- a/crates/judge/src/drains.rs
+++ b/crates/judge/src/drains.rs
@@ -1,6 +1,6 @@
 //! Nothing new goes to a host later than the grace after the news that it drains or is gone.
 
-use crate::breaches::{Log, Subject};
+use crate::breaches::{Log, Nth, Subject};
 use crate::{Rule, ALLOWANCE};
 use fennelbeam_model::seen::Told;
 use fennelbeam_model::{Span, Time};
@@ -37,6 +37,7 @@
         if first_byte > since.saturating_add(self.grace) {
             log.breach(first_byte, Rule::DrainsKept, Subject::Host(host), || {
                 let late = (first_byte - since) / 1_000_000;
+                let (gateway, host) = (Nth(gateway), Nth(host));
                 format!("request {request:016x} was sent to host {host} {late} ms after gateway {gateway} was told \
                          that it drains or is gone")
             });
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -1,7 +1,7 @@
 //! Feeds sightings to the rules and figures, each to those that it concerns.
 
 use crate::answers::{self, Answer, Answers};
-use crate::breaches::{Log, Subject};
+use crate::breaches::{Log, Nth, Subject};
 use crate::ceilings::Ceilings;
 use crate::cold::Cold;
 use crate::drains::Drains;
@@ -134,7 +134,7 @@
                 self.gateways.down(at, gateway);
                 if !meant {
                     self.log.breach(at, Rule::NoCrash, Subject::Gateway(gateway), || {
-                        format!("gateway {gateway} ended without being told to")
+                        format!("gateway {} ended without being told to", Nth(gateway))
                     });
                 }
             }
