--- /dev/null
+++ b/crates/fennelbeam/tests/example.rs
@@ -0,0 +1,157 @@
+//! The example configuration is one that the program serves with, and the one that the README shows.
+
+// Other tests use the rest of it.
+#[allow(dead_code)]
+mod sockets;
+
+use serde_json::{json, Value};
+use sockets::{command, Peers, CUSTOMER, LONG};
+use std::io::{BufRead, BufReader, Lines, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.json");
+const README: &str = include_str!("../../../README.md");
+/// Where nobody listens.
+const NOWHERE: &str = "127.0.0.1:9";
+
+fn example() -> Value {
+    serde_json::from_slice(&std::fs::read(EXAMPLE).unwrap()).unwrap()
+}
+
+fn fennelbeam() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_fennelbeam"))
+}
+
+/// The program, serving with a document; killed with the test.
+struct Serving {
+    child: Child,
+    /// Kept, since the program logs for as long as it runs.
+    log: Lines<BufReader<ChildStderr>>,
+    file: PathBuf,
+}
+
+impl Serving {
+    fn start(document: &Value) -> Serving {
+        let file = std::env::temp_dir().join(format!("fennelbeam-example-{}.json", std::process::id()));
+        std::fs::write(&file, document.to_string()).unwrap();
+        let mut serve = fennelbeam();
+        serve.args(["serve", "--config"]).arg(&file).env_remove("ROUTER_CONFIG").stderr(Stdio::piped());
+        let mut child = serve.spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        Serving { child, log, file }
+    }
+
+    fn address(&mut self) -> SocketAddr {
+        let mut lines = self.log.by_ref().map(Result::unwrap);
+        let line = lines.find(|line| line.contains("listens on ")).expect("it ended before it listened");
+        line.rsplit_once(' ').unwrap().1.parse().unwrap()
+    }
+
+    fn terminate(&mut self) -> ExitStatus {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+        let end = Instant::now() + LONG;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway did not exit");
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+struct Caller(BufReader<TcpStream>);
+
+impl Caller {
+    fn connect(to: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(to).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Caller(BufReader::new(stream))
+    }
+
+    fn say(&mut self, words: &[&str]) {
+        self.0.get_mut().write_all(&command(words)).unwrap();
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line.trim_end().to_owned()
+    }
+
+    /// Waits as a front does: without discovery, the known hosts will do after a while.
+    fn until_ready(&mut self) {
+        let end = Instant::now() + LONG;
+        while Instant::now() < end {
+            self.say(&["PING"]);
+            if self.line() == "+PONG" {
+                return;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway did not get ready");
+    }
+}
+
+#[test]
+fn the_example_is_found_good() {
+    let checked = fennelbeam().arg("check").arg(EXAMPLE).output().unwrap();
+    let said = String::from_utf8(checked.stdout).unwrap();
+    assert!(checked.status.success(), "{}", String::from_utf8_lossy(&checked.stderr));
+    for words in ["can be used", "price-read, unit-order", "standard, premium", "knows 3 hosts"] {
+        assert!(said.contains(words), "{words} is not in: {said}");
+    }
+}
+
+#[test]
+fn the_program_serves_with_the_example_and_stops_when_told() {
+    let hosts = Peers::start(3);
+    let mut document = example();
+    document["listen"] = json!("127.0.0.1:0");
+    document["discovery"] = json!(NOWHERE);
+    document["counter"] = json!(NOWHERE);
+    let known = document["known"]["instances"].as_array_mut().unwrap();
+    assert_eq!(known.len(), hosts.addrs.len());
+    for (entry, addr) in known.iter_mut().zip(&hosts.addrs) {
+        entry["hostPort"] = json!(addr.to_string());
+    }
+
+    let mut gateway = Serving::start(&document);
+    let mut client = Caller::connect(gateway.address());
+    client.until_ready();
+    let list = "c=unit-order,t=premium,d=2500,units=2,spread=3,first=0";
+    client.say(&["CALL.POST", CUSTOMER, "00000000000000a1", list, "buy"]);
+    let mut seen = hosts.command();
+    assert_eq!((seen.words[0].as_str(), seen.words[4].as_str()), ("CALL.POST", "buy"));
+    seen.serve("bought");
+    assert_eq!((client.line(), client.line()), ("$6".to_owned(), "bought".to_owned()));
+
+    assert_eq!(gateway.terminate().code(), Some(0));
+}
+
+#[test]
+fn the_readme_shows_the_example() {
+    assert!(README.contains("(deploy/example.json)"));
+    let block = README.split("```json\n").nth(1).and_then(|rest| rest.split("```").next());
+    let shown: Value = serde_json::from_str(block.expect("no sample")).unwrap();
+    let document = example();
+    for (key, value) in shown.as_object().unwrap() {
+        assert_eq!(value, &document[key], "{key}");
+    }
+    for key in document.as_object().unwrap().keys() {
+        assert!(README.contains(&format!("| `{key}` | ")), "{key} is not explained");
+    }
+}
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -17,12 +17,8 @@
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
 
-/// The ends of a cut between gateways and what stands behind them.
-struct CutOff {
-    gateways: Vec<u32>,
-    hosts: Vec<u32>,
-    counter: bool,
-}
+/// What a cut parts: stand-ins and the gateways that they are silent to.
+type CutOff = Vec<(Post, u32)>;
 
 /// A gateway's process that runs.
 struct Running {
@@ -121,12 +117,8 @@
     }
 
     fn silence(&mut self, cut: &CutOff, silent: bool, reset: bool) {
-        for gateway in &cut.gateways {
-            let hosts = cut.hosts.iter().map(|host| Post::Host(*host));
-            for post in hosts.chain(cut.counter.then_some(Post::Counter)) {
-                self.silences.push(Silence { post, gateway: *gateway, silent, reset });
-            }
-        }
+        let silences = cut.iter().map(|(post, gateway)| Silence { post: *post, gateway: *gateway, silent, reset });
+        self.silences.extend(silences);
     }
 }
 
@@ -194,15 +186,7 @@
     }
 
     fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64 {
-        let mut cut = CutOff { gateways: Vec::new(), hosts: Vec::new(), counter: false };
-        for post in a.iter().chain(b) {
-            match post {
-                Post::Gateway(gateway) => cut.gateways.push(*gateway),
-                Post::Host(host) => cut.hosts.push(*host),
-                Post::Counter => cut.counter = true,
-                Post::Clients => {}
-            }
-        }
+        let cut: CutOff = pairs(a, b).chain(pairs(b, a)).collect();
         self.silence(&cut, true, reset);
         self.next_cut += 1;
         self.cuts.insert(self.next_cut, cut);
@@ -220,6 +204,16 @@
     }
 }
 
+/// Stand-ins of one side with the gateways of the other.
+fn pairs<'a>(standins: &'a [Post], gateways: &'a [Post]) -> impl Iterator<Item = (Post, u32)> + 'a {
+    let gateways = gateways.iter().filter_map(|post| match post {
+        Post::Gateway(gateway) => Some(*gateway),
+        _ => None,
+    });
+    let here = |post: &&Post| matches!(post, Post::Host(_) | Post::Counter);
+    gateways.flat_map(move |gateway| standins.iter().filter(here).map(move |post| (*post, gateway)))
+}
+
 /// Waits for the end of a gateway's process.
 async fn wait(mut child: Child, gateway: u32, incarnation: u32, exits: Arc<Mutex<Vec<Exit>>>) {
     let error = match child.wait().await {
@@ -250,3 +244,16 @@
 fn ticks_per_s() -> f64 {
     rustix::param::clock_ticks_per_second() as f64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_cut_between_buildings_leaves_each_to_itself() {
+        let one = [Post::Gateway(0), Post::Host(0), Post::Counter];
+        let two = [Post::Gateway(1), Post::Host(1)];
+        let cut: Vec<_> = pairs(&one, &two).chain(pairs(&two, &one)).collect();
+        assert_eq!(cut, [(Post::Host(0), 1), (Post::Counter, 1), (Post::Host(1), 0)]);
+    }
+}
