--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -342,7 +342,7 @@
     {
         let (env, seat) = (self.context.env.clone(), self.seat.clone());
         let mut phase = self.context.phase.clone();
-        let (mut noted, mut taken_by) = (Use::Fresh, None);
+        let (mut noted, mut taken_by, mut stalled_by) = (Use::Fresh, None, None);
         loop {
             self.flush_ready();
             let writing = self.output.has_remaining();
@@ -368,7 +368,9 @@
             let ahead = self.unanswered() < MAX_PIPELINE || self.input.len() < READ_AHEAD;
             let (reading, owed) = (!self.broken && !writing && ahead, self.owed);
             taken_by = writing.then(|| taken_by.unwrap_or_else(|| env.now() + TAKEN));
-            let stalled = taken_by.map_or(0, |by| by.min(env.now() + STALLED));
+            // Only what it takes renews this: not the answers to its other commands.
+            stalled_by = writing.then(|| stalled_by.unwrap_or_else(|| env.now() + STALLED));
+            let gone = taken_by.min(stalled_by).unwrap_or(0);
             tokio::select! {
                 biased;
                 Some((slot, answer)) = inbox.recv() => {
@@ -377,8 +379,9 @@
                         self.settle(slot, answer);
                     }
                 }
-                wrote = env.timeout_at(stalled, writer.write_buf(&mut self.output)), if writing => {
+                wrote = env.timeout_at(gone, writer.write_buf(&mut self.output)), if writing => {
                     wrote.map_err(|_| RespError::Closed)??;
+                    stalled_by = None;
                     if self.count_sent() {
                         taken_by = None;
                     }
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -294,7 +294,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use fennelbeam_env::Real;
+    use fennelbeam_env::{Listener, Real};
+    use fennelbeam_model::scenario::NetworkSpec;
+    use fennelbeam_sim::{Place, Sim, SimConfig, SimEnv, SimStream};
+    use std::sync::Mutex;
     use std::time::{Duration, Instant};
     use tokio::io::AsyncReadExt;
     use tokio::net::{TcpListener, TcpStream};
@@ -440,4 +443,76 @@
         assert_eq!(ended.outcome, Outcome::Timeout, "it may have been added");
         assert!(start.elapsed() < Duration::from_secs(6), "long before a silent one");
     }
+
+    /// A counter in a room whose network takes half of a call unread, so that writing it rests in the middle.
+    struct SlowReader {
+        sim: Sim,
+        counter: Counter<SimEnv>,
+        inbox: UnboundedReceiver<Input>,
+        heard: Arc<Mutex<Vec<u8>>>,
+    }
+
+    impl SlowReader {
+        /// Its service reads nothing for a second, and then all that comes.
+        fn start() -> SlowReader {
+            let network = NetworkSpec { window: 32, ..NetworkSpec::default() };
+            let sim = Sim::new(SimConfig { seed: 1, start: 0, network });
+            let process = |name: &str| sim.machine(name, Place::Building(0)).process(name);
+            let (service, gateway) = (process("service"), process("gateway"));
+            let mut listener = service.listen("0.0.0.0:80".parse().unwrap(), 16).unwrap();
+            let address = Some(listener.local_addr().unwrap());
+            let heard = Arc::new(Mutex::new(Vec::new()));
+            let all = heard.clone();
+            service.clone().spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    service.spawn(hear_late(service.clone(), stream, all.clone()));
+                }
+            });
+            let (tell, inbox) = mpsc::unbounded_channel();
+            SlowReader { sim, counter: Counter::new(gateway, address, tell, 20 * SECOND), inbox, heard }
+        }
+
+        fn call(&mut self, amount: f64) -> CallId {
+            self.counter.call(NAME, amount, 4 * SECOND).unwrap().0
+        }
+
+        /// All that the service has read by then.
+        fn heard(&self, by: Time) -> Vec<u8> {
+            self.sim.run_until(by).unwrap();
+            self.heard.lock().unwrap().clone()
+        }
+    }
+
+    async fn hear_late(service: SimEnv, mut stream: SimStream, heard: Arc<Mutex<Vec<u8>>>) {
+        service.sleep_until(SECOND).await;
+        let mut buf = [0; 256];
+        while let Ok(count @ 1..) = stream.read(&mut buf).await {
+            heard.lock().unwrap().extend_from_slice(&buf[..count]);
+        }
+    }
+
+    #[test]
+    fn a_call_given_up_in_mid_write_may_have_been_added() {
+        let mut room = SlowReader::start();
+        let call = room.call(-2.5);
+        assert!(room.heard(SECOND / 2).is_empty());
+        assert_eq!(room.counter.give_up(call).unwrap().outcome, Outcome::Timeout);
+        assert_eq!(room.heard(2 * SECOND), command(NAME, -2.5, 4 * SECOND), "all of it has come");
+    }
+
+    #[test]
+    fn a_call_given_up_behind_one_in_mid_write_is_never_written() {
+        let mut room = SlowReader::start();
+        for _ in 0..MAX_LINKS {
+            room.call(1.0);
+        }
+        room.sim.run_until(SECOND / 2).unwrap();
+        let behind = room.call(2.0);
+        room.sim.run_until(SECOND * 3 / 4).unwrap();
+        assert_eq!(room.counter.give_up(behind).unwrap().outcome, Outcome::NoConnection);
+        let one = command(NAME, 1.0, 4 * SECOND).len();
+        assert_eq!(room.heard(2 * SECOND).len(), MAX_LINKS * one);
+        let Ok(Input::Counter(event)) = room.inbox.try_recv() else { panic!("its end is told") };
+        assert!(room.counter.on_event(event).is_none(), "given up before");
+    }
 }
--- /dev/null
+++ b/crates/gateway/tests/room/discovery.rs
@@ -0,0 +1,150 @@
+//! Discovery that falls silent, and addresses that move while calls are out.
+
+use crate::support::{bulk, entry, list, name, post, Manner, Peer, Plan, Room, Seen, CLIENT, END, HERE};
+use fennelbeam_env::Span;
+use fennelbeam_gateway::Signal;
+use fennelbeam_model::{MS, SECOND};
+use serde_json::json;
+
+/// Between asking for a connection on one machine and a question that is there.
+const QUESTION: Span = 3 * HERE;
+
+fn texts(seen: &[Seen]) -> Vec<&str> {
+    seen.iter().map(|seen| seen.text.as_str()).collect()
+}
+
+fn watch(after: u64) -> String {
+    format!("GET /registry/instances?watch=1&after={after} HTTP/1.1")
+}
+
+/// The only thing seen, which is a question.
+fn question(peer: &Peer, text: &str) -> Seen {
+    let question = peer.one();
+    assert_eq!(question.text, text);
+    question
+}
+
+#[test]
+fn a_silent_watch_is_replaced_after_two_and_a_half_seconds_and_twice_within_six() {
+    let room = Room::start(Plan::default());
+    room.run_to(QUESTION);
+    let first = question(&room.discovery, &watch(1));
+    room.discovery.open_watch(first.line);
+    room.discovery.tell(first.line, &list(2, true, &[entry(&room.hosts, 0, "in_service")]));
+    let heard = QUESTION + HERE;
+    room.run_to(6 * SECOND);
+    let seen = room.discovery.seen();
+    // The second, unlike the first, is silent from the start; the pause after it is longer.
+    let second = heard + 2500 * MS + 20 * MS;
+    let third = second + 2500 * MS + 40 * MS;
+    let expected = [
+        (heard + 2500 * MS + HERE, 0, END.to_owned()),
+        (second + QUESTION, 1, watch(2)),
+        (second + 2500 * MS + HERE, 1, END.to_owned()),
+        (third + QUESTION, 2, watch(2)),
+    ];
+    let seen: Vec<_> = seen.into_iter().map(|seen| (seen.at, seen.line, seen.text)).collect();
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn a_watch_with_an_empty_line_every_two_seconds_stays() {
+    let room = Room::start(Plan::default());
+    room.run_to(QUESTION);
+    let line = question(&room.discovery, &watch(1)).line;
+    room.discovery.open_watch(line);
+    for _ in 0..30 {
+        room.run(2 * SECOND);
+        room.discovery.keep_watch(line);
+    }
+    room.run(2 * SECOND);
+    assert!(room.discovery.seen().is_empty());
+}
+
+/// A gateway whose customers have a quota of ten units and next to nothing more.
+fn with_quota() -> Room {
+    let mut plan = Plan::default();
+    plan.settings["domain"]["shared-counter"] = true.into();
+    plan.settings["tariffs"] = json!([{"name": "team", "worth-factor": 1.0, "refill": 0.001, "burst": 10.0}]);
+    let room = Room::start(plan);
+    room.hosts[0].manner(Manner::serve(4, 0));
+    room
+}
+
+#[test]
+fn sighup_moves_the_counter_and_a_call_that_is_out_counts_where_it_is() {
+    let room = with_quota();
+    let (new, client) = (room.peer("new counter", 7000), room.client());
+    client.say(post(1, 1, 2.0));
+    room.run_to(10 * MS);
+    let old_call = room.counter.one();
+    room.reload(room.discovery.addr, new.addr);
+    client.say(post(2, 2, 2.0));
+    room.run_to(20 * MS);
+    let new_call = new.one();
+    assert!(old_call.text.starts_with("ADDGET ") && new_call.text.starts_with("ADDGET "));
+    // The later one comes back first, as answers to other customers may.
+    new.say(new_call.line, bulk("2"));
+    room.run_to(50 * MS);
+    assert_eq!(texts(&room.hosts[0].seen()).len(), 1);
+    room.counter.say(old_call.line, bulk("2"));
+    room.run_to(90 * MS);
+    assert_eq!(client.heard(), [name(1), name(2)]);
+    let [end] = &room.counter.seen()[..] else { panic!("an end, and no call") };
+    assert_eq!(end.text, END, "nothing more is to come there");
+}
+
+#[test]
+fn sighup_moves_discovery_and_the_list_from_there_counts_for_calls_in_flight_too() {
+    let room = Room::start(Plan { hosts: 2, ..Plan::default() });
+    let (new, client) = (room.peer("new agent", 8500), room.client());
+    room.run_to(QUESTION);
+    room.discovery.open_watch(0);
+    client.post(1);
+    room.run_to(10 * MS);
+    room.discovery.seen();
+    let busy = room.hosts.iter().position(|host| !host.seen().is_empty()).unwrap();
+    room.reload(new.addr, room.counter.addr);
+    room.run(10 * MS);
+    assert_eq!(room.discovery.one().text, END);
+    let line = question(&new, "GET /registry/instances HTTP/1.1").line;
+    // The host that is at work is not on it.
+    let whole = list(3, true, &[entry(&room.hosts, 1 - busy, "in_service")]).to_string();
+    new.say(line, format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len()));
+    room.run(10 * MS);
+    assert!(texts(&new.seen()).contains(&watch(3).as_str()));
+    room.hosts.iter().for_each(|host| host.manner(Manner::serve(1, 0)));
+    room.hosts[busy].say(0, crate::support::served("late"));
+    for id in 2..10 {
+        client.post(id);
+        room.run(10 * MS);
+    }
+    assert_eq!(client.heard()[0], "late", "what it has, it finishes");
+    assert_eq!(texts(&room.hosts[busy].seen()), [END], "it gets nothing new, and its connection goes");
+}
+
+#[test]
+fn sighup_while_stopping_still_moves_the_counter_and_a_bad_one_changes_nothing() {
+    let room = with_quota();
+    let (new, client) = (room.peer("new counter", 7000), room.client());
+    new.manner(Manner::count());
+    client.say(post(1, 1, 2.0));
+    room.run_to(10 * MS);
+    let old_call = room.counter.one();
+    room.signal(Signal::Terminate);
+    room.run(50 * MS);
+    room.reload(room.discovery.addr, new.addr);
+    room.run(MS);
+    room.lose_configuration();
+    room.signal(Signal::Reload);
+    room.signal(Signal::Terminate);
+    room.counter.say(old_call.line, bulk("2"));
+    client.say(post(2, 2, 2.0));
+    room.run(100 * MS);
+    assert_eq!(client.heard(), [name(1), name(2)]);
+    assert_eq!(new.seen().len(), 1);
+    room.run(SECOND);
+    let closing = 10 * MS + 450 * MS;
+    assert_eq!(client.seen(), [(closing + CLIENT, END.to_owned())]);
+    assert_eq!(room.ended(), Some(closing + 500 * MS));
+}
--- /dev/null
+++ b/crates/gateway/tests/room/stop.rs
@@ -0,0 +1,181 @@
+//! SIGTERM with calls in flight and orders still coming.
+
+use crate::support::{command, get, name, post, served, Manner, Plan, Room, Seen, BROKEN, CLIENT, END};
+use fennelbeam_env::Span;
+use fennelbeam_gateway::Signal;
+use fennelbeam_model::rng::Rng;
+use fennelbeam_model::{MS, SECOND};
+use fennelbeam_sim::What;
+use std::collections::BTreeMap;
+
+/// When SIGTERM comes, and for how long after it new connections are taken.
+const TERM: Span = 505 * MS;
+const STILL_ACCEPTING: Span = 450 * MS;
+/// Orders have this long; hosts that take under half of it answer well within time, as an order may wait for
+/// the other half until it is sent.
+const AIM: Span = 600 * MS;
+/// Ids of orders start here.
+const ORDERS: u64 = 1_000;
+
+/// A gateway with 40 calls in flight, and ten orders before, during and after its stop.
+struct Scene {
+    seed: u64,
+    /// Hosts take this long for each call, and for four at once.
+    each: Span,
+    signal: bool,
+}
+
+/// What became of an order.
+#[derive(Debug)]
+struct Order {
+    asked: Span,
+    answers: Vec<(Span, String)>,
+    /// How often it came whole to a host.
+    received: usize,
+}
+
+impl Order {
+    fn texts(&self) -> Vec<&str> {
+        self.answers.iter().map(|(_, text)| text.as_str()).collect()
+    }
+
+    /// What it was answered, whatever came after.
+    fn answer(&self) -> Option<&str> {
+        self.texts().into_iter().find(|text| ![END, BROKEN].contains(text))
+    }
+}
+
+impl Scene {
+    fn start(&self) -> Room {
+        let mut plan = Plan { seed: self.seed, hosts: 10, ..Plan::default() };
+        plan.network.jitter = 0.5;
+        for class in plan.settings["services"].as_array_mut().unwrap() {
+            class["aim"] = AIM.into();
+        }
+        let room = Room::start(plan);
+        room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, self.each)));
+        room
+    }
+
+    fn play(&self) -> Vec<Order> {
+        let room = self.start();
+        let mut rng = Rng::stream(self.seed, "orders", 0);
+        let mut kept: Vec<_> = (0..50).map(|_| room.client()).collect();
+        room.run_to(500 * MS);
+        let in_flight: Vec<_> = kept.drain(..40).collect();
+        (1..).zip(&in_flight).for_each(|(id, client)| client.say(get(id)));
+        if self.signal {
+            let signals = room.signals();
+            room.at(TERM, move |_| signals.send(Signal::Terminate).unwrap());
+        }
+        let mut asked: Vec<Span> = (0..10).map(|_| 500 * MS + rng.below(900 * MS)).collect();
+        asked.sort_unstable();
+        // Every other one on a connection that has stood open, the rest on new ones.
+        for (number, (at, client)) in asked.iter().zip(&mut kept).enumerate() {
+            room.run_to(*at);
+            if number % 2 == 0 {
+                *client = room.client();
+            }
+            client.say(post(ORDERS + number as u64, 1, 1.0));
+        }
+        room.run(4 * SECOND);
+        assert_eq!(room.ended().is_some(), self.signal);
+        for (id, client) in (1..).zip(&in_flight) {
+            assert_eq!(client.heard()[0], name(id), "a call that was in flight, seed {}", self.seed);
+        }
+        let received: Vec<Seen> = room.hosts.iter().flat_map(|host| host.seen()).collect();
+        let count = |id: u64| received.iter().filter(|seen| seen.text.contains(&name(id))).count();
+        let orders = (ORDERS..).zip(asked.into_iter().zip(&kept));
+        orders
+            .map(|(id, (asked, client))| Order { asked, answers: client.seen(), received: count(id) })
+            .collect()
+    }
+}
+
+#[test]
+fn orders_around_the_stop_are_served_or_closed_unread_and_never_fail() {
+    let mut outcomes = BTreeMap::new();
+    for seed in 0..200 {
+        let each = (10 + Rng::stream(seed, "each", 0).below(280)) * MS;
+        for (id, order) in (ORDERS..).zip((Scene { seed, each, signal: true }).play()) {
+            let value = name(id);
+            let how = match order.texts()[..] {
+                [text, END] if text == value => "served",
+                // The client sends it again elsewhere, since it cannot have run.
+                [END | BROKEN] => "closed unread",
+                _ => panic!("seed {seed}: {order:?}"),
+            };
+            assert_eq!(order.received, usize::from(how == "served"), "seed {seed}: {order:?}");
+            let late = order.asked > TERM + STILL_ACCEPTING - 5 * MS;
+            assert!(how == "served" || late, "seed {seed}: {order:?}");
+            *outcomes.entry(how).or_insert(0) += 1;
+        }
+    }
+    assert!(outcomes["served"] > 900 && outcomes["closed unread"] > 900, "{outcomes:?}");
+}
+
+/// Where a stop was seen to fail orders, hosts took longer than what was left of the orders' time: an attempt
+/// was given up that may have run. The stop has no part in it.
+#[test]
+fn orders_fail_by_hosts_that_take_too_long_with_a_stop_and_without() {
+    let mut failed = 0;
+    for seed in 0..20 {
+        let [stopped, served] = [true, false].map(|signal| Scene { seed, each: 400 * MS, signal }.play());
+        for (order, without) in stopped.iter().zip(&served) {
+            if order.asked < TERM + STILL_ACCEPTING - 5 * MS {
+                assert_eq!(order.answer(), without.answer(), "seed {seed}: {order:?}");
+            }
+            if order.answer() == Some("-ERR failed") {
+                failed += 1;
+                assert_eq!(order.received, 1, "seed {seed}: {order:?}");
+                let took = order.answers[0].0 - order.asked;
+                assert!((AIM..AIM + 5 * MS).contains(&took), "seed {seed}: {order:?}");
+            }
+        }
+    }
+    assert!(failed > 20, "{failed}");
+}
+
+#[test]
+fn a_client_that_writes_on_gets_its_last_answer_whole_and_no_reset() {
+    let room = Room::start(Plan::default());
+    let (wire, client) = (room.wire(), room.client());
+    client.get(1);
+    room.run_to(10 * MS);
+    room.signal(Signal::Terminate);
+    room.run_to(500 * MS);
+    let value = "x".repeat(60_000);
+    room.hosts[0].say(0, served(&value));
+    // It sends a command each 50 us, up to a while after the gateway has ended its sending.
+    let mut heard = Vec::new();
+    while !heard.contains(&END.to_owned()) {
+        client.say(command(&["PING"]));
+        room.run(50_000);
+        heard.extend(client.heard());
+    }
+    for _ in 0..100 {
+        client.say(command(&["PING"]));
+        room.run(50_000);
+    }
+    let before = room.ended();
+    client.close();
+    let closed = room.now();
+    room.run(SECOND);
+    assert_eq!(heard[0], value);
+    assert!(heard[1..heard.len() - 1].iter().all(|text| text == "-ERR stopping"), "{:?}", &heard[1..]);
+    // A reset would make its system throw away what it has not read.
+    assert_eq!(wire.arrivals("gateway", "clients", &What::Reset).len(), 0);
+    assert_eq!((before, room.ended()), (None, Some(closed + CLIENT)));
+}
+
+#[test]
+fn a_client_that_stays_holds_up_the_stop_for_half_a_second() {
+    let room = Room::start(Plan::default());
+    let client = room.client();
+    room.run_to(10 * MS);
+    room.signal(Signal::Terminate);
+    room.run(2 * SECOND);
+    let closing = 10 * MS + STILL_ACCEPTING;
+    assert_eq!(client.seen(), [(closing + CLIENT, END.to_owned())]);
+    assert_eq!(room.ended(), Some(closing + 500 * MS));
+}
