--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -11,5 +11,6 @@
 mod swarm;
 mod virtual_time;
 
-pub use play::{play_real, play_virtual, Played, Progress, RealOptions, VirtualOptions};
+pub use play::{play_real, play_virtual, OnPacket, Played, Progress, RealOptions, VirtualOptions};
 pub use swarm::{only, random_scenario, shrink, Found, Swarm};
+pub use virtual_time::{Document, GatewayMaker, GatewayStart, GatewayTask};
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -5,10 +5,11 @@
 use fennelbeam_model::file;
 use fennelbeam_model::scenario::Scenario;
 use fennelbeam_rehearse::{
-    only, play_real, play_virtual, random_scenario, Played, Progress, RealOptions, Swarm, VirtualOptions,
+    only, play_real, play_virtual, random_scenario, OnPacket, Played, Progress, RealOptions, Swarm,
+    VirtualOptions,
 };
 use fennelbeam_report::{html, json, progress, speed_line, table, Heading};
-use fennelbeam_sim::{Packet, What};
+use fennelbeam_sim::What;
 use std::fs::File;
 use std::io::{self, BufWriter, IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -64,7 +65,7 @@
     #[arg(long, value_name = "PLACES", value_delimiter = ',', requires = "swarm_site")]
     only: Option<Vec<usize>>,
     /// Print the scenario as a file, and do not play it
-    #[arg(long)]
+    #[arg(long, conflicts_with = "only")]
     show: bool,
     /// Log of the gateways in virtual time, to standard error: error, warn, info, debug
     #[arg(long, value_name = "LEVEL")]
@@ -153,7 +154,7 @@
     let trace = line.trace.as_ref().map(|path| tracer(path)).transpose()?;
     let mut meter = Meter::new();
     let mut told = |now: Progress| meter.tell(now);
-    let options = VirtualOptions { trace, stop_at_breach: false, progress: Some(&mut told) };
+    let options = VirtualOptions { trace, progress: Some(&mut told), ..VirtualOptions::default() };
     let played = play_virtual(scenario, seed, options);
     meter.end();
     played
@@ -177,7 +178,7 @@
 }
 
 /// Writes a line for each thing that arrives. What cannot be written is lost, and said once at the end.
-fn tracer(path: &Path) -> Result<Box<dyn FnMut(&Packet) + Send>> {
+fn tracer(path: &Path) -> Result<OnPacket> {
     let file = File::create(path).with_context(|| format!("cannot write {}", path.display()))?;
     let mut file = BufWriter::new(file);
     Ok(Box::new(move |packet| {
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -4,11 +4,11 @@
 use crate::real::RealStage;
 use crate::site::{SiteOf, HEAD_START};
 use crate::stage::{Post, Stage};
-use crate::virtual_time::VirtualStage;
-use anyhow::Result;
+use crate::virtual_time::{GatewayMaker, VirtualStage};
+use anyhow::{bail, Result};
 use fennelbeam_env::{Env, Span, Time};
 use fennelbeam_judge::{Judge, Verdict};
-use fennelbeam_model::scenario::Scenario;
+use fennelbeam_model::scenario::{Event, Scenario, Side};
 use fennelbeam_model::seen::{Got, What};
 use fennelbeam_sim::{Halt, Packet, Watchdog};
 use fennelbeam_standins::Recorder;
@@ -24,7 +24,7 @@
 const TAIL: Span = 5 * SECOND;
 /// In a real rehearsal, sightings are judged this often.
 const REAL_BEAT: Span = SECOND / 100;
-/// A single turn of a simulated task may take this long on the machine's own clock.
+/// See [`VirtualOptions::stuck`].
 const STUCK: Duration = Duration::from_secs(20);
 
 /// How far a rehearsal is.
@@ -43,6 +43,9 @@
 /// Who is told how far a rehearsal is, once a second of it.
 pub type OnProgress<'a> = Option<&'a mut dyn FnMut(Progress)>;
 
+/// Who sees everything that arrives on any wire.
+pub type OnPacket = Box<dyn FnMut(&Packet) + Send>;
+
 /// What a rehearsal came to.
 #[derive(Clone, Debug)]
 pub struct Played {
@@ -59,14 +62,24 @@
 }
 
 /// How to play in virtual time.
-#[derive(Default)]
 pub struct VirtualOptions<'a> {
     /// Sees everything that arrives on any wire.
-    pub trace: Option<Box<dyn FnMut(&Packet) + Send>>,
+    pub trace: Option<OnPacket>,
     /// Ends at the first broken rule.
     pub stop_at_breach: bool,
     /// Is told how far it is.
     pub progress: OnProgress<'a>,
+    /// What runs in the place of the real gateway, if anything does.
+    pub gateway: Option<GatewayMaker>,
+    /// One turn of a simulated task may take this long on the machine's own clock. Longer, and the program
+    /// ends with status 3 and a message: nothing else can be done about such a task.
+    pub stuck: Duration,
+}
+
+impl Default for VirtualOptions<'_> {
+    fn default() -> Self {
+        VirtualOptions { trace: None, stop_at_breach: false, progress: None, gateway: None, stuck: STUCK }
+    }
 }
 
 /// How to play on real sockets.
@@ -148,10 +161,10 @@
 pub fn play_virtual(scenario: &Scenario, seed: u64, mut options: VirtualOptions<'_>) -> Result<Played> {
     let start = EPOCH + HEAD_START;
     let mut bench = Bench::new(scenario, start);
-    let stage = VirtualStage::new(&scenario.site, seed, EPOCH);
+    let stage = VirtualStage::new(&scenario.site, seed, EPOCH).with_gateway(options.gateway.take());
     let sim = stage.sim().clone();
-    let _watchdog = Watchdog::start(&sim, STUCK, |process| {
-        eprintln!("fennelbeam-rehearse: process {process} has not given its turn back for {STUCK:?}");
+    let _watchdog = Watchdog::start(&sim, options.stuck, |stuck| {
+        eprintln!("fennelbeam-rehearse: {stuck}");
         std::process::exit(3);
     });
     if let Some(trace) = options.trace.take() {
@@ -197,8 +210,14 @@
 /// Plays a scenario on real sockets and in real time.
 ///
 /// # Errors
-/// Where the site cannot be put up, or the program cannot be started.
+/// Where the site cannot be put up, the program cannot be started, or the scenario cuts clients off.
 pub fn play_real(scenario: &Scenario, seed: u64, options: RealOptions<'_>) -> Result<Played> {
+    for timed in &scenario.events {
+        if matches!(&timed.event, Event::Cut(a, b, ..) if [a, b].contains(&&Side::Clients)) {
+            let at_s = timed.at as f64 / SECOND as f64;
+            bail!("the event at {at_s} s cuts clients off, which cannot be played on real sockets");
+        }
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(real(scenario, seed, options))
 }
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -117,7 +117,8 @@
     }
 
     fn silence(&mut self, cut: &CutOff, silent: bool, reset: bool) {
-        let silences = cut.iter().map(|(post, gateway)| Silence { post: *post, gateway: *gateway, silent, reset });
+        let silences =
+            cut.iter().map(|(post, gateway)| Silence { post: *post, gateway: *gateway, silent, reset });
         self.silences.extend(silences);
     }
 }
--- a/crates/rehearse/src/swarm.rs
+++ b/crates/rehearse/src/swarm.rs
@@ -2,6 +2,7 @@
 //! to the events that matter.
 
 use crate::play::{play_virtual, Played, VirtualOptions};
+use crate::virtual_time::GatewayMaker;
 use anyhow::Result;
 use fennelbeam_judge::Rule;
 use fennelbeam_model::rng::Rng;
@@ -44,6 +45,11 @@
     /// Plays the sites, and gives the one with the lowest number on which something went wrong, cut down.
     /// `told` hears after each site how many are through.
     pub fn play(&self, told: &(dyn Fn(u64) + Sync)) -> Option<Found> {
+        self.play_with(None, told)
+    }
+
+    /// The same, with something else in the place of the real gateway.
+    pub fn play_with(&self, gateway: Option<&GatewayMaker>, told: &(dyn Fn(u64) + Sync)) -> Option<Found> {
         let (next, through) = (AtomicU64::new(0), AtomicU64::new(0));
         let worst: Mutex<Option<(u64, String)>> = Mutex::new(None);
         let lowest = || worst.lock().expect("no job panics with it").as_ref().map_or(self.count, |(n, _)| *n);
@@ -52,7 +58,7 @@
             if n >= lowest() {
                 return;
             }
-            if let Some((_, what)) = wrong(&random_scenario(self.seed + n), self.seed + n) {
+            if let Some((_, what)) = wrong(&random_scenario(self.seed + n), self.seed + n, gateway) {
                 let mut worst = worst.lock().expect("no job panics with it");
                 if worst.as_ref().is_none_or(|(found, _)| n < *found) {
                     *worst = Some((n, what));
@@ -67,7 +73,7 @@
         });
         let (n, what) = worst.into_inner().expect("no job panics with it")?;
         let site = self.seed + n;
-        let (scenario, kept) = shrink(&random_scenario(site), site);
+        let (scenario, kept) = shrink(&random_scenario(site), site, gateway);
         Some(Found { site, scenario, kept, what })
     }
 }
@@ -82,8 +88,9 @@
     Process,
 }
 
-fn wrong(scenario: &Scenario, seed: u64) -> Option<(Kind, String)> {
-    let options = VirtualOptions { stop_at_breach: true, ..VirtualOptions::default() };
+fn wrong(scenario: &Scenario, seed: u64, gateway: Option<&GatewayMaker>) -> Option<(Kind, String)> {
+    let gateway = gateway.cloned();
+    let options = VirtualOptions { stop_at_breach: true, gateway, ..VirtualOptions::default() };
     judge(play_virtual(scenario, seed, options))
 }
 
@@ -103,12 +110,12 @@
 
 /// Leaves out events, one after another, without which the same kind of thing still goes wrong. Gives the
 /// scenario and the places of the events that are left, counted from 1.
-pub fn shrink(scenario: &Scenario, seed: u64) -> (Scenario, Vec<usize>) {
+pub fn shrink(scenario: &Scenario, seed: u64, gateway: Option<&GatewayMaker>) -> (Scenario, Vec<usize>) {
     let mut kept: Vec<usize> = (1..=scenario.events.len()).collect();
-    let Some((kind, _)) = wrong(scenario, seed) else { return (scenario.clone(), kept) };
+    let Some((kind, _)) = wrong(scenario, seed, gateway) else { return (scenario.clone(), kept) };
     for place in (1..=scenario.events.len()).rev() {
         let fewer: Vec<usize> = kept.iter().copied().filter(|k| *k != place).collect();
-        let same = wrong(&only(scenario, &fewer), seed).is_some_and(|(found, _)| found == kind);
+        let same = wrong(&only(scenario, &fewer), seed, gateway).is_some_and(|(found, _)| found == kind);
         if same {
             kept = fewer;
         }
--- a/crates/rehearse/src/virtual_time.rs
+++ b/crates/rehearse/src/virtual_time.rs
@@ -1,31 +1,78 @@
 //! The virtual stage: the real network side, once per gateway, in processes of a simulated machine room.
 
 use crate::stage::{Exit, Post, Signal, Stage};
+use anyhow::Result;
 use fennelbeam_env::{Env, Span, Time};
 use fennelbeam_gateway::{serve, Config};
 use fennelbeam_model::scenario::{NetworkSpec, Site};
 use fennelbeam_sim::{Cut, CutId, Machine, Place, ProcessId, Sim, SimConfig, SimEnv};
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 /// Where gateways listen on their machines.
 const PORT: u16 = 6379;
 
+/// A gateway's process, as it begins.
+pub struct GatewayStart {
+    /// Its world.
+    pub env: SimEnv,
+    /// Its configuration document, which may be another one at a reload.
+    pub document: Document,
+    /// What it is told from outside.
+    pub signals: UnboundedReceiver<fennelbeam_gateway::Signal>,
+}
+
+/// A gateway's configuration document.
+#[derive(Clone, Debug)]
+pub struct Document(Arc<Mutex<String>>);
+
+impl Document {
+    fn new(document: &Value) -> Document {
+        Document(Arc::new(Mutex::new(document.to_string())))
+    }
+
+    /// Its text, as it is now.
+    pub fn text(&self) -> String {
+        lock(&self.0).clone()
+    }
+
+    fn replace(&self, document: &Value) {
+        *lock(&self.0) = document.to_string();
+    }
+}
+
+/// A gateway at work. Its process ends with it, in the ordinary way, or by an error.
+pub type GatewayTask = Pin<Box<dyn Future<Output = Result<()>> + Send>>;
+
+/// Makes what runs in the place of the real gateway, once for each start of a process.
+pub type GatewayMaker = Arc<dyn Fn(GatewayStart) -> GatewayTask + Send + Sync>;
+
+/// The real one. Fails where its document cannot be read.
+fn real_gateway(start: GatewayStart) -> Result<GatewayTask> {
+    let GatewayStart { env, document, signals } = start;
+    let read = move || Config::parse(document.text().as_bytes());
+    let config = read()?;
+    Ok(Box::pin(serve(env, config, read, signals)))
+}
+
 /// A gateway's process that runs.
 struct Running {
     process: ProcessId,
     incarnation: u32,
     signals: UnboundedSender<fennelbeam_gateway::Signal>,
-    document: Arc<Mutex<String>>,
+    document: Document,
 }
 
 /// A stage in virtual time.
 pub struct VirtualStage {
     sim: Sim,
+    gateway: Option<GatewayMaker>,
     buildings: u32,
     descriptors: usize,
     machines: Arc<Mutex<BTreeMap<Post, Machine>>>,
@@ -41,6 +88,7 @@
         let network: NetworkSpec = site.network.clone();
         VirtualStage {
             sim: Sim::new(SimConfig { seed, start, network }),
+            gateway: None,
             buildings: site.buildings.max(1),
             descriptors: site.sockets as usize,
             machines: Arc::default(),
@@ -51,6 +99,11 @@
         }
     }
 
+    /// The same with other gateways in the place of the real ones.
+    pub fn with_gateway(self, gateway: Option<GatewayMaker>) -> VirtualStage {
+        VirtualStage { gateway, ..self }
+    }
+
     /// The machine room.
     pub fn sim(&self) -> &Sim {
         &self.sim
@@ -97,15 +150,16 @@
         let name = format!("gateway {}.{incarnation}", gateway + 1);
         let env = self.machine(Post::Gateway(gateway)).process(&name);
         env.set_descriptors(self.descriptors);
-        let document = Arc::new(Mutex::new(document.to_string()));
-        let config = Config::parse(lock(&document).as_bytes()).map_err(io::Error::other)?;
+        let document = Document::new(document);
         let (signals, inbox) = mpsc::unbounded_channel();
-        let again = document.clone();
-        let again = move || Config::parse(lock(&again).as_bytes());
+        let start = GatewayStart { env: env.clone(), document: document.clone(), signals: inbox };
+        let serving = match &self.gateway {
+            Some(other) => other(start),
+            None => real_gateway(start).map_err(io::Error::other)?,
+        };
         let (exits, own) = (self.exits.clone(), env.clone());
         env.spawn(async move {
-            let ended = serve(own.clone(), config, again, inbox).await;
-            let error = ended.err().map(|error| format!("{error:#}"));
+            let error = serving.await.err().map(|error| format!("{error:#}"));
             lock(&exits).push(Exit { gateway, incarnation, error });
             own.exit();
         });
@@ -116,7 +170,7 @@
 
     fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()> {
         if let Some(running) = self.running.get(&gateway) {
-            *lock(&running.document) = document.to_string();
+            running.document.replace(document);
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/rehearse/tests/wrongdoers/main.rs
@@ -0,0 +1,115 @@
+//! The judge against wrongdoers: a stand-in gateway that keeps all rules, and the same one with one wrong way,
+//! which is caught by the rule that is meant for it and by no other.
+
+mod cold;
+mod proxy;
+mod swarm;
+
+use fennelbeam_judge::Rule;
+use fennelbeam_model::file;
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_rehearse::{play_virtual, Played, VirtualOptions};
+use proxy::{proxy, Wrong};
+use std::collections::BTreeSet;
+
+/// Something for each wrong way: orders that fail after they have run, hosts that drain, one that starts
+/// anew, and a ceiling on what some customers ask for more of.
+const SITE: &str = "
+scenario \"Something for each wrong way\"
+length 12 s
+site
+  gateways 2
+  hosts 10
+  discovery notice 200 ms to 600 ms
+  host error-rate 3 %
+  plan standard ceiling-rate 5 units/s, ceiling-burst 23 units
+traffic
+  rate 60 requests/s, most-excess 40 %
+  retries 0
+at 2 s: drain hosts 1 and 2, gone after 3 s
+at 3 s: restart host 3
+";
+
+fn scenario(text: &str) -> Scenario {
+    file::parse("test.scenario", text).unwrap()
+}
+
+/// Plays with a gateway that does this wrong.
+fn play(text: &str, seed: u64, wrong: Wrong) -> Played {
+    let options = VirtualOptions { gateway: Some(proxy(wrong)), ..VirtualOptions::default() };
+    play_virtual(&scenario(text), seed, options).unwrap()
+}
+
+fn rules(played: &Played) -> BTreeSet<Rule> {
+    played.verdict.breaches.iter().map(|breach| breach.rule).collect()
+}
+
+/// A gateway that does this wrong breaks this rule and no other, and all that is said of it has these words.
+fn is_caught(wrong: Wrong, rule: Rule, words: &[&str]) {
+    let played = play(SITE, 1, wrong);
+    let said: Vec<&str> = played.verdict.breaches.iter().map(|breach| breach.text.as_str()).collect();
+    assert_eq!(rules(&played), BTreeSet::from([rule]), "{said:#?}");
+    let fits = |text: &&str| words.iter().any(|words| text.contains(words));
+    assert!(said.iter().all(fits), "{said:#?}");
+    assert_eq!(played.verdict.notes, [""; 0]);
+}
+
+#[test]
+fn one_that_does_nothing_wrong_keeps_all_rules() {
+    for seed in 1..=3 {
+        let played = play(SITE, seed, Wrong::Nothing);
+        assert_eq!(played.verdict.breaches, [], "seed {seed}");
+        assert_eq!(played.verdict.notes, [""; 0]);
+        assert_eq!(played.troubles, [""; 0]);
+        let counts = played.verdict.counts;
+        assert!(counts.asked > 400 && counts.failed > 5 && counts.refused > 5, "{counts:?}");
+        assert!(counts.served > 5 * (counts.failed + counts.refused), "{counts:?}");
+    }
+}
+
+#[test]
+fn one_that_answers_twice_is_caught() {
+    is_caught(Wrong::AnswersTwice, Rule::OneAnswer, &["an answer to no request", "a second answer"]);
+}
+
+#[test]
+fn one_that_forgets_a_request_is_caught() {
+    is_caught(Wrong::Forgets, Rule::OneAnswer, &["was lost"]);
+}
+
+#[test]
+fn one_that_serves_what_no_host_made_is_caught() {
+    is_caught(Wrong::Invents, Rule::OneAnswer, &["with what no host made for it"]);
+}
+
+#[test]
+fn one_that_repeats_orders_that_failed_is_caught() {
+    is_caught(Wrong::RepeatsOrders, Rule::NothingTwice, &["was sent again although it may have run"]);
+}
+
+#[test]
+fn one_that_refuses_orders_that_ran_is_caught() {
+    is_caught(Wrong::RefusesWhatRan, Rule::NothingTwice, &["was refused by gateway"]);
+}
+
+#[test]
+fn one_that_sends_to_draining_hosts_is_caught() {
+    is_caught(Wrong::SendsToDraining, Rule::DrainsKept, &["that it drains or is gone"]);
+}
+
+#[test]
+fn one_that_floods_a_cold_host_is_caught() {
+    is_caught(Wrong::FloodsCold, Rule::ColdHosts, &["host 3 was pushed over"]);
+}
+
+#[test]
+fn one_that_forgets_ceilings_is_caught() {
+    is_caught(Wrong::ForgetsCeilings, Rule::Ceilings, &["beyond its ceiling"]);
+}
+
+#[test]
+fn one_that_crashes_is_caught() {
+    is_caught(Wrong::Crashes, Rule::NoCrash, &["ended without being told to"]);
+    let played = play(SITE, 1, Wrong::Crashes);
+    assert!(played.troubles[0].contains("gateway 1: crashed, as the test wants"), "{:?}", played.troubles);
+}
