Say what an operators' file set means: pools, routes and quota policies as data

The reader of the language and the routing are written side by side and meet in these types.

Nothing uses them yet.

--- /dev/null
+++ b/crates/lang/src/lib.rs
@@ -0,0 +1,3 @@
+//! The operators' language: pools, routes and quota policies.
+
+pub mod model;
