Refuse settings that serve nobody or lift a limit by a slip, naming the key

Each key that is read has to be there and of its kind; spans are whole nanoseconds and none is under 1 ms; aims lie within hard limits, numbers within their lists, stores have a depth; names are there once. A key that looks like a missing one is refused as misspelt; other unknown keys are skipped and told by `check` and the log, as the platform may come to say more. The document around the settings names the path of what it cannot read.

--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -55,6 +55,9 @@
         "{} descriptors are too few: {MIN_SOCKETS} are the least (see ulimit -n)",
         config.sockets
     );
+    for key in &config.unknown {
+        tracing::warn!("configuration: `{key}` is skipped, this version does not know it");
+    }
     fennelbeam_gateway::serve(Real::start(), config, move || read(&path), signals).await
 }
 
@@ -91,6 +94,9 @@
     if settings.counter && config.counter.is_some() {
         say_bounds(&config.site);
     }
+    for key in &config.unknown {
+        println!("  skips `{key}`, which this version does not know");
+    }
     println!("  classes: {}", config.site.classes.join(", "));
     println!("  plans: {}", config.site.plans.join(", "));
     println!("  knows {} hosts before discovery speaks", config.known.instances.len());
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -601,17 +601,12 @@
 mod tests {
     use super::*;
     use fennelbeam_env::Real;
-    use serde_json::json;
     use std::time::Duration;
     use tokio::net::{TcpSocket, TcpStream};
     use tokio::time::timeout;
 
     fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context<Real>, UnboundedReceiver<Input>) {
-        let settings = json!({
-            "services": [{"name": "read", "semantics": "safe", "hard-limit": 1_000_000_000u64}],
-            "balancers": 1,
-            "tariffs": [{"name": "team"}],
-        });
+        let settings = crate::config::sample("safe", 1_000_000_000, 1_000_000_000);
         let (gateway, inbox) = mpsc::unbounded_channel();
         let context = Context {
             site: Arc::new(Site::parse(&settings).unwrap()),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -171,12 +171,7 @@
             "name": "n0", "listen": "127.0.0.1:0", "discovery": nowhere, "seed": "7",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "known": {"generation": 1, "reset": true, "instances": [host]},
-            "settings": {
-                "allowed": {"dial-timeout": 2_000_000_000u64, "conn-idle": 60_000_000_000u64, "max-attempts": 1},
-                "services": [{"name": "order", "semantics": "unsafe", "aim": 8_000_000_000u64,
-                    "hard-limit": 9_000_000_000u64, "worth": 1.0}],
-                "tariffs": [{"name": "team"}], "balancers": 1, "domain": {"units-top": 6.0},
-            },
+            "settings": crate::config::sample("unsafe", 8_000_000_000, 9_000_000_000),
         });
         Config::parse(document.to_string().as_bytes()).unwrap()
     }
--- /dev/null
+++ b/crates/gateway/tests/config.rs
@@ -0,0 +1,73 @@
+//! Configurations that cannot be used: each is refused with one message that names the key.
+
+use fennelbeam_gateway::Config;
+use serde_json::{json, Value};
+
+fn example() -> Value {
+    serde_json::from_str(include_str!("../../../deploy/example.json")).unwrap()
+}
+
+fn refusal(document: &Value) -> String {
+    match Config::parse(document.to_string().as_bytes()) {
+        Ok(_) => panic!("taken: {document}"),
+        Err(error) => format!("{error:#}"),
+    }
+}
+
+#[test]
+fn the_example_is_taken_without_a_remark() {
+    let config = Config::parse(example().to_string().as_bytes()).unwrap();
+    assert_eq!(config.unknown, Vec::<String>::new());
+}
+
+#[test]
+fn each_refusal_names_its_key() {
+    for (pointer, value, message) in [
+        ("/listen", json!("localhost:7001"), "`listen`: invalid socket address syntax"),
+        ("/listen", json!(7001), "`listen`: invalid type: integer `7001`"),
+        ("/discovery", Value::Null, "`discovery`: invalid type: null"),
+        ("/counter", json!("10.0.0.1"), "`counter`: invalid socket address syntax"),
+        ("/counter", Value::Null, "`counter` is missing: the settings allow the counter"),
+        ("/seed", json!("xyz"), "`seed` is `xyz`, not a hexadecimal number of 64 bits"),
+        ("/seed", json!("00112233445566778899"), "`seed` is `00112233445566778899`, not a hexadecimal"),
+        ("/limits/sockets", json!("1024"), "`limits.sockets`: invalid type: string \"1024\""),
+        ("/limits/sockets", json!(63), "`limits.sockets` is 63, under 64"),
+        ("/limits/memory_mb", json!(1), "`limits.memory_mb` is 1, under 4"),
+        ("/limits/memory_mb", json!(-1), "`limits.memory_mb`: invalid value: integer `-1`"),
+        ("/known/generation", json!("12"), "`known.generation`: invalid type: string \"12\""),
+        ("/settings", json!(null), "`settings`: the settings are null, not an object"),
+        ("/settings/domain", json!(1), "`settings`: `domain` is 1, not an object"),
+    ] {
+        let mut document = example();
+        *document.pointer_mut(pointer).unwrap_or_else(|| panic!("no {pointer}")) = value;
+        let said = refusal(&document);
+        assert!(said.starts_with(message), "{pointer}: {said}");
+    }
+}
+
+#[test]
+fn a_misspelt_key_is_refused_and_a_new_one_is_told() {
+    for (right, misspelt) in [("listen", "listn"), ("counter", "countr"), ("seed", "sead")] {
+        let mut document = example();
+        let value = document.as_object_mut().unwrap().remove(right).unwrap();
+        document[misspelt] = value;
+        assert_eq!(refusal(&document), format!("`{misspelt}` is unknown: is `{right}` meant?"));
+    }
+    let mut document = example();
+    document["limits"]["socket"] = json!(10);
+    document["limits"].as_object_mut().unwrap().remove("sockets");
+    assert_eq!(refusal(&document), "`limits`: `socket` is unknown: is `sockets` meant?");
+
+    let mut newer = example();
+    newer["rack"] = json!(4);
+    newer["limits"]["files"] = json!(10);
+    newer["settings"]["rules"]["quiet-hours"] = json!(true);
+    let config = Config::parse(newer.to_string().as_bytes()).unwrap();
+    assert_eq!(config.unknown, ["rack", "limits.files", "settings.rules.quiet-hours"]);
+}
+
+#[test]
+fn what_is_no_json_says_where() {
+    let said = format!("{:#}", Config::parse(b"{\"name\": \"n1\",\n \"listen\" 3}").unwrap_err());
+    assert!(said.contains("line 2 column 11"), "{said}");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,11 @@
 //! The platform's settings document: what the module is told, and what the program around it reads there.
+//!
+//! A document that could serve nobody, or would lift a limit by a slip, is refused with the key named.
+
+mod reader;
 
 use fennelbeam_policy::api::*;
+use reader::{Reader, Result};
 use serde_json::Value;
 
 /// Why a settings document cannot be used.
@@ -8,44 +13,89 @@
 #[error("{0}")]
 pub struct SettingsError(pub String);
 
-/// The settings document: values by path, with what is missing taken as zero, false or empty.
-struct Doc<'a>(&'a Value, &'static str);
+/// The keys of an object that are not known, by their full names. One that looks like a known one that is
+/// missing is refused: it was misspelt, and what it should have set would be silently left out.
+pub fn unknown_keys(object: &Value, known: &'static [&'static str]) -> Result<Vec<String>> {
+    let mut unknown = Vec::new();
+    Reader::new(object, "", known, &mut unknown)?;
+    Ok(unknown)
+}
 
-impl Doc<'_> {
-    fn get<'a, T>(
-        &'a self,
-        key: &str,
-        kind: &str,
-        read: impl Fn(&'a Value) -> Option<T>,
-    ) -> Result<Option<T>, SettingsError> {
-        match self.0.get(key) {
-            None | Some(Value::Null) => Ok(None),
-            Some(value) => match read(value) {
-                Some(v) => Ok(Some(v)),
-                None => Err(SettingsError(format!("`{}{key}` is {value}, not {kind}", self.1))),
-            },
-        }
-    }
-    fn f64(&self, key: &str) -> Result<f64, SettingsError> {
-        let number = |v: &Value| v.as_f64().filter(|n| n.is_finite() && *n >= 0.0);
-        Ok(self.get(key, "a number from 0 up", number)?.unwrap_or(0.0))
-    }
-    fn u64(&self, key: &str) -> Result<u64, SettingsError> {
-        Ok(self.f64(key)? as u64)
-    }
-    fn bool(&self, key: &str) -> Result<bool, SettingsError> {
-        Ok(self.get(key, "true or false", Value::as_bool)?.unwrap_or(false))
-    }
-    fn text(&self, key: &str) -> Result<&str, SettingsError> {
-        Ok(self.get(key, "a text", Value::as_str)?.unwrap_or(""))
-    }
-    fn list(&self, key: &str) -> Result<&[Value], SettingsError> {
-        Ok(self.get(key, "a list", Value::as_array)?.map_or(&[], |l| l.as_slice()))
-    }
-    fn part(&self, key: &str, path: &'static str) -> Result<Doc<'_>, SettingsError> {
-        let part = self.get(key, "an object", |v| v.is_object().then_some(v))?;
-        Ok(Doc(part.unwrap_or(&Value::Null), path))
-    }
+/// All keys that the platform's wire page names, by object; those that are read here and those that are not.
+mod known {
+    pub const DOCUMENT: &[&str] = &[
+        "allowed",
+        "balancers",
+        "clients",
+        "discovery",
+        "domain",
+        "family",
+        "feedback",
+        "goal",
+        "localities",
+        "machine-types",
+        "me",
+        "prices",
+        "rules",
+        "services",
+        "tariffs",
+        "tick",
+        "tier",
+        "tiers",
+        "weights",
+        "zone",
+    ];
+    pub const ALLOWED: &[&str] = &[
+        "cancel",
+        "conn-idle",
+        "cpu-us-per-request",
+        "cpu-us-per-s",
+        "dial-timeout",
+        "max-attempts",
+        "max-open",
+        "max-retry-after",
+        "max-streams",
+        "may-duplicate",
+        "peer-messages",
+        "probes",
+        "retry-after",
+    ];
+    pub const DOMAIN: &[&str] = &[
+        "count-fee",
+        "counter-timeout",
+        "metering",
+        "peer-intake",
+        "post-paid",
+        "shared-counter",
+        "units-top",
+    ];
+    pub const RULES: &[&str] =
+        &["answer-slack", "cold", "cold-share", "drain-grace", "fall", "fall-multiple", "must-ask-in"];
+    pub const FEEDBACK: &[&str] = &["fields", "how"];
+    pub const SERVICE: &[&str] = &[
+        "aim",
+        "aim-stretch",
+        "dedup-scope",
+        "hard-limit",
+        "key-ttl",
+        "late-worth",
+        "name",
+        "semantics",
+        "stream",
+        "worth",
+    ];
+    pub const TARIFF: &[&str] = &[
+        "burst",
+        "cap-slack",
+        "ceiling-rate",
+        "concurrency",
+        "extra-worth",
+        "name",
+        "never-over-depth",
+        "overrun-cost",
+        "refill",
+        "worth-factor",
+    ];
 }
 
 /// A settings document: what the module is told, and what the program around it reads there.
@@ -71,89 +121,164 @@
     pub dial_timeout: Span,
     /// Servers close a connection that has stood idle for this long.
     pub conn_idle: Span,
+    /// Keys that are not known here, by their full names; they are skipped.
+    pub unknown: Vec<String>,
 }
 
 impl Site {
-    /// Reads the document.
-    pub fn parse(json: &Value) -> Result<Site, SettingsError> {
-        let doc = Doc(json, "");
-        let (allowed, domain) = (doc.part("allowed", "allowed.")?, doc.part("domain", "domain.")?);
-        let (rules, feedback) = (doc.part("rules", "rules.")?, doc.part("feedback", "feedback.")?);
-        let (services, tariffs) = (doc.list("services")?, doc.list("tariffs")?);
-        let classes: Result<Vec<_>, _> = services.iter().map(class).collect();
-        let plans: Result<Vec<_>, _> = tariffs.iter().map(plan).collect();
-        let settings = Settings {
-            gateways: doc.u64("balancers")?.max(1) as u32,
-            me: doc.u64("me")? as u32,
-            zone: doc.u64("zone")? as u32,
-            classes: classes?,
-            plans: plans?,
-            may_cancel: allowed.bool("cancel")?,
-            may_duplicate: allowed.bool("may-duplicate")?,
-            max_retry_after: allowed.bool("retry-after")?.then_some(allowed.u64("max-retry-after")?),
-            max_attempts: allowed.u64("max-attempts")? as u32,
-            counter: domain.bool("shared-counter")?,
-            counter_timeout: domain.u64("counter-timeout")?,
-            must_subscribe: doc.text("discovery")? == "subscribe",
-            must_ask_in: rules.u64("must-ask-in")?,
-            cold_share: rules.f64("cold-share")?,
-            cold: rules.u64("cold")?,
-        };
-        if settings.classes.is_empty() {
-            return Err(SettingsError("`services` names no class".into()));
-        }
-        let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
-        let name = |v: &Value| v.get("name").map(text).unwrap_or_default();
+    /// Reads the document. The error names the first key that is missing, misspelt, of another kind, or says
+    /// what no gateway can serve by.
+    pub fn parse(json: &Value) -> Result<Site> {
+        let mut unknown = Vec::new();
+        let doc = Reader::new(json, "", known::DOCUMENT, &mut unknown)?;
+        let allowed = doc.part("allowed", known::ALLOWED, &mut unknown)?;
+        let domain = doc.part("domain", known::DOMAIN, &mut unknown)?;
+        let rules = doc.part("rules", known::RULES, &mut unknown)?;
+        let feedback = doc.part("feedback", known::FEEDBACK, &mut unknown)?;
+        let services = named(&doc, "services", known::SERVICE, &mut unknown)?;
+        let tariffs = named(&doc, "tariffs", known::TARIFF, &mut unknown)?;
+        let zones = doc.texts("localities")?;
         Ok(Site {
-            settings,
-            fields: feedback.list("fields")?.iter().map(text).collect(),
+            settings: Settings {
+                classes: services.iter().map(class).collect::<Result<_>>()?,
+                plans: tariffs.iter().map(plan).collect::<Result<_>>()?,
+                zone: zone(&doc, zones.len())?,
+                ..whole(&doc, &allowed, &domain, &rules)?
+            },
+            fields: feedback.texts("fields")?,
             answers_report: feedback.text("how")? == "answers",
-            units_top: domain.f64("units-top")?,
-            classes: services.iter().map(name).collect(),
-            plans: tariffs.iter().map(name).collect(),
-            zones: doc.list("localities")?.iter().map(text).collect(),
-            kinds: doc.list("machine-types")?.iter().map(text).collect(),
-            dial_timeout: allowed.u64("dial-timeout")?,
-            conn_idle: allowed.u64("conn-idle")?,
+            units_top: domain.number("units-top")?,
+            classes: names(&services)?,
+            plans: names(&tariffs)?,
+            zones,
+            kinds: doc.texts("machine-types")?,
+            dial_timeout: allowed.some_span("dial-timeout")?,
+            conn_idle: allowed.some_span("conn-idle")?,
+            unknown,
         })
     }
 }
 
-fn class(value: &Value) -> Result<Class, SettingsError> {
-    let doc = Doc(value, "services[].");
-    let scope = match doc.text("dedup-scope")? {
-        "all" => Scope::All,
-        "zone" => Scope::Zone,
-        _ => Scope::Cell,
-    };
-    let effect = match doc.text("semantics")? {
-        "safe" => Effect::Safe,
-        "keyed" => Effect::Keyed(scope, doc.u64("key-ttl")?),
-        "unsafe" => Effect::Unsafe,
-        other => return Err(SettingsError(format!("`services[].semantics` is unknown: `{other}`"))),
+/// What holds for the gateway as a whole.
+fn whole(doc: &Reader, allowed: &Reader, domain: &Reader, rules: &Reader) -> Result<Settings> {
+    let gateways = doc.count("balancers")?;
+    let me = doc.count("me")?;
+    if me >= gateways {
+        return Err(
+            doc.wrong("me", format_args!("is {me}, but `balancers` is {gateways}: they count from 0"))
+        );
+    }
+    let max_attempts = allowed.count("max-attempts")?;
+    if max_attempts == 0 {
+        return Err(allowed.wrong("max-attempts", "is 0: no request would ever be sent"));
+    }
+    let counter = domain.bool("shared-counter")?;
+    let advice = allowed.bool("retry-after")?;
+    Ok(Settings {
+        gateways,
+        me,
+        may_cancel: allowed.bool("cancel")?,
+        may_duplicate: allowed.bool("may-duplicate")?,
+        max_retry_after: if advice { Some(allowed.span("max-retry-after")?) } else { None },
+        max_attempts,
+        counter,
+        counter_timeout: if counter { domain.some_span("counter-timeout")? } else { 0 },
+        must_subscribe: doc.word("discovery", &["automatic", "subscribe"])? == 1,
+        must_ask_in: rules.span("must-ask-in")?,
+        cold_share: rules.share("cold-share")?,
+        cold: rules.span("cold")?,
+        ..Settings::default()
+    })
+}
+
+fn zone(doc: &Reader, zones: usize) -> Result<u32> {
+    let zone = doc.count("zone")?;
+    if zones > 0 && zone as usize >= zones {
+        return Err(doc.wrong("zone", format_args!("is {zone}, but `localities` names {zones} from 0")));
+    }
+    Ok(zone)
+}
+
+/// The entries of a list that has to name at least one, each by another name.
+fn named<'a>(
+    doc: &Reader<'a>,
+    key: &'static str,
+    known: &'static [&'static str],
+    unknown: &mut Vec<String>,
+) -> Result<Vec<Reader<'a>>> {
+    doc.value(key)?;
+    let mut entries = Vec::new();
+    for (path, value) in doc.list(key)? {
+        entries.push(Reader::new(value, path, known, unknown)?);
+    }
+    if entries.is_empty() {
+        return Err(doc.wrong(key, "names none: nobody could be served"));
+    }
+    let mut seen = Vec::new();
+    for entry in &entries {
+        let name = entry.text("name")?;
+        if name.is_empty() {
+            return Err(entry.wrong("name", "is empty"));
+        }
+        if seen.contains(&name) {
+            return Err(entry.wrong("name", format_args!("is `{name}`, like that of an entry before it")));
+        }
+        seen.push(name);
+    }
+    Ok(entries)
+}
+
+fn names(entries: &[Reader]) -> Result<Vec<String>> {
+    entries.iter().map(|entry| entry.text("name").map(str::to_owned)).collect()
+}
+
+fn class(doc: &Reader) -> Result<Class> {
+    let effect = match doc.word("semantics", &["safe", "keyed", "unsafe"])? {
+        0 => Effect::Safe,
+        1 => Effect::Keyed(scope(doc)?, doc.some_span("key-ttl")?),
+        _ => Effect::Unsafe,
     };
+    let aim = doc.some_span("aim")?;
+    let deadline = doc.some_span("hard-limit")?;
+    if aim > deadline {
+        let reason = format!("is {aim}, beyond `hard-limit` {deadline}: no answer could come in time");
+        return Err(doc.wrong("aim", reason));
+    }
     Ok(Class {
-        aim: doc.u64("aim")?,
-        aim_stretch: doc.f64("aim-stretch")?,
-        deadline: doc.u64("hard-limit")?,
-        worth: doc.f64("worth")?,
-        late_worth: doc.f64("late-worth")?,
+        aim,
+        aim_stretch: doc.number_or_zero("aim-stretch")?,
+        deadline,
+        worth: doc.number("worth")?,
+        late_worth: doc.share("late-worth")?,
         effect,
         stream: doc.bool("stream")?,
     })
 }
 
-fn plan(value: &Value) -> Result<Plan, SettingsError> {
-    let doc = Doc(value, "tariffs[].");
+fn scope(doc: &Reader) -> Result<Scope> {
+    let scopes = [Scope::All, Scope::Zone, Scope::Cell];
+    Ok(scopes[doc.word("dedup-scope", &["all", "zone", "cell"])?])
+}
+
+fn plan(doc: &Reader) -> Result<Plan> {
+    let rate = doc.number("refill")?;
+    let burst = doc.number("burst")?;
+    let ceiling_rate = doc.number("ceiling-rate")?;
+    let ceiling_burst = doc.number("never-over-depth")?;
+    for (rate, burst, depth) in [(rate, burst, "burst"), (ceiling_rate, ceiling_burst, "never-over-depth")] {
+        if rate > 0.0 && burst == 0.0 {
+            return Err(doc.wrong(depth, "is 0 beside a rate: a store of no depth lets nothing through"));
+        }
+    }
     Ok(Plan {
-        rate: doc.f64("refill")?,
-        burst: doc.f64("burst")?,
-        open: doc.u64("concurrency")? as u32,
-        price: doc.f64("worth-factor")?,
-        extra_worth: doc.f64("extra-worth")?,
-        overrun_cost: doc.f64("overrun-cost")?,
-        ceiling_rate: doc.f64("ceiling-rate")?,
-        ceiling_burst: doc.f64("never-over-depth")?,
-        ceiling_slack: doc.f64("cap-slack")?,
+        rate,
+        burst,
+        open: doc.count("concurrency")?,
+        price: doc.number("worth-factor")?,
+        extra_worth: doc.number("extra-worth")?,
+        overrun_cost: doc.number("overrun-cost")?,
+        ceiling_rate,
+        ceiling_burst,
+        ceiling_slack: doc.number("cap-slack")?,
     })
 }
