Judge by news that counts as told, and keep late "in service" from undoing a drain

The judge counted news of hosts only as told when a line was written to a gateway, where the platform's protocol has it told 6 s after the agent knew at the latest: a gateway that never watched kept every rule of the rehearsal. The agent now hears of changes when they are due, also without a watch, and the judge counts them from then on (wrongdoer: one that never watches).

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of hosts: one watch on the discovery agent, resumed where it broke off.
 
-use crate::membership::Membership;
+use crate::membership::{Lifecycle, Membership};
 use crate::messages::Input;
 use crate::outage::Outage;
 use anyhow::{anyhow, bail, Context, Result};
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -32,11 +33,12 @@
     gateway: UnboundedSender<Input>,
 ) {
     let (mut after, mut pause) = (Some(known), BACKOFF.0);
-    let mut outage = Outage::default();
+    let (mut outage, mut versions) = (Outage::default(), Versions::default());
     loop {
         let (agent, before) = (*agents.borrow_and_update(), after);
         let turn = async {
-            let mut turn = Turn { env: &env, agent, gateway: &gateway, outage: &mut outage };
+            let (outage, versions) = (&mut outage, &mut versions);
+            let mut turn = Turn { env: &env, agent, gateway: &gateway, outage, versions };
             if let Err(error) = turn.watch(&mut after).await {
                 turn.failed(&error);
             }
@@ -60,6 +62,39 @@
     agent: SocketAddr,
     gateway: &'a UnboundedSender<Input>,
     outage: &'a mut Outage,
+    versions: &'a mut Versions,
+}
+
+/// Hosts that have left are remembered up to this many; beyond it, only those of the latest so many versions.
+const REMEMBERED: usize = 1024;
+
+/// The versions at which hosts were told to drain or to be gone.
+#[derive(Default)]
+struct Versions(BTreeMap<String, u64>);
+
+impl Versions {
+    /// Leaves out what is older than the news that a host wants nothing new: changes may come out of order, and
+    /// nobody would say it again.
+    fn sort_out(&mut self, list: &mut Membership) {
+        if list.reset {
+            self.0.clear();
+        }
+        let (version, left) = (list.generation, &mut self.0);
+        list.instances.retain(|host| {
+            let known = left.get(&host.instance_id).copied();
+            let serves = host.lifecycle == Lifecycle::InService;
+            let outdated = serves && known.is_some_and(|known| known > version);
+            match known {
+                Some(_) if serves && !outdated => drop(left.remove(&host.instance_id)),
+                _ if !serves => drop(left.insert(host.instance_id.clone(), known.unwrap_or(0).max(version))),
+                _ => {}
+            }
+            !outdated
+        });
+        if left.len() > REMEMBERED {
+            left.retain(|_, known| version.saturating_sub(*known) < REMEMBERED as u64);
+        }
+    }
 }
 
 impl<E: Env> Turn<'_, E> {
@@ -91,15 +126,16 @@
     }
 
     /// The whole list, at an address whose versions are not known; gives its version.
-    async fn whole_list(&self) -> Result<u64> {
+    async fn whole_list(&mut self) -> Result<u64> {
         let body = self.open("/registry/instances").await?;
         let list =
             self.env.timeout(SILENCE, Limited::new(body, MAX_LINE).collect()).await.context("silent")?;
         self.tell(&list.map_err(|error| anyhow!("not a list of hosts: {error}"))?.to_bytes())
     }
 
-    fn tell(&self, line: &[u8]) -> Result<u64> {
-        let list: Membership = serde_json::from_slice(line).context("not a list of hosts")?;
+    fn tell(&mut self, line: &[u8]) -> Result<u64> {
+        let mut list: Membership = serde_json::from_slice(line).context("not a list of hosts")?;
+        self.versions.sort_out(&mut list);
         let generation = list.generation;
         self.gateway.send(Input::Hosts(list)).context("the gateway has stopped")?;
         Ok(generation)
@@ -137,3 +173,52 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn list(generation: u64, reset: bool, hosts: &[(&str, &str)]) -> Membership {
+        let host = |(id, lifecycle): &(&str, &str)| json!({"instanceId": id, "hostPort": "127.0.0.1:1", "lifecycle": lifecycle});
+        let instances: Vec<_> = hosts.iter().map(host).collect();
+        serde_json::from_value(json!({"generation": generation, "reset": reset, "instances": instances}))
+            .unwrap()
+    }
+
+    fn left_in(versions: &mut Versions, mut list: Membership) -> Vec<String> {
+        versions.sort_out(&mut list);
+        list.instances.into_iter().map(|host| host.instance_id).collect()
+    }
+
+    #[test]
+    fn a_host_that_drains_is_not_put_back_by_older_news() {
+        let mut versions = Versions::default();
+        let drain = list(3, false, &[("s-1", "terminating"), ("s-2", "in_service")]);
+        assert_eq!(left_in(&mut versions, drain), ["s-1", "s-2"]);
+        let older = list(2, false, &[("s-1", "in_service"), ("s-2", "in_service")]);
+        assert_eq!(left_in(&mut versions, older), ["s-2"]);
+        let gone = list(2, false, &[("s-1", "terminated")]);
+        assert_eq!(left_in(&mut versions, gone), ["s-1"], "that it goes counts whenever it is said");
+        assert_eq!(left_in(&mut versions, list(2, false, &[("s-1", "in_service")])), [""; 0]);
+        assert_eq!(left_in(&mut versions, list(4, false, &[("s-1", "in_service")])), ["s-1"], "it is back");
+        assert_eq!(left_in(&mut versions, list(2, false, &[("s-1", "in_service")])), ["s-1"]);
+    }
+
+    #[test]
+    fn a_whole_list_begins_anew() {
+        let mut versions = Versions::default();
+        versions.sort_out(&mut list(9, false, &[("s-1", "terminated")]));
+        assert_eq!(left_in(&mut versions, list(1, true, &[("s-1", "in_service")])), ["s-1"]);
+    }
+
+    #[test]
+    fn what_is_remembered_of_hosts_that_left_is_bounded() {
+        let mut versions = Versions::default();
+        for version in 1..10_000 {
+            versions.sort_out(&mut list(version, false, &[(&format!("s-{version}"), "terminated")]));
+            assert!(versions.0.len() <= REMEMBERED + 1, "{}", versions.0.len());
+        }
+        assert_eq!(left_in(&mut versions, list(9_990, false, &[("s-9995", "in_service")])), [""; 0]);
+    }
+}
--- a/crates/judge/src/gateways.rs
+++ b/crates/judge/src/gateways.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 struct Gateway {
     down: bool,
+    /// When its process last came up, if that was seen.
+    up: Option<Time>,
     /// SIGTERM and SIGKILL since it came up.
     terminated: Option<Time>,
     killed: Option<Time>,
@@ -32,9 +34,10 @@
         Gateways { count, kill_after: longest_deadline.saturating_add(KILL_AFTER), known: BTreeMap::new() }
     }
 
-    pub(crate) fn up(&mut self, gateway: u32) {
+    pub(crate) fn up(&mut self, at: Time, gateway: u32) {
         let gateway = self.known.entry(gateway).or_default();
         gateway.down = false;
+        gateway.up = Some(at);
         gateway.terminated = None;
         gateway.killed = None;
     }
@@ -75,6 +78,11 @@
         self.known.get(&gateway).is_none_or(|gateway| !gateway.down)
     }
 
+    /// When a gateway's process came up; 0 if that was not seen.
+    pub(crate) fn up_since(&self, gateway: u32) -> Time {
+        self.known.get(&gateway).and_then(|gateway| gateway.up).unwrap_or(0)
+    }
+
     pub(crate) fn running(&self) -> u32 {
         let down = self.known.range(..self.count).filter(|(_, gateway)| gateway.down).count();
         self.count.saturating_sub(down as u32)
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -18,7 +18,7 @@
 use fennelbeam_model::{Span, Time};
 use std::collections::BTreeMap;
 
-/// Customers that a verdict names.
+/// Customers that a verdict names: so many of those most beyond their quotas, and of those refused longest.
 const MOST_CUSTOMERS: usize = 200;
 
 /// Judges one run. It remembers a few words of each request, and more of those that are open.
@@ -120,6 +120,7 @@
             | What::Slowed { .. }
             | What::Fell { .. }
             | What::Stopped { .. }
+            | What::Heard { .. }
             | What::Told { .. }
             | What::Load { .. } => self.host(seen.at, &seen.what),
         }
@@ -127,7 +128,7 @@
 
     fn gateway(&mut self, at: Time, what: &What) {
         match *what {
-            What::GatewayUp { gateway } => self.gateways.up(gateway),
+            What::GatewayUp { gateway } => self.gateways.up(at, gateway),
             What::GatewaySignalled { gateway, kill } => self.gateways.signalled(at, gateway, kill),
             What::ClientsCut { gateway, cut } => self.gateways.cut(at, gateway, cut),
             What::GatewayDown { gateway, meant } => {
@@ -155,6 +156,10 @@
                 self.cold.fell(at, host);
                 self.figures.fell(host);
             }
+            What::Heard { gateway, host, state, started } => {
+                self.drains.heard(at, gateway, host, state);
+                self.cold.heard(at, gateway, host, started);
+            }
             What::Told { gateway, host, state, started } => {
                 self.drains.told(at, gateway, host, state);
                 self.cold.told(at, gateway, host, started);
@@ -334,8 +339,9 @@
     fn received(&mut self, now: Time, id: u64, (host, gateway): (u32, u32), first_byte: Time, work: Span) {
         let Some(request) = self.tries.get_mut(&id) else { return };
         self.answers.sent(request, first_byte, host, &mut self.log);
-        self.drains.received(id, gateway, host, first_byte, &mut self.log);
-        self.cold.received(now, host, gateway, first_byte, work);
+        let up = self.gateways.up_since(gateway);
+        self.drains.received(id, (gateway, up), host, first_byte, &mut self.log);
+        self.cold.received(now, host, (gateway, up), first_byte, work);
         self.figures.received(host);
         if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
             self.ceilings.sent(now, request.customer, request.plan, request.units, &mut self.log);
@@ -393,7 +399,7 @@
                 self.judge_lost(at, id);
             }
         }
-        self.tries.values().for_each(|request| effects::finish(request, &mut self.log));
+        self.tries.values().for_each(|request| effects::finish(end, request, &mut self.log));
         self.cold.finish(&mut self.log);
         self.note_unmatched();
         self.verdict(end)
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -31,6 +31,7 @@
 mod figures;
 mod gateways;
 mod judge;
+mod news;
 mod quota;
 mod store;
 mod tries;
--- a/crates/judge/src/quota.rs
+++ b/crates/judge/src/quota.rs
@@ -191,7 +191,7 @@
         plans
     }
 
-    /// Customers, those most beyond their quotas first, `most` at the most.
+    /// Customers, those most beyond their quotas first: `most` of those, and `most` of those refused longest.
     pub(crate) fn customers(self, end: Time, most: usize) -> Vec<CustomerFigures> {
         let span = end.saturating_sub(self.start) as f64 / 1e9;
         let finish = |customer: Customer| {
@@ -201,7 +201,12 @@
         let mut all: Vec<CustomerFigures> = self.customers.into_values().map(finish).collect();
         // Stable: equal ones stay in the order of their numbers.
         all.sort_by(|a, b| b.beyond_units.total_cmp(&a.beyond_units));
-        all.truncate(most);
+        let mut others = all.split_off(most.min(all.len()));
+        others.retain(|customer| customer.longest_refused_s > 0.0);
+        others.sort_by(|a, b| b.longest_refused_s.total_cmp(&a.longest_refused_s));
+        others.truncate(most);
+        others.sort_by(|a, b| b.beyond_units.total_cmp(&a.beyond_units));
+        all.append(&mut others);
         all
     }
 }
--- a/crates/judge/tests/judge/day.rs
+++ b/crates/judge/tests/judge/day.rs
@@ -116,6 +116,11 @@
         self.see(ms, What::Told { gateway, host, state, started: 0 })
     }
 
+    /// The agent of a gateway hears it.
+    pub fn hear(&mut self, ms: u64, gateway: u32, host: u32, state: Told) -> &mut Day {
+        self.see(ms, What::Heard { gateway, host, state, started: 0 })
+    }
+
     /// All that was seen, in the order of time.
     pub fn sightings(&self) -> Vec<Seen> {
         let mut seen = self.seen.clone();
--- a/crates/judge/tests/judge/effects.rs
+++ b/crates/judge/tests/judge/effects.rs
@@ -1,11 +1,11 @@
 //! Nothing twice.
 
-use crate::day::{first, order, read, Ask, Day, READ, SERVED};
+use crate::day::{first, order, read, Ask, Day, READ, SERVED, START};
 use fennelbeam_judge::Rule;
 use fennelbeam_model::draw;
 use fennelbeam_model::scenario::{Effect, Site};
 use fennelbeam_model::seen::{Dealt, Got};
-use fennelbeam_model::SECOND;
+use fennelbeam_model::{MS, SECOND};
 
 /// An attempt at host 0 that came to this, if to anything.
 fn attempt(ask: Ask, dealt: Option<Dealt>, out: bool) -> Day {
@@ -121,6 +121,17 @@
     assert_eq!(broken(None), [Rule::NothingTwice]);
 }
 
+#[test]
+fn the_end_of_a_connection_may_be_on_its_way_when_the_run_ends() {
+    let site = Site { second_copies: false, ..Site::default() };
+    let mut day = Day::default();
+    let id = first(1);
+    day.ask(0, read(id)).receive(10, id, 0).receive(100, id, 1).done(110, id, 1, Dealt::Served);
+    day.answer(111, id, SERVED);
+    let broken = |end_ms: u64| day.judge(&site).finish(START + end_ms * MS).breaches.len();
+    assert_eq!([broken(150), broken(151)], [0, 1]);
+}
+
 #[test]
 fn a_request_has_so_many_attempts_at_the_most() {
     let id = first(1);
--- a/crates/judge/tests/judge/quota.rs
+++ b/crates/judge/tests/judge/quota.rs
@@ -156,6 +156,21 @@
     assert_eq!(with_room(11.6), 0.0);
 }
 
+#[test]
+fn whoever_was_refused_longest_is_named_though_others_are_further_beyond_their_quotas() {
+    let mut day = Day::default();
+    for customer in 1..=300 {
+        day.serve(0, Ask { customer, ..ask(first(customer), 24.0) });
+    }
+    for n in 0..3 {
+        day.refuse(5_000 + 3_000 * n, Ask { customer: 299, ..ask(first(1_000 + n), 1.0) });
+    }
+    let customers = verdict(&day).customers;
+    assert_eq!(customers.len(), 201);
+    let last = customers.last().map(|last| (last.customer, last.longest_refused_s));
+    assert_eq!(last, Some((299, 6.001)));
+}
+
 #[test]
 fn those_most_beyond_their_quotas_come_first_and_no_more_than_200() {
     let mut day = Day::default();
--- a/crates/model/src/agent.rs
+++ b/crates/model/src/agent.rs
@@ -75,6 +75,8 @@
     known: BTreeMap<String, Change>,
     /// All that it has heard since the first list, in the order in which it heard it.
     log: Vec<Change>,
+    /// What was new to it and nobody has asked for, see [`Registry::hear`].
+    news: Vec<Member>,
     /// The latest generation that it has heard of.
     generation: u64,
 }
@@ -168,30 +170,31 @@
         Some(due.max(self.silent_until(now).unwrap_or(due)))
     }
 
-    /// Lets an agent hear of what is due, and gives the lines that it has to tell. It tells them to its
-    /// watches as well, which need not be open yet.
-    pub fn take_due(&mut self, now: Time, agent: u32) -> Vec<Line> {
-        let heard = self.agents[agent as usize].log.len();
-        self.hear(now, agent);
-        self.lines_from(agent, heard)
+    /// Lets an agent hear of what is due, and gives what of all that it has heard was new to it since this was
+    /// last asked. It counts as told to the agent's gateway after a while, whether or not that asks for it.
+    pub fn hear(&mut self, now: Time, agent: u32) -> Vec<Entry> {
+        self.take_in(now, agent);
+        let news = std::mem::take(&mut self.agents[agent as usize].news);
+        let is_told = |member: &&Member| member.addrs.get(agent as usize).is_some();
+        news.iter().filter(is_told).map(Entry::of).collect()
     }
 
     /// The whole list that an agent has; `None`: it is silent.
     pub fn list(&mut self, now: Time, agent: u32) -> Option<Line> {
-        self.hear(now, agent);
+        self.take_in(now, agent);
         self.silent_until(now).is_none().then(|| self.agents[agent as usize].list(agent))
     }
 
     /// What an agent has heard of after it had heard of this generation, or the whole list if it never has;
     /// `None`: it is silent.
     pub fn changes_after(&mut self, now: Time, agent: u32, generation: u64) -> Option<Line> {
-        self.hear(now, agent);
+        self.take_in(now, agent);
         let known = &self.agents[agent as usize];
         let line = || known.changes_after(agent, generation).unwrap_or_else(|| known.list(agent));
         self.silent_until(now).is_none().then(line)
     }
 
-    fn hear(&mut self, now: Time, agent: u32) {
+    fn take_in(&mut self, now: Time, agent: u32) {
         if self.silent_until(now).is_some() {
             return;
         }
@@ -259,6 +262,7 @@
         let older = |known: &Change| known.generation < change.generation;
         if self.known.get(&change.member.id).is_none_or(older) {
             self.known.insert(change.member.id.clone(), change.clone());
+            self.news.push(change.member.clone());
         }
         if repeats {
             self.log.push(change.clone());
--- a/crates/model/src/agent/line.rs
+++ b/crates/model/src/agent/line.rs
@@ -43,7 +43,7 @@
 }
 
 impl Entry {
-    fn of(member: &Member) -> Entry {
+    pub(super) fn of(member: &Member) -> Entry {
         let started = member.started_ms.saturating_mul(MS);
         Entry { host: member.host, state: member.lifecycle, started }
     }
--- a/crates/model/src/agent/watch.rs
+++ b/crates/model/src/agent/watch.rs
@@ -39,7 +39,7 @@
 
     /// What it has to say now.
     pub fn take(&mut self, registry: &mut Registry, now: Time) -> Vec<Line> {
-        registry.hear(now, self.agent);
+        registry.take_in(now, self.agent);
         if registry.silent_until(now).is_some() {
             return Vec::new();
         }
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -165,7 +165,18 @@
         /// The host.
         host: u32,
     },
-    /// Discovery wrote this to a gateway's agent.
+    /// A gateway's agent has heard this of a host, whether or not it comes to tell the gateway.
+    Heard {
+        /// The gateway.
+        gateway: u32,
+        /// The host.
+        host: u32,
+        /// Its state.
+        state: Told,
+        /// When the host had started by what was heard; 0: long ago.
+        started: Time,
+    },
+    /// Discovery wrote this to a gateway.
     Told {
         /// The gateway.
         gateway: u32,
@@ -187,7 +198,7 @@
         /// An answer with the total was written.
         answered: bool,
     },
-    /// A gateway's process came up and answered that it is ready.
+    /// A gateway's process was started.
     GatewayUp {
         /// The gateway.
         gateway: u32,
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -53,13 +53,13 @@
     #[arg(long, value_name = "FILE")]
     report: Option<PathBuf>,
     /// Play so many short random sites with random faults, until a rule breaks
-    #[arg(long, value_name = "COUNT", conflicts_with_all = ["digest", "trace"])]
+    #[arg(long, value_name = "COUNT", conflicts_with_all = ["scenario", "digest", "trace", "json", "report", "show"])]
     swarm: Option<u64>,
     /// Sites of a swarm that are played at once
     #[arg(long, value_name = "COUNT", requires = "swarm")]
     jobs: Option<usize>,
     /// Play the random site with this number, as a swarm does
-    #[arg(long, value_name = "NUMBER", conflicts_with = "swarm")]
+    #[arg(long, value_name = "NUMBER", conflicts_with_all = ["scenario", "seed", "swarm"])]
     swarm_site: Option<u64>,
     /// Of the events of that site, only these, counted from 1
     #[arg(long, value_name = "PLACES", value_delimiter = ',', requires = "swarm_site")]
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -2,7 +2,7 @@
 //! does on the virtual stage, the stand-ins do here: they take the way's time into their own (`lag`), and say
 //! nothing to gateways that they are cut off from.
 
-use crate::stage::{Exit, Post, Signal, Stage};
+use crate::stage::{lock, Exit, Post, Signal, Stage};
 use fennelbeam_env::{Env, Real, Span, Time};
 use fennelbeam_model::scenario::Site;
 use rustix::process::{kill_process, Pid, Signal as UnixSignal};
@@ -13,7 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
 
@@ -179,7 +179,7 @@
     }
 
     fn exits(&mut self) -> Vec<Exit> {
-        let exits = std::mem::take(&mut *self.exits.lock().unwrap_or_else(PoisonError::into_inner));
+        let exits = std::mem::take(&mut *lock(&self.exits));
         for exit in &exits {
             self.spent += self.running.remove(&exit.gateway).map_or(0, |running| running.cpu);
         }
@@ -224,7 +224,7 @@
         Err(error) => Some(error.to_string()),
     };
     let exit = Exit { gateway, incarnation, error };
-    exits.lock().unwrap_or_else(PoisonError::into_inner).push(exit);
+    lock(&exits).push(exit);
 }
 
 /// The mean way between a gateway and a host.
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// A machine of the site. Numbers are counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,3 +80,8 @@
     /// Now.
     fn now(&self) -> Time;
 }
+
+/// Holds a lock. What it holds is whole between any two lines, so a panic elsewhere does not spoil it.
+pub(crate) fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/rehearse/tests/wrongdoers/proxy.rs
+++ b/crates/rehearse/tests/wrongdoers/proxy.rs
@@ -37,6 +37,7 @@
     RepeatsOrders,
     RefusesWhatRan,
     SendsToDraining,
+    NeverWatches,
     FloodsCold,
     ForgetsCeilings,
     Crashes,
@@ -51,7 +52,9 @@
     let GatewayStart { env, document, mut signals } = start;
     let proxy = Arc::new(Proxy::new(&env, wrong, &document)?);
     let mut listener = env.listen(address(&document, "listen")?, 1024)?;
-    env.spawn(proxy.clone().watch(document));
+    if wrong != Wrong::NeverWatches {
+        env.spawn(proxy.clone().watch(document));
+    }
     let (closing, phases) = watch::channel(false);
     let accepting = async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/crates/sim/src/watchdog.rs
+++ b/crates/sim/src/watchdog.rs
@@ -101,3 +101,47 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+
+    /// Who is found stuck in so many looks at a limit of nothing, where this happens before each look.
+    fn found(looks: u32, between: impl Fn(&Progress)) -> Option<ProcessId> {
+        let (progress, left) = (Progress::default(), Cell::new(looks));
+        let pause = || {
+            between(&progress);
+            // Until some time has passed on the machine's own clock.
+            let now = Instant::now();
+            while now.elapsed().is_zero() {}
+            left.replace(left.get().saturating_sub(1)) > 0
+        };
+        find_stuck(&progress, Duration::ZERO, pause)
+    }
+
+    #[test]
+    fn only_a_turn_that_lasts_is_stuck() {
+        assert_eq!(found(3, |_| {}), None, "nobody has a turn");
+        let lasts = |progress: &Progress| {
+            if progress.look().is_none() {
+                progress.enter(ProcessId(4));
+            }
+        };
+        assert_eq!(found(3, lasts), Some(ProcessId(4)));
+        assert_eq!(found(1, lasts), None, "it takes two looks");
+    }
+
+    #[test]
+    fn turns_that_come_and_go_are_none_that_lasts() {
+        let next = |progress: &Progress| {
+            progress.enter(ProcessId(4));
+        };
+        assert_eq!(found(100, next), None);
+        let ended = |progress: &Progress| {
+            let before = progress.enter(ProcessId(4));
+            progress.leave(before);
+        };
+        assert_eq!(found(100, ended), None);
+    }
+}
