Compile operators' routes into tables that are searched by halves

Routes of the operators' file send classes, plans and customers to pools; a gateway asks for each request, so matching must not go through them. A look-up is two array reads and one search by halves. Pools keep their bit in the masks from one version to the next, also removed ones that requests in hand still use. Quota policies tighten what the platform grants and never loosen it.

Bounds: 64 pools, 65,535 routes, 2^21 ranges (40 MiB). Nothing uses it yet.

--- /dev/null
+++ b/crates/route/tests/routes/common.rs
@@ -0,0 +1,85 @@
+//! Short ways to write an operators' file set as data.
+
+use std::ops::RangeInclusive;
+
+use fennelbeam_lang::model::{At, Operators, Origin, Pool, QuotaPolicy, Route};
+use fennelbeam_route::{Facts, Routes};
+
+/// A value that stands in some line.
+pub fn at<T>(line: u32, value: T) -> At<T> {
+    At { value, origin: Origin { file: "park.fb".into(), line, column: 3 } }
+}
+
+pub fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| name.to_string()).collect()
+}
+
+/// The platform's names, owned.
+pub struct Platform {
+    pub classes: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    pub machines: Vec<String>,
+}
+
+impl Platform {
+    pub fn new() -> Platform {
+        Platform {
+            classes: names(&["read", "order", "report"]),
+            plans: names(&["standard", "premium"]),
+            zones: names(&["east", "west"]),
+            machines: names(&["small", "big"]),
+        }
+    }
+
+    pub fn facts(&self) -> Facts<'_> {
+        Facts { classes: &self.classes, plans: &self.plans, zones: &self.zones, machines: &self.machines }
+    }
+
+    pub fn compile(&self, operators: &Operators) -> Routes {
+        Routes::compile(operators, &self.facts()).unwrap()
+    }
+}
+
+/// A pool with all hosts.
+pub fn pool(name: &str) -> Pool {
+    Pool { name: at(1, name.to_owned()), zones: None, machines: None, cells: None, ids: None }
+}
+
+/// A pool with the hosts of a zone.
+pub fn zone(name: &str, zone: &str) -> Pool {
+    Pool { zones: Some(at(2, names(&[zone]))), ..pool(name) }
+}
+
+/// A route for all requests.
+pub fn route(name: &str, pool: &str) -> Route {
+    Route {
+        name: at(3, name.to_owned()),
+        classes: None,
+        plans: None,
+        customers: None,
+        pool: at(4, pool.to_owned()),
+        fallback: None,
+        most_out: None,
+    }
+}
+
+/// A route for some customers.
+pub fn customers(name: &str, pool: &str, customers: &[RangeInclusive<u64>]) -> Route {
+    Route { customers: Some(at(5, customers.to_vec())), ..route(name, pool) }
+}
+
+/// A policy that says nothing yet.
+pub fn policy(name: &str, plan: &str) -> QuotaPolicy {
+    QuotaPolicy {
+        name: at(6, name.to_owned()),
+        plan: at(7, plan.to_owned()),
+        rate: None,
+        burst: None,
+        open: None,
+    }
+}
+
+pub fn operators(pools: Vec<Pool>, routes: Vec<Route>) -> Operators {
+    Operators { pools, routes, policies: Vec::new() }
+}
