--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -103,7 +103,7 @@
     Ok(())
 }
 
-/// What a failing counter may cost, stated in advance (see docs/quotas.md).
+/// What a failing counter may cost, stated in advance (see docs/quota-doubt.md).
 fn say_bounds(site: &Site) {
     for (name, plan) in site.plans.iter().zip(&site.settings.plans).filter(|(_, plan)| plan.rate > 0.0) {
         let spread = site.settings.gateways;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::counter::Counter;
 use crate::hosts::{Finished, Hosts};
+use crate::lasting::Lasting;
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, Phase, ReplyTo};
 use bytes::Bytes;
@@ -27,8 +28,6 @@
 /// Without news of the hosts, the list known before the start has to do after this.
 const KNOWN_WILL_DO: Span = 1_000 * MS;
 const BATCH: usize = 128;
-/// The counter's state is looked at this often, for the log: what changes more quickly is not told.
-const COUNTER_LOOK: Span = 4_000 * MS;
 
 /// Whoever decides: the decision module, or one that a test puts in its place.
 pub(crate) trait Decisions: Send + 'static {
@@ -84,9 +83,8 @@
     /// the same turn still wait.
     news: VecDeque<Event>,
     telling: bool,
-    /// What has been said of the counter last, and when it was looked at.
-    counter_said: CounterState,
-    counter_seen: Time,
+    /// What the counter looks like, for the log.
+    counter_state: Lasting<CounterState>,
     phase: watch::Sender<Phase>,
     unanswered: watch::Sender<usize>,
 }
@@ -101,6 +99,7 @@
         phase: watch::Sender<Phase>,
     ) -> Self {
         let patience = site.settings.counter_timeout;
+        let counter_state = Lasting::new(CounterState::Unused, env.now());
         let mut gateway = Gateway {
             module: D::start(site.settings.clone(), config.seed),
             hosts: Hosts::new(env.clone(), site.clone(), inputs.clone(), most_conns),
@@ -113,8 +112,7 @@
             timers: BinaryHeap::new(),
             news: VecDeque::new(),
             telling: false,
-            counter_said: CounterState::Unused,
-            counter_seen: 0,
+            counter_state,
             phase,
             unanswered: watch::Sender::new(0),
         };
@@ -257,16 +255,13 @@
     /// One line for each change of the counter's state that lasts.
     fn speak_of_counter(&mut self) {
         let now = self.env.now();
-        if now < self.counter_seen + COUNTER_LOOK {
+        if !self.counter_state.is_due(now) {
             return;
         }
-        self.counter_seen = now;
-        let state = self.module.counter_state(now);
-        if std::mem::replace(&mut self.counter_said, state) != state {
-            match state {
-                CounterState::Unused | CounterState::Whole => tracing::info!("counter {state}"),
-                CounterState::Apart { .. } | CounterState::Away => tracing::warn!("counter {state}"),
-            }
+        match self.counter_state.look(now, self.module.counter_state(now)) {
+            None => {}
+            Some(state @ (CounterState::Unused | CounterState::Whole)) => tracing::info!("counter {state}"),
+            Some(state) => tracing::warn!("counter {state}"),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod discovery;
 mod gateway;
 mod hosts;
+mod lasting;
 mod membership;
 mod messages;
 mod outage;
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -181,7 +181,7 @@
             return;
         }
         if self.tries.contains_key(&id) {
-            self.asked_once_more(seen.at, id, gateway);
+            self.asked_once_more(seen.at, id, gateway, patience);
             return;
         }
         let mut request = Try {
@@ -222,7 +222,7 @@
     }
 
     /// A gateway closed the connection as the request came, unread: the client has written it again.
-    fn asked_once_more(&mut self, now: Time, id: u64, gateway: u32) {
+    fn asked_once_more(&mut self, now: Time, id: u64, gateway: u32, patience: Span) {
         let running = self.gateways.is_running(gateway);
         let Some(request) = self.tries.get_mut(&id) else { return };
         if let Answer::Given(_) | Answer::Left = request.answer {
@@ -231,6 +231,7 @@
         }
         request.gateway = gateway;
         request.asked = now;
+        request.patience = patience;
         self.answers.asked(request, running);
     }
 
--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -32,10 +32,10 @@
     digits: Option<Digits>,
 }
 
-/// What was left when the counter fell silent, and when.
+/// What there was when the counter fell silent, and when.
 #[derive(Clone, Copy)]
 struct Dark {
-    level: f64,
+    filled: f64, // also what found no room: the next total may tell that others had taken it
     part: f64,
     at: Time,
     spent: f64,
@@ -59,9 +59,10 @@
     dark: Option<Dark>, // the counter does not answer
     rejoined: bool,     // others are heard again: what they took apart from us was their own part
     adder: Adder,
-    late: Adder, // tells what was lent in the dark, under another name
-    debt: f64,   // lent in the dark and not yet told
-    asked: f64,  // units asked for here, fading
+    late: Adder,      // tells what was lent in the dark, under another name
+    debt: f64,        // lent in the dark and not yet told
+    asked_late: bool, // what stands under that name has been asked for
+    asked: f64,       // units asked for here, fading
     born: Time,
     greedy: bool,
     known: Option<Time>,
@@ -94,6 +95,7 @@
             adder: adder(),
             late: adder(),
             debt: 0.0,
+            asked_late: false,
             asked: 0.0,
             born: now,
             greedy: false,
@@ -149,8 +151,11 @@
     /// This side is smaller or larger from now on: it has its part of what there is.
     fn turn(&mut self, before: f64) {
         let part = self.side.part();
-        if part < before && self.level > 0.0 {
-            self.level *= part / before;
+        let mut unseen = 0.0; // filled and found no room, which others may have taken before
+        if part < before {
+            unseen = (self.base + self.gained - self.level).max(0.0);
+            self.level *= if self.level > 0.0 { part / before } else { 1.0 };
+            self.known = self.known.filter(|since| self.at >= since + KNOWN);
         }
         if part > before {
             // The others' parts are taken to be as full as ours. What they took apart from a known customer
@@ -166,7 +171,7 @@
             };
         }
         self.was_whole |= self.side.is_whole();
-        self.base = self.level;
+        self.base = self.level + unseen;
         self.gained = 0.0;
     }
 
@@ -251,11 +256,17 @@
 
     /// No answer: go by what this gateway's share of the traffic was.
     pub fn silent(&mut self, now: Time, hearing: &Hearing, may_count: bool) {
-        self.refill(now, hearing);
         self.adder.unanswered(may_count && !self.thin);
         self.next_call = now + RETRY;
+        self.go_dark(now, hearing);
+    }
+
+    /// The counter is away. A call that is out may still be answered.
+    pub fn go_dark(&mut self, now: Time, hearing: &Hearing) {
+        self.refill(now, hearing);
         if self.dark.is_none() {
-            self.dark = Some(Dark { level: self.level, part: self.side.part(), at: now, spent: 0.0 });
+            let filled = self.base + self.gained;
+            self.dark = Some(Dark { filled, part: self.side.part(), at: now, spent: 0.0 });
             self.refill(now, hearing);
         }
     }
@@ -299,13 +310,16 @@
         let whole = self.seen.map_or(since_epoch, |_| self.whole_now()) - growth;
         (self.whole, self.whole_at) = (whole.clamp(-self.terms.rate, self.terms.burst), now);
         let left = match (self.dark.take(), self.seen) {
-            (Some(dark), _) => {
-                let left = self.after_dark(now, dark, growth);
+            (Some(dark), seen) => {
+                let filled = dark.filled + self.terms.rate * dark.part * seconds(dark.at, now);
+                // Met in the dark: the number holds what was leased since the epoch began.
+                let filled = seen.map_or(filled.max(since_epoch), |_| filled);
+                let left = self.after_dark(dark, filled - growth);
                 self.side.lit(dark.part);
                 left
             }
             (None, Some(_)) => self.base + self.gained - taken,
-            // Met for the first time: the number holds what was leased since the epoch began.
+            // Met for the first time: likewise.
             (None, None) if self.terms.strict => (since_epoch - self.terms.burst) * self.side.part() - growth,
             (None, None) => (since_epoch - growth) * self.side.part(),
         };
@@ -318,16 +332,17 @@
             self.adder.marks().zip(then).zip(told.digits).map(|((m, before), after)| (m, before, after));
         self.side.saw(now, told.landed, others, marks);
         self.seen = Some(Seen { epoch: epoch.0, whole: told.whole, digits: told.digits });
-        self.known = self.known.or(Some(now));
+        self.known = self.known.or(Some(now).filter(|_| self.side.is_whole()));
         self.next_call = now;
     }
 
-    /// The counter answers again. Nobody knows what the others lent meanwhile: not more is left than was
-    /// then, and than our own part has left; of a known customer the others' parts are taken to have as much.
-    fn after_dark(&self, now: Time, dark: Dark, growth: f64) -> f64 {
-        let exact = dark.level + self.terms.rate * dark.part * seconds(dark.at, now) - growth - dark.spent;
+    /// The counter answers again, and leaves so much by its total. Nobody knows what the others lent meanwhile:
+    /// not more is left than was then, and than our own part has left; of a known customer the others' parts
+    /// are taken to have as much.
+    fn after_dark(&self, dark: Dark, left: f64) -> f64 {
         let own = self.level.max(0.0);
-        exact.min(if self.is_trusted() { own * dark.part / self.side.part().max(1e-3) } else { own })
+        let whole = if self.is_trusted() { own * dark.part / self.side.part().max(1e-3) } else { own };
+        (left - dark.spent).min(whole)
     }
 
     /// Lent in the dark, or forgotten by a new counter, and not yet told.
@@ -335,15 +350,17 @@
         !self.thin && (self.debt >= 0.5 || self.late.doubt() > 0.0) && !self.late.is_out()
     }
 
-    /// A call that tells it: its amount.
+    /// A call that tells it: its amount. The first only reads, lest one without an answer be told again.
     pub fn tell(&mut self, epoch: u64) -> f64 {
-        self.late.call(epoch, self.debt)
+        let units = if self.asked_late || self.late.will_prove() { self.debt } else { 0.0 };
+        self.late.call(epoch, units)
     }
 
     /// It got this total; `None`: no answer, and it may have counted or not.
     pub fn was_told(&mut self, epoch: u64, total: Option<f64>, may_count: bool) {
         match total {
             Some(total) => {
+                self.asked_late = true;
                 let told = self.late.answered(epoch, total);
                 self.debt += told.lost - told.landed;
             }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -541,6 +541,7 @@
     ask_at: Time,
     counter_fails: u32,
     counter_retry: Time,
+    epoch: u64,   // in which this gateway started: one before it may have left marks there
     answers: f64, // of warm hosts, fading by the period
     warm: f64,    // seconds that they were warm and in service, each host's added, fading alike
     ticked: Time,
@@ -605,6 +606,7 @@
         if self.pace.control_at == 0 {
             let pace = &mut self.pace;
             (pace.control_at, pace.born, pace.beat.0, pace.ticked) = (now + PERIOD, now, now, now);
+            pace.epoch = now / EPOCH;
             self.actions.push(Action::Timer { after: TICK, token: 0 });
         }
         match event {
@@ -672,7 +674,7 @@
             let terms = |rate, burst, strict| Terms { rate, burst, strict, alone, set };
             let both = [terms(p.rate, p.burst, false), terms(p.ceiling_rate, p.ceiling_burst, true)];
             let has = both.into_iter().filter(|terms| terms.rate > 0.0);
-            let mut stores = has.map(|terms| Account::new(now, terms, now / EPOCH)).collect::<Vec<_>>();
+            let mut stores = has.map(|terms| Account::new(now, terms, self.pace.epoch)).collect::<Vec<_>>();
             for a in &mut stores {
                 a.thin &= p.ceiling_rate <= 0.0;
                 a.ration.begin(units * self.rng.unit());
@@ -728,7 +730,7 @@
         let Some(c) = self.customers.get_mut(&customer) else { return (false, false) };
         for a in &mut c.stores {
             if down && !a.is_blind() {
-                a.silent(now, &self.hearing, false);
+                a.go_dark(now, &self.hearing);
             }
             a.refill(now, &self.hearing);
         }
@@ -866,10 +868,12 @@
         if self.counter_down(now) {
             return;
         }
-        if let Some(customer) = self.debts.pop_front() {
-            let account = self.customers.get_mut(&customer).and_then(|c| c.stores.first_mut());
-            if let Some(amount) = account.filter(|a| a.owes()).map(|a| a.tell(now / EPOCH)) {
-                self.call(now, (customer, LATE, now / EPOCH), amount);
+        let next = self.debts.pop_front().and_then(|id| Some((id, self.customers.get_mut(&id)?)));
+        if let Some((customer, c)) = next {
+            match c.stores.first_mut().filter(|a| a.owes()).map(|a| a.tell(now / EPOCH)) {
+                Some(amount) => self.call(now, (customer, LATE, now / EPOCH), amount),
+                // Given back meanwhile: it is told once it owes again.
+                None => c.owing = false,
             }
         }
         if now >= self.pace.pulse_at && self.s.gateways > 1 && self.quotas {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway under test: settings with plain defaults, and helpers to feed it events.
 #![allow(dead_code)]
 pub mod cold;
+pub mod counter;
+pub mod site;
 
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::names;
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -1,7 +1,11 @@
 //! Leases: blocks, return, settlement, and a counter that is silent, empty or slow.
 mod common;
+use common::counter::{Fault, Trouble};
+use common::site::{Customer, Habit, Plot, Site, START};
 use common::*;
 use fennelbeam_policy::api::*;
+use fennelbeam_policy::names;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Sends a request and answers its call with the total that other gateways leave.
 fn lease(g: &mut Harness, id: u64, units: f64, others: f64, total: &mut f64) -> Vec<Action> {
@@ -272,3 +276,367 @@
         assert!(sent > 0, "{gateways} gateways, spread {spread}: a customer far inside its quota is let in");
     }
 }
+
+/// One gateway of one, with a customer whose store holds one request of two units and hardly fills.
+fn tight() -> Harness {
+    let mut settings = Settings { gateways: 1, ..settings() };
+    (settings.plans[0].rate, settings.plans[0].burst) = (0.01, 2.0);
+    Harness::new(settings, 60)
+}
+
+/// Asks for the whole store, answers the calls, and gives the sends.
+fn ask_for_all(g: &mut Harness, id: u64, total: &mut f64) -> Vec<(RequestId, HostId)> {
+    let mut actions = g.request(id, 1, 7, 2.0);
+    for (name, amount) in calls(&actions) {
+        *total += amount;
+        actions.extend(g.counted(name, Outcome::Ok, *total));
+    }
+    sends(&actions)
+}
+
+/// Lets each attempt of a request end like this until it has its final answer.
+fn end_all(g: &mut Harness, mut out: Vec<(RequestId, HostId)>, outcome: Outcome) -> u32 {
+    let mut attempt = 0;
+    while let Some((id, host)) = out.pop() {
+        out.extend(sends(&g.ended(id.0, attempt, host, outcome)));
+        attempt += 1;
+    }
+    attempt
+}
+
+#[test]
+fn a_request_that_reached_no_host_gives_its_units_back() {
+    let (mut g, mut total) = (tight(), 0.0);
+    let out = ask_for_all(&mut g, 1, &mut total);
+    assert!(end_all(&mut g, out, Outcome::NoConnection) > 1, "it is tried at several hosts");
+    assert_eq!(ask_for_all(&mut g, 2, &mut total).len(), 1, "its units are there for the next one");
+    assert_eq!(ask_for_all(&mut g, 3, &mut total).len(), 0, "and only once");
+}
+
+#[test]
+fn a_request_that_came_whole_to_a_host_keeps_its_units() {
+    for outcome in [Outcome::Full, Outcome::Reset, Outcome::Timeout, Outcome::Error, Outcome::Cancelled] {
+        let (mut g, mut total) = (tight(), 0.0);
+        let out = ask_for_all(&mut g, 1, &mut total);
+        end_all(&mut g, out, outcome);
+        assert_eq!(ask_for_all(&mut g, 2, &mut total).len(), 0, "{outcome:?}");
+    }
+    let (mut g, mut total) = (tight(), 0.0);
+    let (id, host) = ask_for_all(&mut g, 1, &mut total)[0];
+    let next = sends(&g.ended(id.0, 0, host, Outcome::Full));
+    end_all(&mut g, next, Outcome::NoConnection);
+    assert_eq!(
+        ask_for_all(&mut g, 2, &mut total).len(),
+        0,
+        "the first attempt has come whole, the others not"
+    );
+}
+
+#[test]
+fn an_attempt_that_is_withdrawn_unsent_gives_its_units_back_once() {
+    let (mut g, mut total) = (tight(), 0.0);
+    let (id, host) = ask_for_all(&mut g, 1, &mut total)[0];
+    let left = g.on(Event::Left { id });
+    assert!(left.contains(&Action::Withdraw { id, attempt: 0 }));
+    assert_eq!(ask_for_all(&mut g, 2, &mut total).len(), 0, "it may have been sent");
+    g.ended(id.0, 0, host, Outcome::Moot);
+    g.ended(id.0, 0, host, Outcome::Moot);
+    g.on(Event::Left { id });
+    assert_eq!(ask_for_all(&mut g, 3, &mut total).len(), 1, "it was not");
+    assert_eq!(ask_for_all(&mut g, 4, &mut total).len(), 0);
+}
+
+/// Answers all calls with what they add, and gives the sends.
+fn sent_when_counted(g: &mut Harness, mut actions: Vec<Action>) -> Vec<(RequestId, HostId)> {
+    while let Some(at) = actions.iter().position(|action| matches!(action, Action::Count { .. })) {
+        let (name, amount) = calls(&[actions.swap_remove(at)])[0];
+        actions.extend(g.counted(name, Outcome::Ok, amount));
+    }
+    sends(&actions)
+}
+
+#[test]
+fn a_rationed_customer_has_no_more_attempts_out_than_its_plan_allows() {
+    let mut many = Settings { gateways: 200, ..settings() };
+    many.plans[0].open = 200;
+    let mut g = Harness::new(many, 60);
+    let (mut out, mut most, mut sent) = (VecDeque::<(RequestId, HostId)>::new(), 0, 0);
+    for id in 1..=100 {
+        let request = Request { id: RequestId(id), units: 1.0, patience: 4_000 * MS, ..Request::default() };
+        let mut actions = g.on(Event::Request(Request { spread: 200, ..request }));
+        actions.extend(g.pass(20 * MS));
+        let over = if id % 5 == 0 { out.pop_front() } else { None };
+        if let Some((request, host)) = over {
+            actions.extend(g.ended(request.0, 0, host, Outcome::Ok));
+        }
+        let more = sent_when_counted(&mut g, actions);
+        sent += more.len();
+        out.extend(more);
+        most = most.max(out.len());
+    }
+    assert_eq!(most, 1, "this gateway's part of the limit");
+    assert!(sent >= 18, "and each that ends makes room: {sent}");
+}
+
+/// What a counter of one's own holds, for one gateway of one.
+#[derive(Default)]
+struct Book {
+    totals: BTreeMap<CountName, f64>,
+}
+
+impl Book {
+    /// Answers all calls; those to `name` as given: added or not, answered or not.
+    fn answer(
+        &mut self,
+        g: &mut Harness,
+        actions: &mut Vec<Action>,
+        name: CountName,
+        (added, said): (bool, bool),
+    ) {
+        for (called, amount) in calls(actions) {
+            let odd = called == name;
+            let total = self.totals.entry(called).or_default();
+            *total += if odd && !added { 0.0 } else { amount };
+            let outcome = if odd && !said { Outcome::Timeout } else { Outcome::Ok };
+            actions.extend(g.counted(called, outcome, *total));
+        }
+    }
+}
+
+/// One gateway is in the dark for two seconds from the start, and is back: units sent until the counter was
+/// asked for some, and whole units under the late name after the first call that told went like this.
+fn told_after_the_dark(first: (bool, bool)) -> (f64, f64) {
+    let (mut g, mut book) = (Harness::new(Settings { gateways: 1, ..settings() }, 60), Book::default());
+    let [late, leased] = [names::told_late, names::leased].map(|name| name(CustomerId(7), g.now));
+    let (mut lent, mut how) = (0.0, first);
+    for id in 1..80 {
+        let dark = id < 20;
+        let mut actions = if dark || id % 10 == 0 { g.request(id, 1, 7, 1.0) } else { Vec::new() };
+        actions.extend(g.pass(100 * MS));
+        let lends = dark || !book.totals.contains_key(&leased);
+        let out = sends(&actions);
+        lent += if lends { out.len() as f64 } else { 0.0 };
+        if dark {
+            for (name, _) in calls(&actions) {
+                let more = sends(&g.counted(name, Outcome::NoConnection, 0.0));
+                lent += more.len() as f64;
+                more.iter().for_each(|(id, host)| drop(g.ended(id.0, 0, *host, Outcome::Ok)));
+            }
+        } else {
+            // The first call to a number may only read.
+            let tells = calls(&actions).iter().any(|(name, amount)| *name == late && *amount > 0.0);
+            book.answer(&mut g, &mut actions, late, if tells { how } else { (true, true) });
+            how = if tells { (true, true) } else { how };
+        }
+        out.iter().for_each(|(id, host)| drop(g.ended(id.0, 0, *host, Outcome::Ok)));
+    }
+    (lent, book.totals.get(&late).map_or(0.0, |total| total.floor()))
+}
+
+#[test]
+fn what_was_lent_in_the_dark_is_told_exactly_once() {
+    for first in [(true, true), (true, false), (false, false)] {
+        let (lent, told) = told_after_the_dark(first);
+        assert!(lent >= 10.0, "most of 18 units were let in: {lent}");
+        assert_eq!(lent, told, "the first call to tell it was (added, answered): {first:?}");
+    }
+}
+
+#[test]
+fn who_gives_units_back_before_it_tells_still_tells_what_it_lends_later() {
+    let mut g = Harness::new(Settings { gateways: 1, ..settings() }, 60);
+    let late = names::told_late(CustomerId(7), g.now);
+    let mut told = Vec::new();
+    for id in 1..40 {
+        let mut actions = g.request(id, 1, 7, 1.0);
+        let refuse = |g: &mut Harness, actions: &mut Vec<Action>| {
+            for (name, _) in calls(actions) {
+                actions.extend(g.counted(name, Outcome::Full, 0.0));
+            }
+        };
+        refuse(&mut g, &mut actions);
+        for (request, host) in sends(&actions) {
+            // The early ones cost next to nothing, as it turns out.
+            let true_units = Some(if id < 10 { 0.01 } else { 1.0 });
+            let end = Ended {
+                id: request,
+                attempt: 0,
+                host,
+                outcome: Outcome::Ok,
+                took: 50 * MS,
+                closed: true,
+                used: None,
+                true_units,
+                report: None,
+            };
+            g.on(Event::Ended(end));
+        }
+        let mut actions = g.pass(200 * MS);
+        told.extend(calls(&actions).into_iter().filter(|(name, _)| *name == late));
+        refuse(&mut g, &mut actions);
+    }
+    assert!(told.len() >= 3, "it goes on trying: {told:?}");
+}
+
+#[test]
+fn a_counter_that_is_back_is_called_no_more_than_300_times_a_second_at_first() {
+    let customer = |n: usize| Customer {
+        rate: 4.0,
+        burst: 10.0,
+        spread: 3,
+        first: n % 3,
+        most_units: 1,
+        truth: 1.0,
+        habit: Habit::Even(0.3),
+        from: 0,
+    };
+    let (lost, back) = (START + 12_000 * MS, START + 20_000 * MS);
+    let plot = Plot {
+        gateways: 3,
+        start: START,
+        length: 26_000 * MS,
+        customers: (0..400).map(customer).collect(),
+        troubles: vec![Trouble { fault: Fault::Lost, gateway: None, from: lost, until: back }],
+        kills: Vec::new(),
+        seed: 5,
+    };
+    let mut site = Site::new(plot);
+    site.play();
+    let calls =
+        |from: Time| site.counter.calls.iter().filter(|at| (from..from + 1_000 * MS).contains(*at)).count();
+    let after: Vec<usize> = (0..20).map(|tenth| calls(back + tenth * 100 * MS)).collect();
+    // The pulses, four a second, do not wait.
+    assert!(after.iter().all(|count| *count <= 305), "calls in each second after it is back: {after:?}");
+    assert!(after.iter().any(|count| *count >= 100), "and it is used: {after:?}");
+}
+
+#[test]
+fn a_ceiling_seen_in_part_gives_an_even_part_whatever_its_share_was() {
+    let let_in = |others_beat: bool| {
+        let mut settings = settings();
+        settings.plans[0] = Plan { ceiling_rate: 20.0, ceiling_burst: 40.0, ..Plan::default() };
+        let (mut g, mut total) = (Harness::new(settings, 60), 0.0);
+        for round in 0..60 {
+            ask(&mut g, 1_000 + round * 5..1_003 + round * 5, |_, amount| {
+                total += amount;
+                (Outcome::Ok, total)
+            });
+            g.pass(250 * MS);
+        }
+        g.others_beat = others_beat;
+        g.pass(4_000 * MS);
+        ask(&mut g, 1..81, |_, amount| {
+            total += amount;
+            (Outcome::Ok, total)
+        })
+    };
+    let (whole, apart) = (let_in(true), let_in(false));
+    assert!((36..=41).contains(&whole), "all of a store of 40: {whole}");
+    assert!((15..=21).contains(&apart), "half of it for one of two gateways: {apart}");
+}
+
+/// Asks for one unit each and answers all calls; how many were sent on.
+fn ask(
+    g: &mut Harness,
+    ids: std::ops::Range<u64>,
+    mut answer: impl FnMut(CountName, f64) -> (Outcome, f64),
+) -> usize {
+    let mut sent = 0;
+    for id in ids {
+        let mut actions = g.request(id, 1, 7, 1.0);
+        for (name, amount) in calls(&actions) {
+            let (outcome, total) = answer(name, amount);
+            actions.extend(g.counted(name, outcome, total));
+        }
+        for (request, host) in sends(&actions) {
+            sent += 1;
+            g.ended(request.0, 0, host, Outcome::Ok);
+        }
+    }
+    sent
+}
+
+/// A counter that holds this, and what is added from now on, marks and all.
+fn adds_to(mut total: f64) -> impl FnMut(CountName, f64) -> (Outcome, f64) {
+    move |_, amount| {
+        total += amount;
+        (Outcome::Ok, total)
+    }
+}
+
+fn no_connection(_: CountName, _: f64) -> (Outcome, f64) {
+    (Outcome::NoConnection, 0.0)
+}
+
+#[test]
+fn what_others_took_meanwhile_is_not_lent_once_the_counter_is_back() {
+    let mut g = Harness::new(settings(), 60);
+    ask(&mut g, 1..2, |_, amount| (Outcome::Ok, amount));
+    let dark = ask(&mut g, 2..40, no_connection);
+    assert!((8..=11).contains(&dark), "its part of a store of 20: {dark}");
+    g.pass(2_000 * MS);
+    // The first is lent while its call is on the way.
+    let back = ask(&mut g, 40..60, |_, amount| (Outcome::Ok, 200.0 + amount));
+    assert!(back <= 1, "the others took all there was: {back}");
+}
+
+#[test]
+fn what_others_took_out_of_a_full_store_is_no_debt_after_the_dark() {
+    let mut g = Harness::new(settings(), 60);
+    let mut first = 0.0;
+    ask(&mut g, 1..2, |_, amount| {
+        first += amount;
+        (Outcome::Ok, first)
+    });
+    // Ten units a second, of which the others take eight, and it does not look.
+    g.pass(10_000 * MS);
+    ask(&mut g, 2..8, no_connection);
+    g.pass(1_000 * MS);
+    let back = ask(&mut g, 8..28, adds_to(90.0 + first));
+    assert!(back >= 7, "there is room for its part: {back}");
+}
+
+#[test]
+fn who_was_met_in_the_dark_does_not_owe_all_of_the_epoch() {
+    let mut g = Harness::new(settings(), 60);
+    g.pass(30_000 * MS);
+    ask(&mut g, 1..3, no_connection);
+    g.pass(1_000 * MS);
+    let back = ask(&mut g, 3..23, adds_to(200.0));
+    assert!(back >= 7, "200 units of 350 are gone: {back}");
+}
+
+#[test]
+fn who_was_met_just_before_the_dark_is_lent_nothing_beyond_its_part() {
+    let let_in = |met_before: Span| {
+        let mut g = Harness::new(settings(), 60);
+        ask(&mut g, 1..2, |_, amount| (Outcome::Ok, amount));
+        g.pass(met_before);
+        ask(&mut g, 2..4, no_connection);
+        g.pass(11_000 * MS);
+        ask(&mut g, 4..60, no_connection)
+    };
+    let (new, known) = (let_in(4_000 * MS), let_in(12_000 * MS));
+    assert!((8..=11).contains(&new), "half of a store of 20: {new}");
+    assert!((17..=24).contains(&known), "and what is lent to one who is known: {known}");
+}
+
+#[test]
+fn no_two_numbers_of_the_counter_share_a_name() {
+    let mut all = BTreeSet::new();
+    for epoch in 0..40 {
+        let at = START + epoch * names::EPOCH;
+        for customer in (0..200).chain((1 << 33) - 200..1 << 33).map(CustomerId) {
+            assert!(all.insert(names::leased(customer, at)), "{customer:?}, leased in epoch {epoch}");
+            assert!(all.insert(names::told_late(customer, at)), "{customer:?}, told late in epoch {epoch}");
+        }
+    }
+    for beats in 0..80 {
+        for group in 0..50 {
+            let at = START + beats * fennelbeam_quota::PULSE_EPOCH;
+            assert!(all.insert(names::pulse(group, at)), "pulse of group {group}, epoch {beats}");
+        }
+    }
+    let (first, late) = (START, START + names::EPOCH - 1);
+    assert_eq!(names::leased(CustomerId(1), first), names::leased(CustomerId(1), late), "one name an epoch");
+}
--- a/crates/quota/src/adder.rs
+++ b/crates/quota/src/adder.rs
@@ -30,21 +30,40 @@
     marks: Option<Marks>,
     member: u32,
     epoch: u64,
-    /// Own digit, as it was found last; nought at first. If a process before this one has left another there,
-    /// an add in doubt is not proven, which is the safe reading, and the first answer tells.
-    digit: u8,
+    /// Own digit, as it was found last; nought where an epoch begins. In one that had begun before this member
+    /// did, a process before this one may have left another, and the first answer tells: an add until then
+    /// carries no mark, for one on a full digit would carry into the next member's.
+    digit: Option<u8>,
     /// Own units in this epoch that are known to have been added.
     added: f64,
     out: Option<Add>,
     doubt: Option<Add>,
+    /// Adds in this epoch that were not proven when they were in doubt: each may have been added after that.
+    unproven: u8,
+    /// Answers in a row in which our digit was found as it was expected: only then does another one prove
+    /// anything. Gateways of another version, which set no marks, make digits a matter of chance.
+    agreed: u8,
 }
 
+/// Answers that make digits believed.
+const BELIEVED: u8 = 3;
+
 impl Adder {
     /// Of this member, counted from 0, among so many, in an epoch that has begun before this member did. Totals
     /// are not above `most`.
     pub fn new(member: u32, members: u32, most: f64, epoch: u64) -> Adder {
         let marks = Marks::new(members, most).filter(|_| member < members);
-        Adder { marks, member, epoch, digit: 0, added: 0.0, out: None, doubt: None }
+        Adder {
+            marks,
+            member,
+            epoch,
+            digit: None,
+            added: 0.0,
+            out: None,
+            doubt: None,
+            unproven: 0,
+            agreed: 0,
+        }
     }
 
     /// Whether a call has no answer yet.
@@ -52,6 +71,11 @@
         self.out.is_some()
     }
 
+    /// Whether a call that gets no answer will be settled by the next total.
+    pub fn will_prove(&self) -> bool {
+        self.marks.is_none() || self.digit.is_some()
+    }
+
     /// Own units in this epoch that are known to have been added.
     pub fn added(&self) -> f64 {
         self.added
@@ -70,7 +94,8 @@
             (Some(_), _) => Add { units: 0.0, mark: None },
             (None, None) => Add { units, mark: None },
             (None, Some(marks)) => {
-                let mark = Some(marks.next(self.member, self.digit)).filter(|_| units > 0.0);
+                let digit = self.digit.filter(|_| units > 0.0);
+                let mark = digit.map(|digit| marks.next(self.member, digit));
                 Add { units: units.max(0.0).ceil(), mark }
             }
         };
@@ -82,9 +107,11 @@
     fn turn(&mut self, epoch: u64) {
         if epoch != self.epoch {
             self.epoch = epoch;
-            self.digit = 0;
+            self.digit = Some(0);
             self.added = 0.0;
             self.doubt = None;
+            self.unproven = 0;
+            self.agreed = 0;
         }
     }
 
@@ -93,7 +120,8 @@
         let reading = self.marks.map(|marks| marks.read(total));
         let whole = reading.map_or(total, |reading| reading.whole);
         let digits = reading.and_then(|reading| reading.digits);
-        let units = self.out.take().map_or(0.0, |add| add.units);
+        let out = self.out.take();
+        let units = out.map_or(0.0, |add| add.units);
         if epoch != self.epoch {
             return Told { whole, landed: units, digits, lost: 0.0 };
         }
@@ -101,14 +129,28 @@
         let found = digits.map(|digits| digits.of(self.member));
         let proven = doubt.filter(|doubt| doubt.mark.is_some_and(|mark| Some(mark.after) == found));
         let landed = units + proven.map_or(0.0, |doubt| doubt.units);
-        // The smallest total that holds all of ours.
-        let is_fresh = whole + 0.5 < self.added + landed;
+        let expected = proven.or(out).and_then(|add| add.mark).map(|mark| mark.after).or(self.digit);
+        self.unproven = self.unproven.saturating_add(u8::from(doubt.is_some() && proven.is_none()));
+        // The smallest total that holds all of ours; where others have added as much meanwhile, our digit tells.
+        let is_fresh = whole + 0.5 < self.added + landed || self.began_anew(expected, found);
         let lost = if is_fresh { self.added + landed - units } else { 0.0 };
         self.added += landed - lost;
-        self.digit = found.unwrap_or(self.digit);
+        self.digit = found.or(expected);
         Told { whole, landed, digits, lost }
     }
 
+    /// Whether a digit is found that cannot be, on a number that goes on.
+    fn began_anew(&mut self, expected: Option<u8>, found: Option<u8>) -> bool {
+        let Some(((expected, found), marks)) = expected.zip(found).zip(self.marks) else { return false };
+        let base = marks.base();
+        let ahead = (u32::from(found) + base - u32::from(expected) % base) % base;
+        if ahead <= u32::from(self.unproven) {
+            self.agreed = self.agreed.saturating_add(1);
+            return false;
+        }
+        std::mem::take(&mut self.agreed) >= BELIEVED
+    }
+
     /// The call got none. `may_count`: it may have been added all the same.
     pub fn unanswered(&mut self, may_count: bool) {
         let Some(add) = self.out.take().filter(|_| may_count) else { return };
@@ -163,19 +205,102 @@
         assert_eq!(adder.added(), 5.0);
     }
 
+    #[test]
+    fn a_number_that_others_have_filled_anew_beyond_our_adds_is_told_by_our_digit() {
+        let mut adder = Adder::new(1, 3, 900.0, 0);
+        let mut total = 0.0;
+        for _ in 0..4 {
+            total += adder.call(1, 15.0);
+            adder.answered(1, seven(total));
+        }
+        // Replaced; another has leased 80 of the fresh one before our next call.
+        let told = {
+            let fresh = 80.0 + Marks::new(3, 900.0).unwrap().next(0, 0).fraction + adder.call(1, 5.0);
+            adder.answered(1, seven(fresh))
+        };
+        assert_eq!((told.landed, told.lost), (5.0, 60.0));
+        assert_eq!(adder.added(), 5.0);
+    }
+
+    #[test]
+    fn adds_without_marks_are_no_sign_of_a_number_begun_anew() {
+        let mut adder = Adder::new(0, 3, 900.0, 0);
+        let mut total = 0.0;
+        for step in 0..60 {
+            total += adder.call(1, 2.0);
+            let told = adder.answered(1, seven(total));
+            assert_eq!(told.lost, 0.0, "step {step}");
+            // A gateway of another version leases fractions.
+            total += 1.237_4 + 0.311 * f64::from(step % 7);
+        }
+    }
+
+    #[test]
+    fn an_add_that_is_carried_out_long_after_its_doubt_is_no_sign_of_a_number_begun_anew() {
+        let mut adder = Adder::new(0, 3, 900.0, 0);
+        let mut first = 0.0;
+        for _ in 0..4 {
+            first += adder.call(1, 10.0);
+            adder.answered(1, seven(first));
+        }
+        let late = adder.call(1, 7.0);
+        adder.unanswered(true);
+        adder.call(1, 0.0);
+        assert_eq!(adder.answered(1, seven(first)).landed, 0.0, "not there yet");
+        let next = adder.call(1, 4.0);
+        let told = adder.answered(1, seven(first + late + next));
+        assert_eq!((told.landed, told.lost), (4.0, 0.0));
+    }
+
     #[test]
     fn who_starts_in_the_middle_of_an_epoch_goes_on_from_the_digit_that_it_finds() {
         let mut adder = Adder::new(0, 2, 900.0, 3);
         let first = adder.call(3, 4.0);
+        assert_eq!(first, 4.0, "without a mark, whatever stands there");
         // One that died has left two steps behind.
         adder.answered(3, seven(30.0 + 2.0 * 0.0002 + first));
         adder.call(3, 4.0);
         adder.unanswered(true);
         adder.call(3, 4.0);
-        let told = adder.answered(3, seven(38.0 + 4.0 * 0.0002));
+        let told = adder.answered(3, seven(38.0 + 3.0 * 0.0002));
         assert_eq!(told.landed, 4.0);
     }
 
+    #[test]
+    fn who_starts_anew_on_a_full_digit_leaves_its_neighbour_s() {
+        let (mut first, mut other) = (Adder::new(0, 3, 3000.0, 0), Adder::new(1, 3, 3000.0, 0));
+        let mut total = other.call(1, 1.0);
+        other.answered(1, seven(total));
+        for _ in 0..6 {
+            total += first.call(1, 5.0);
+            first.answered(1, seven(total));
+        }
+        let digits = |told: Told| told.digits.map(|digits| [digits.of(0), digits.of(1)]);
+        // Killed, and back in the same epoch.
+        let mut first = Adder::new(0, 3, 3000.0, 1);
+        total += first.call(1, 5.0);
+        assert_eq!(digits(first.answered(1, seven(total))), Some([6, 1]));
+        total += first.call(1, 5.0);
+        assert_eq!(digits(first.answered(1, seven(total))), Some([0, 1]));
+    }
+
+    #[test]
+    fn a_step_back_on_a_number_that_began_anew_is_not_read_as_a_unit_less() {
+        let mut adder = Adder::new(0, 3, 3000.0, 0);
+        let mut total = 0.0;
+        for _ in 0..6 {
+            total += adder.call(1, 5.0);
+            adder.answered(1, seven(total));
+        }
+        // Replaced by a fresh one: what goes back to nought goes below it.
+        let mut fresh = adder.call(1, 5.0);
+        let told = adder.answered(1, seven(fresh));
+        assert_eq!((told.whole, told.landed, told.lost), (5.0, 5.0, 30.0));
+        fresh += adder.call(1, 5.0);
+        let told = adder.answered(1, seven(fresh));
+        assert_eq!((told.whole, told.landed, told.lost), (10.0, 5.0, 0.0));
+    }
+
     #[derive(Clone, Debug)]
     enum Fate {
         Answered,
--- a/crates/quota/src/marks.rs
+++ b/crates/quota/src/marks.rs
@@ -7,6 +7,8 @@
 
 /// Members whose digits there is room for at the most, also in a digit of two values each.
 pub const MOST_MEMBERS: u32 = 8;
+/// Steps of a total that seven digits tell apart, with half a digit to spare.
+const EXACT: f64 = 5e6;
 /// A digit of fewer values tells too little.
 const LEAST_BASE: u32 = 2;
 
@@ -47,7 +49,7 @@
         if members == 0 || members > MOST_MEMBERS {
             return None;
         }
-        let mut scale = 5e6;
+        let mut scale = EXACT;
         let mut whole = 1.0;
         while whole < most {
             whole *= 10.0;
@@ -96,7 +98,12 @@
             *digit = (rest % u64::from(self.base)) as u8;
             rest /= u64::from(self.base);
         }
-        Reading { whole: whole as f64, digits: (rest == 0).then_some(digits) }
+        // Beyond what it was made for, the last digits are not exact.
+        if rest == 0 && (scale <= 1 || (whole * scale) as f64 <= EXACT) {
+            return Reading { whole: whole as f64, digits: Some(digits) };
+        }
+        // A mark that went back to nought on a number that began anew leaves it a little below its units.
+        Reading { whole: total.round(), digits: None }
     }
 
     /// How often a member has added between two readings, at the least.
--- a/crates/quota/src/side.rs
+++ b/crates/quota/src/side.rs
@@ -1,13 +1,15 @@
 //! The side that a gateway is on: which gateways of a customer's set reach the counter that it reaches, and what
 //! part of the customer's quota is theirs.
 
-use crate::hearing::Hearing;
+use crate::hearing::{Hearing, BEAT, WITHIN};
 use crate::marks::{Digits, Marks, MOST_MEMBERS};
 use crate::shares::Shares;
 use crate::{Span, Time};
 
 /// Of a customer that all its gateways ask for all the time, one that has not for this long may be apart.
 const QUIET: Span = 900_000_000;
+/// Whoever is apart is missed within so long: shares learnt since then may be those of one side.
+const UNSURE: Span = WITHIN + BEAT;
 
 /// The gateways that a customer comes through: `spread` in a row from `first`, counted round.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,6 +57,10 @@
 pub struct Side {
     set: Set,
     shares: Shares,
+    /// The shares as they were lately, and before that: learnt before anybody who is missed now was apart.
+    lately: Shares,
+    before: Shares,
+    kept: Time,
     /// How many of the set are heard; none in the dark.
     heard: u32,
     part: f64,
@@ -66,9 +72,13 @@
 impl Side {
     /// Of a customer with this rate, in units a second, met now.
     pub fn new(now: Time, set: Set, rate: f64) -> Side {
+        let shares = Shares::new(now, set.spread, rate);
         Side {
             set,
-            shares: Shares::new(now, set.spread, rate),
+            shares,
+            lately: shares,
+            before: shares,
+            kept: now,
             heard: set.spread,
             part: 1.0,
             seen: [0; 8],
@@ -104,11 +114,12 @@
 
     fn now(&self, now: Time, hearing: &Hearing, light: Light, strict: bool, wary: bool) -> (u32, f64) {
         let all = self.set.spread;
-        let share = |member: u32| if strict { 1.0 / f64::from(all) } else { self.shares.of(member, now) };
+        let share =
+            |shares: &Shares, member| if strict { 1.0 / f64::from(all) } else { shares.of(member, now) };
         match light {
             Light::None => (0, 1.0 / f64::from(all)),
             Light::Dark if strict => (0, 0.0),
-            Light::Dark => (0, share(self.set.member())),
+            Light::Dark => (0, share(&self.before, self.set.member())),
             Light::Answers if !wary && hearing.hears_all(now) => (all, 1.0),
             Light::Answers => {
                 let heard = |member: &u32| {
@@ -117,7 +128,9 @@
                         && !(wary && self.is_quiet(now, *member, hearing.last(gateway)))
                 };
                 let count = (0..all).filter(heard).count() as u32;
-                let part = if count == all { 1.0 } else { (0..all).filter(heard).map(share).sum() };
+                // What was learnt before anybody could be missed: since then each side has seen only itself.
+                let theirs = (0..all).filter(heard).map(|member| share(&self.before, member));
+                let part = if count == all { 1.0 } else { theirs.sum() };
                 (count, part)
             }
         }
@@ -159,6 +172,10 @@
             member if all > 0.0 => (member, others * adds(member) / all),
             member => (member, others * even),
         };
+        if now > self.kept + UNSURE {
+            self.before = std::mem::replace(&mut self.lately, self.shares);
+            self.kept = now;
+        }
         self.shares.saw(now, (0..kept).map(units));
     }
 
@@ -241,6 +258,23 @@
         assert!(look(&mut side, BEAT * 3 / 2, false), "of a usual customer that is nothing");
     }
 
+    #[test]
+    fn what_a_side_learnt_before_it_missed_the_others_makes_its_part_no_larger() {
+        let marks = Marks::new(2, 900.0).unwrap();
+        let digits = |total: f64| marks.read(total).digits.unwrap();
+        let seen = Some((marks, digits(0.0), digits(0.0)));
+        let mut parts = Vec::new();
+        for me in [1, 2] {
+            let mut side = Side::new(0, set(me), 10.0);
+            (1..40).for_each(|beat| side.saw(beat * BEAT, 6.0, 6.0, seen));
+            // Split, and not missed yet: each sees only what goes through itself.
+            (40..44).for_each(|beat| side.saw(beat * BEAT, 6.0, 0.0, seen));
+            side.look(44 * BEAT, &hearing(me, &[]), Light::Answers, false, false);
+            parts.push(side.part());
+        }
+        assert!(parts.iter().sum::<f64>() < 1.02, "{parts:?}");
+    }
+
     #[test]
     fn who_is_apart_learns_nothing_of_the_others() {
         let mut side = Side::new(0, set(1), 10.0);
--- /dev/null
+++ b/crates/rehearse/tests/quota/totals.rs
@@ -0,0 +1,81 @@
+//! What stands on the counter at some moments, read by a caller of its own in the process of a real gateway.
+
+use crate::ledger::Ledger;
+use anyhow::{ensure, Context, Result};
+use bytes::BytesMut;
+use fennelbeam_env::{Env, Stream, Time};
+use fennelbeam_gateway::{serve, Config};
+use fennelbeam_policy::api::{CountName, CustomerId};
+use fennelbeam_policy::names::{leased, told_late, EPOCH};
+use fennelbeam_rehearse::{GatewayMaker, GatewayStart};
+use fennelbeam_resp::{decode, fill, put_bulk, put_header, Frame};
+use fennelbeam_sim::SimEnv;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::io::AsyncWriteExt;
+
+/// Units that are leased or were told late, as the counter has them: by customer, and when that was read.
+pub type Totals = BTreeMap<u64, (Time, f64)>;
+
+/// Real gateways; beside the first one, somebody reads the totals of all customers in the ledger at this
+/// moment.
+pub fn read_at(moment: Time, ledger: Arc<Mutex<Ledger>>, totals: Arc<Mutex<Totals>>) -> GatewayMaker {
+    Arc::new(move |start| {
+        let GatewayStart { env, document, signals } = start;
+        let read = move || Config::parse(document.text().as_bytes());
+        let config = read().expect("a configuration");
+        if config.site.settings.me == 0 {
+            let (own, ledger, totals) = (env.clone(), ledger.clone(), totals.clone());
+            let counter = config.counter.expect("a counter");
+            env.spawn(async move {
+                own.sleep_until(moment).await;
+                let customers: Vec<u64> = ledger.lock().unwrap().tallies.keys().copied().collect();
+                let read = read_all(&own, counter, &customers).await;
+                *totals.lock().unwrap() = read.expect("the counter answers");
+            });
+        }
+        Box::pin(serve(env, config, read, signals))
+    })
+}
+
+async fn read_all(env: &SimEnv, counter: SocketAddr, customers: &[u64]) -> Result<Totals> {
+    let (mut reader, mut writer) = env.connect(counter).await?.into_split();
+    let (mut input, mut totals) = (BytesMut::new(), Totals::new());
+    for customer in customers {
+        let (id, now) = (CustomerId(*customer), env.now());
+        let mut units = 0.0;
+        // Names of the epoch before are still there for some seconds.
+        for at in [now, now - EPOCH] {
+            for name in [leased(id, at), told_late(id, at)] {
+                writer.write_all(&ask(name)).await?;
+                let answer = loop {
+                    match decode(&mut input)? {
+                        Some(frame) => break frame,
+                        None => fill(&mut reader, &mut input).await?,
+                    }
+                };
+                // Behind the point are marks.
+                units += number(&answer)?.floor();
+            }
+        }
+        totals.insert(*customer, (env.now(), units));
+    }
+    Ok(totals)
+}
+
+/// A call that adds nothing.
+fn ask(name: CountName) -> BytesMut {
+    let mut out = BytesMut::new();
+    put_header(&mut out, b'*', 4);
+    for word in ["ADDGET", &format!("{:016x}", name.0), "0", "60000"] {
+        put_bulk(&mut out, word.as_bytes());
+    }
+    out
+}
+
+fn number(answer: &Frame) -> Result<f64> {
+    ensure!(matches!(answer, Frame::Bulk(_)), "turned away: {answer:?}");
+    let Frame::Bulk(text) = answer else { return Ok(0.0) };
+    std::str::from_utf8(text)?.parse().context("no total")
+}
--- a/crates/standins/src/client/thing.rs
+++ b/crates/standins/src/client/thing.rs
@@ -123,7 +123,8 @@
         Some(Job {
             id: self.id,
             command: self.crowd.caller.command(self.arrival, self.id, patience),
-            asked: self.asked.map_or_else(|| Ok(self.sighting(gateway, patience)), Err),
+            asked: self.sighting(gateway, patience),
+            since: self.asked,
             stay,
             write_by: self.until,
             reply,
