--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::Membership;
 use anyhow::{anyhow, ensure, Context, Result};
+use fennelbeam_lang::model::Operators;
 use fennelbeam_settings::{unknown_keys, Site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -60,6 +61,8 @@
     pub known: Membership,
     /// The settings.
     pub site: Site,
+    /// What the operators' files say; the document itself names none.
+    pub operators: Operators,
     /// Keys that are not known here and are skipped, by their full names.
     pub unknown: Vec<String>,
 }
@@ -94,6 +97,7 @@
             memory: document.limits.memory_mb.saturating_mul(1 << 20),
             known: document.known,
             site,
+            operators: Operators::default(),
             unknown,
         })
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,10 @@
 use crate::lasting::Lasting;
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, Phase, ReplyTo};
+use crate::routing::Routing;
 use bytes::Bytes;
 use fennelbeam_env::{Env, Sleep};
+use fennelbeam_lang::model::Operators;
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::policy::Policy;
 use fennelbeam_quota::CounterState;
@@ -62,6 +64,7 @@
     call: Arc<Call>,
     reply: Option<ReplyTo>,
     deadline: Time,
+    route: Route,
     attempts: u32,
     out: u32,
 }
@@ -69,10 +72,11 @@
 /// One gateway.
 pub(crate) struct Gateway<E: Env, D> {
     env: E,
-    site: Arc<Site>,
+    settings: Settings,
     seed: u64,
     module: D,
     hosts: Hosts<E>,
+    routing: Routing,
     counter: Counter<E>,
     requests: FxHashMap<RequestId, InHand>,
     /// Ids that clients gave to the requests held. They choose them, so the set's own seed is random; nothing
@@ -94,18 +98,21 @@
         env: E,
         config: &Config,
         site: Arc<Site>,
+        routing: Routing,
         inputs: &UnboundedSender<Input>,
         most_conns: usize,
         phase: watch::Sender<Phase>,
     ) -> Self {
         let patience = site.settings.counter_timeout;
+        let settings = Settings { plans: routing.plans().to_vec(), ..site.settings.clone() };
         let counter_state = Lasting::new(CounterState::Unused, env.now());
         let mut gateway = Gateway {
-            module: D::start(site.settings.clone(), config.seed),
-            hosts: Hosts::new(env.clone(), site.clone(), inputs.clone(), most_conns),
+            module: D::start(settings.clone(), config.seed),
+            hosts: Hosts::new(env.clone(), site, inputs.clone(), most_conns),
+            routing,
             counter: Counter::new(env.clone(), config.counter, inputs.clone(), patience),
             env,
-            site,
+            settings,
             seed: config.seed,
             requests: FxHashMap::default(),
             open: HashSet::new(),
@@ -161,6 +168,7 @@
                 }
             }
             Input::CounterAt(address) => self.counter.move_to(address),
+            Input::Operators(operators) => self.on_operators(&operators),
             Input::Hosts(list) => {
                 self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
                 self.ready();
@@ -180,13 +188,15 @@
     }
 
     fn on_request(&mut self, incoming: Incoming) {
-        let Incoming { at, request, call, reply } = incoming;
+        let Incoming { at, mut request, call, reply } = incoming;
         // Two requests of one id could not be told apart at a host.
         if !self.open.insert(call.client_id) {
             return reply.answer(Answer::Failed);
         }
         let (id, deadline) = (request.id, at.saturating_add(request.patience));
-        let call = InHand { call: Arc::new(call), reply: Some(reply), deadline, attempts: 0, out: 0 };
+        request.route = self.routing.choose(&request);
+        let route = request.route;
+        let call = InHand { call: Arc::new(call), reply: Some(reply), deadline, route, attempts: 0, out: 0 };
         self.requests.insert(id, call);
         self.unanswered.send_modify(|n| *n += 1);
         self.set_timer(deadline + OVERDUE, Timer::Overdue(id));
@@ -212,11 +222,35 @@
     }
 
     fn on_hosts(&mut self, list: &Membership, kind: ListKind) {
-        let entries = self.hosts.update(list, kind);
+        let entries = self.hosts.update(list, kind, &self.routing);
         self.tell(Event::Hosts { kind, entries });
         self.report_finished();
     }
 
+    /// Another version of the operators' files comes into force as a whole, or nothing changes. Requests in hand
+    /// keep to the pools that they began with; where a host has left one, what waits there for a connection is
+    /// not sent any more.
+    fn on_operators(&mut self, operators: &Operators) {
+        if let Err(error) = self.routing.turn(operators) {
+            return tracing::warn!("operators' files kept as they were: {error}");
+        }
+        tracing::info!("operators' files in force: {} routes", self.routing.len());
+        let plans = self.routing.plans().to_vec();
+        self.settings.plans.clone_from(&plans);
+        self.tell(Event::Plans(plans));
+        let entries = self.hosts.reassign(&self.routing);
+        self.tell(Event::Hosts { kind: ListKind::Delta, entries });
+        for ((id, attempt), pools) in self.hosts.unsent() {
+            let left = |call: &InHand| {
+                call.route.pools != 0 && pools & (call.route.pools | call.route.fallback) == 0
+            };
+            if self.requests.get(&id).is_some_and(left) {
+                self.hosts.drop_unsent((id, attempt));
+            }
+        }
+        self.report_finished();
+    }
+
     fn on_counted(&mut self, counted: Counted) {
         let Counted { name, outcome, total, took } = counted;
         self.tell(Event::Counted { name, outcome, total, took });
@@ -248,6 +282,7 @@
         if self.requests.get(&id).is_some_and(|call| call.reply.is_none() && call.out == 0) {
             if let Some(call) = self.requests.remove(&id) {
                 self.open.remove(&call.call.client_id);
+                self.routing.let_go(&call.route);
             }
         }
     }
@@ -291,7 +326,7 @@
         actions.clear();
         self.news.clear();
         self.seed = self.seed.wrapping_add(1);
-        self.module = D::start(self.site.settings.clone(), self.seed);
+        self.module = D::start(self.settings.clone(), self.seed);
         self.timers.retain(|Reverse((_, timer))| !matches!(timer, Timer::Module(_)));
         let mut ids: Vec<RequestId> = self.requests.keys().copied().collect();
         ids.sort_unstable();
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -4,11 +4,13 @@
 use crate::call::Call;
 use crate::membership::{Lifecycle, Membership};
 use crate::messages::{AttemptKey, ConnId, HostEvent, Input};
+use crate::routing::Routing;
 use bytes::{Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
 use fennelbeam_env::{Env, Reader, Stream, Task};
 use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, Span, Time};
 use fennelbeam_resp::{self as resp, Frame, RespError};
+use fennelbeam_route::HostFacts;
 use fennelbeam_settings::Site;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
@@ -47,11 +49,26 @@
     conn: Option<ConnId>,
 }
 
+/// What pools are chosen by.
+#[derive(Default)]
+struct Names {
+    id: String,
+    zone: String,
+    machine: String,
+}
+
+impl Names {
+    fn facts(&self, cell: u32) -> HostFacts<'_> {
+        HostFacts { id: &self.id, zone: &self.zone, machine: &self.machine, cell }
+    }
+}
+
 #[derive(Default)]
 struct Host {
     /// As the module was told of it last.
     entry: HostEntry,
     addr: Option<SocketAddr>,
+    names: Names,
     started: u64,
     ready: bool,
     /// Goes up with each change of address or start: connections from before are not used again.
@@ -126,7 +143,7 @@
     }
 
     /// Takes in a list and gives it in the module's terms.
-    pub fn update(&mut self, list: &Membership, kind: ListKind) -> Vec<HostEntry> {
+    pub fn update(&mut self, list: &Membership, kind: ListKind, routing: &Routing) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
             self.hosts.values_mut().for_each(|host| host.ready = false);
         }
@@ -141,6 +158,13 @@
                 host.started = line.started_at_ms;
             }
             host.ready = line.lifecycle == Lifecycle::InService;
+            if line.host_port.is_some() {
+                host.names = Names {
+                    id: line.instance_id.clone(),
+                    zone: line.zone.clone(),
+                    machine: line.machine_type.clone(),
+                };
+            }
             host.entry = HostEntry {
                 id,
                 zone: position(&self.site.zones, &line.zone),
@@ -153,6 +177,7 @@
                 },
                 size: line.weight,
                 started: line.started_at_ms.saturating_mul(MS),
+                pools: routing.pools_of(&host.names.facts(line.cell)),
             };
             entries.push(host.entry.clone());
         }
@@ -182,6 +207,21 @@
         self.hosts.retain(|_, host| host.ready || host.conns > 0);
     }
 
+    /// Finds the pools of all hosts anew, and gives them in the module's terms.
+    pub fn reassign(&mut self, routing: &Routing) -> Vec<HostEntry> {
+        let reassign = |host: &mut Host| {
+            host.entry.pools = routing.pools_of(&host.names.facts(host.entry.cell));
+            host.entry.clone()
+        };
+        self.hosts.values_mut().map(reassign).collect()
+    }
+
+    /// Attempts that wait for a connection, each with the pools of its host.
+    pub fn unsent(&self) -> Vec<(AttemptKey, u64)> {
+        let waiting = |host: &'_ Host| host.waiting.iter().map(|key| (*key, host.entry.pools)).collect();
+        self.hosts.values().flat_map::<Vec<_>, _>(waiting).collect()
+    }
+
     /// The hosts in service, as the module was told of them.
     pub fn entries(&self) -> Vec<HostEntry> {
         self.hosts.values().filter(|host| host.ready).map(|host| host.entry.clone()).collect()
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -4,6 +4,7 @@
 use crate::call::Call;
 use crate::membership::Membership;
 use bytes::Bytes;
+use fennelbeam_lang::model::Operators;
 use fennelbeam_policy::api::{CountName, Outcome, Request, RequestId, Span, Time};
 use fennelbeam_resp::Frame;
 use std::net::SocketAddr;
@@ -20,6 +21,8 @@
     Hosts(Membership),
     /// Where the counter is from now on.
     CounterAt(Option<SocketAddr>),
+    /// What the operators' files say from now on.
+    Operators(Box<Operators>),
 }
 
 /// A request as it came in.
--- /dev/null
+++ b/crates/gateway/src/routing.rs
@@ -0,0 +1,131 @@
+//! The operators' pools, routes and quota policies as they are in force at this gateway.
+
+use fennelbeam_lang::model::Operators;
+use fennelbeam_policy::api::{Limit, Plan, Request, Route};
+use fennelbeam_route::{tighten, Choice, Facts, HostFacts, InForce, PoolMask, Quota, RouteError, Routes};
+use fennelbeam_settings::Site;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// One version of the operators' files after the other, and what requests in hand still hold of earlier ones.
+pub(crate) struct Routing {
+    site: Arc<Site>,
+    routes: Routes,
+    /// What the platform grants, tightened by the operators.
+    plans: Vec<Plan>,
+    /// Numbers of the routes, by place. One that is there by its name in the next version keeps its number, so
+    /// that its limit counts what is out of both.
+    numbers: Vec<u32>,
+    next_number: u32,
+    /// How many requests in hand may go to each pool.
+    held: [u32; 64],
+}
+
+impl Routing {
+    /// The first version.
+    pub fn new(site: Arc<Site>, operators: &Operators) -> Result<Routing, RouteError> {
+        let plans = site.settings.plans.clone();
+        let routes = Routes::default();
+        let numbers = Vec::new();
+        let mut routing = Routing { site, routes, plans, numbers, next_number: 0, held: [0; 64] };
+        routing.turn(operators)?;
+        Ok(routing)
+    }
+
+    /// Puts another version in force as a whole, or leaves all as it was.
+    pub fn turn(&mut self, operators: &Operators) -> Result<(), RouteError> {
+        let site = &self.site;
+        let facts =
+            Facts { classes: &site.classes, plans: &site.plans, zones: &site.zones, machines: &site.kinds };
+        let plans = plans(site, operators)?;
+        let routes = Routes::compile_after(&self.routes, self.in_use(), operators, &facts)?;
+        self.number(&routes);
+        self.plans = plans;
+        self.routes = routes;
+        Ok(())
+    }
+
+    fn number(&mut self, next: &Routes) {
+        let mut kept = BTreeMap::new();
+        for (number, successor) in self.numbers.iter().zip(self.routes.successors(next)) {
+            if let Some(successor) = successor {
+                kept.insert(successor.index(), *number);
+            }
+        }
+        let fresh = &mut self.next_number;
+        let number = |place: usize| {
+            kept.get(&place).copied().unwrap_or_else(|| {
+                *fresh = fresh.wrapping_add(1);
+                *fresh
+            })
+        };
+        self.numbers = (0..next.len()).map(number).collect();
+    }
+
+    fn in_use(&self) -> PoolMask {
+        let used = (0..64).filter(|bit| self.held[*bit] > 0);
+        PoolMask(used.fold(0, |mask, bit| mask | 1 << bit))
+    }
+
+    /// The plans in force.
+    pub fn plans(&self) -> &[Plan] {
+        &self.plans
+    }
+
+    /// How many routes there are.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// The pools that a host is in.
+    pub fn pools_of(&self, host: &HostFacts) -> u64 {
+        self.routes.pools_of(host).0
+    }
+
+    /// Says where a request may go, and holds the pools for it until [`Routing::let_go`].
+    pub fn choose(&mut self, request: &Request) -> Route {
+        let choice = self.routes.choose(request.class, request.plan, request.customer.0);
+        let route = self.route(&choice);
+        self.count(&route, 1);
+        route
+    }
+
+    fn route(&self, choice: &Choice) -> Route {
+        let Some(number) = choice.route.and_then(|route| self.numbers.get(route.index()).copied()) else {
+            return Route::default();
+        };
+        let limit = choice.most_out.map(|most_out| Limit { route: number, most_out });
+        Route { pools: choice.pool.0, fallback: choice.fallback.0, limit }
+    }
+
+    /// The request is over, and all its attempts.
+    pub fn let_go(&mut self, route: &Route) {
+        self.count(route, -1);
+    }
+
+    fn count(&mut self, route: &Route, by: i32) {
+        let mut left = route.pools | route.fallback;
+        while left != 0 {
+            let held = &mut self.held[left.trailing_zeros() as usize];
+            *held = held.wrapping_add_signed(by);
+            left &= left - 1;
+        }
+    }
+}
+
+/// What the platform grants, tightened.
+fn plans(site: &Site, operators: &Operators) -> Result<Vec<Plan>, RouteError> {
+    let granted = &site.settings.plans;
+    let mut quotas = Vec::with_capacity(granted.len());
+    for (name, plan) in site.plans.iter().zip(granted) {
+        quotas.push(Quota { plan: name, rate: plan.rate, burst: plan.burst, open: plan.open });
+    }
+    let in_force = tighten(operators, &quotas)?;
+    let plan = |(plan, force): (&Plan, InForce)| Plan {
+        rate: force.rate.value,
+        burst: force.burst.value,
+        open: force.open.value,
+        ..plan.clone()
+    };
+    Ok(granted.iter().zip(in_force).map(plan).collect())
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::discovery;
 use crate::gateway::{Decisions, Gateway};
 use crate::messages::{Input, Phase};
+use crate::routing::Routing;
 use anyhow::{Context as _, Result};
 use fennelbeam_env::{Env, Listener, Span, Task};
 use fennelbeam_policy::policy::Policy;
@@ -34,7 +35,8 @@
 /// Serves until it is told to end and all that it has taken is answered, or its time for that is over.
 ///
 /// `again` reads the configuration anew at each [`Signal::Reload`]; what it gives moves the addresses of
-/// discovery and the counter, an error changes nothing. Fails only where it cannot listen.
+/// discovery and the counter, and puts the operators' files in force; an error changes nothing. Fails where it
+/// cannot listen or the operators' files cannot be used.
 pub async fn serve<E, F>(env: E, config: Config, again: F, signals: UnboundedReceiver<Signal>) -> Result<()>
 where
     E: Env,
@@ -54,10 +56,11 @@
     D: Decisions,
     F: Fn() -> Result<Config> + Send + Sync + 'static,
 {
+    let site = Arc::new(config.site.clone());
+    let routing = Routing::new(site.clone(), &config.operators).context("cannot use the operators' files")?;
     let listener = clients::listen(&env, config.listen);
     let listener = listener.with_context(|| format!("cannot listen on {}", config.listen))?;
     let address = listener.local_addr()?;
-    let site = Arc::new(config.site.clone());
     let (inputs, inbox) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Starting);
     // A quarter for hosts: clients hold up to a third of all for requests, and what holds the rest open and
@@ -65,7 +68,7 @@
     let sockets = config.sockets - SPARE_SOCKETS - 2 * MAX_LINKS;
     let for_hosts = sockets / 4;
     let gateway: Gateway<E, D> =
-        Gateway::new(env.clone(), &config, site.clone(), &inputs, for_hosts, phase.clone());
+        Gateway::new(env.clone(), &config, site.clone(), routing, &inputs, for_hosts, phase.clone());
     let unanswered = gateway.unanswered();
     env.spawn(gateway.run(inbox));
     let (agent, agents) = watch::channel(config.discovery);
@@ -95,8 +98,8 @@
     Ok(())
 }
 
-/// Until the process is told to end. At each reload reads the configuration again, for the addresses of
-/// discovery and the counter only.
+/// Until the process is told to end. At each reload reads the configuration again, for the operators' files and
+/// the addresses of discovery and the counter only.
 async fn until_terminated<F: Fn() -> Result<Config>>(
     signals: &mut UnboundedReceiver<Signal>,
     again: &F,
@@ -113,6 +116,7 @@
         };
         agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
         let _ = gateway.send(Input::CounterAt(config.counter));
+        let _ = gateway.send(Input::Operators(Box::new(config.operators)));
         tracing::info!("configuration read again");
     }
 }
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -7,5 +7,6 @@
 mod drain;
 mod hosts;
 mod repeat;
+mod routes;
 mod stop;
 mod support;
--- a/crates/gateway/tests/room/support.rs
+++ b/crates/gateway/tests/room/support.rs
@@ -4,6 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use fennelbeam_env::{Env, Listener, Reader, Span, Stream, Time};
 use fennelbeam_gateway::{serve, Config, Signal};
+use fennelbeam_lang::{load, loader::Memory};
 use fennelbeam_model::scenario::NetworkSpec;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_resp::{decode, put_bulk, put_header, Frame};
@@ -350,6 +351,8 @@
     pub sockets: usize,
     pub memory_mb: usize,
     pub settings: Value,
+    /// The operators' file.
+    pub operators: String,
 }
 
 impl Default for Plan {
@@ -362,6 +365,7 @@
             sockets: 256,
             memory_mb: 192,
             settings: settings(),
+            operators: String::new(),
         }
     }
 }
@@ -396,6 +400,7 @@
     signals: UnboundedSender<Signal>,
     /// As it is on the disk, if there is one.
     document: Arc<Mutex<Option<Value>>>,
+    operators: Arc<Mutex<String>>,
     /// When it ended, on the clock.
     ended: Arc<Mutex<Option<Time>>>,
 }
@@ -425,7 +430,7 @@
         let counter = Peer::start(machine("counter"), "counter", 7000);
         let document = document(&plan, &gateway_machine, &hosts, discovery.addr, counter.addr);
         let clients = sim.machine("clients", Place::Client).process("clients");
-        let gateway = Gateway::start(&gateway_machine, document);
+        let gateway = Gateway::start(&gateway_machine, document, plan.operators);
         Room { sim, hosts, discovery, counter, gateway, gateway_machine, clients }
     }
 
@@ -502,6 +507,12 @@
         self.signal(Signal::Reload);
     }
 
+    /// Writes the operators' file and sends SIGHUP.
+    pub fn reload_operators(&self, text: &str) {
+        *self.gateway.operators.lock().unwrap() = text.to_owned();
+        self.signal(Signal::Reload);
+    }
+
     /// The configuration is gone.
     pub fn lose_configuration(&self) {
         *self.gateway.document.lock().unwrap() = None;
@@ -527,14 +538,16 @@
 }
 
 impl Gateway {
-    fn start(machine: &Machine, document: Value) -> Gateway {
+    fn start(machine: &Machine, document: Value, operators: String) -> Gateway {
         let env = machine.process("gateway");
-        let config = Config::parse(document.to_string().as_bytes()).unwrap();
+        let config = read(&document, &operators).unwrap();
         let (signals, inbox) = unbounded_channel();
         let (document, ended) = (Arc::new(Mutex::new(Some(document))), Arc::new(Mutex::new(None)));
-        let (read, own, end) = (document.clone(), env.clone(), ended.clone());
-        let again = move || match &*read.lock().unwrap() {
-            Some(document) => Config::parse(document.to_string().as_bytes()),
+        let (own, end) = (env.clone(), ended.clone());
+        let operators = Arc::new(Mutex::new(operators));
+        let (disk, file) = (document.clone(), operators.clone());
+        let again = move || match &*disk.lock().unwrap() {
+            Some(document) => read(document, &file.lock().unwrap()),
             None => anyhow::bail!("no configuration"),
         };
         env.spawn(async move {
@@ -542,8 +555,19 @@
             *end.lock().unwrap() = Some(own.now());
             own.exit();
         });
-        Gateway { signals, document, ended }
+        Gateway { signals, document, operators, ended }
+    }
+}
+
+/// The configuration and the operators' file, read as the program does.
+fn read(document: &Value, operators: &str) -> anyhow::Result<Config> {
+    let config = Config::parse(document.to_string().as_bytes())?;
+    let loaded = load("site.fb".as_ref(), &Memory::default().with("site.fb", operators), None);
+    if let Some(error) = loaded.first_error() {
+        anyhow::bail!("{}", error.one_line());
     }
+    let set = loaded.set.unwrap();
+    Ok(Config { operators: set.operators, ..config })
 }
 
 fn document(
--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -43,6 +43,7 @@
 
 /// `level`: what this side may still take (below zero: ahead of the refill); `held`: leased here and not yet
 /// spent (below zero: let in before the counter was told).
+#[derive(Default)]
 pub(crate) struct Account {
     terms: Terms,
     pub thin: bool, // too many gateways for blocks: what is asked for is counted, and rationed
@@ -80,33 +81,35 @@
         let adder = || Adder::new(set.member(), if thin { 0 } else { set.spread }, most, epoch);
         Account {
             thin,
-            held: 0.0,
             level: terms.burst,
             at: now,
             side: Side::new(now, terms.set, terms.rate),
             base: terms.burst,
-            gained: 0.0,
             whole: terms.burst,
             whole_at: now,
-            was_whole: false,
-            seen: None,
-            dark: None,
-            rejoined: false,
             adder: adder(),
             late: adder(),
-            debt: 0.0,
-            asked_late: false,
-            asked: 0.0,
             born: now,
-            greedy: false,
-            known: None,
-            next_call: 0,
             ration: Ration::new(terms.rate, terms.burst),
-            mine: 0.0,
             terms,
+            ..Account::default()
         }
     }
 
+    /// The quota is another from now on. What is left stays, as far as the store holds it. The marks keep to
+    /// what the platform grants, which is never less, so that gateways that change later read the same.
+    pub fn retune(&mut self, now: Time, hearing: &Hearing, rate: f64, burst: f64) {
+        self.refill(now, hearing);
+        (self.whole, self.whole_at) = (self.whole_now(), now);
+        if let Some(dark) = &mut self.dark {
+            dark.filled += self.terms.rate * dark.part * seconds(dark.at, now);
+            dark.at = now;
+        }
+        self.terms = Terms { rate, burst, ..self.terms };
+        self.level = self.level.min(self.room());
+        self.ration.retune(rate, burst);
+    }
+
     pub fn is_strict(&self) -> bool {
         self.terms.strict
     }
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -153,6 +153,8 @@
     pub size: f64,
     /// Its latest start; zero: long past.
     pub started: Time,
+    /// The pools that it is in, a bit each.
+    pub pools: u64,
 }
 
 /// How a list relates to the one in hand.
@@ -168,6 +170,26 @@
     Failed,
 }
 
+/// Where a request may go. The default: to all hosts, without a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Route {
+    /// Pools, a bit each: a host has to be in one of them. Zero: any host will do.
+    pub pools: u64,
+    /// Pools that take over while no host of those takes work; zero: none do.
+    pub fallback: u64,
+    /// What limits it beside its pool.
+    pub limit: Option<Limit>,
+}
+
+/// A limit on the attempts of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Limit {
+    /// The route's number, the same for as long as attempts of it are out.
+    pub route: u32,
+    /// Attempts out at once, from this gateway.
+    pub most_out: u32,
+}
+
 /// A client's request.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
@@ -189,6 +211,8 @@
     pub first: u32,
     /// It repeats an earlier try.
     pub repeat: bool,
+    /// Where it may go, for as long as it is held.
+    pub route: Route,
 }
 
 /// How an attempt, a probe or a call ended.
@@ -319,6 +343,9 @@
         /// How long the call took.
         took: Span,
     },
+    /// The plans are these from now on, in the order of the settings. What customers have left stays, as far as
+    /// their stores now hold it.
+    Plans(Vec<Plan>),
     /// Another gateway has sent bytes.
     PeerMessage {
         /// Its number.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,5 +22,7 @@
 mod account;
 pub mod api;
 mod chance;
+mod customer;
 pub mod names;
 pub mod policy;
+mod pools;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,10 +1,12 @@
 //! All decisions of one gateway. The interface, its settings, events and actions, is `src/api.rs`.
 //! Slots follow the fuzzy delay controller of Wei et al.; quotas rest on leased units; see docs/design.md.
 
-use crate::account::{Account, Terms, RETRY};
+use crate::account::{Account, RETRY};
 use crate::api::*;
 use crate::chance::Chance;
+use crate::customer::Customer;
 use crate::names::{count_name, ALL, EPOCH, KEEP, LATE};
+use crate::pools::{Pools, Waiting};
 use fennelbeam_quota::{CounterState, Hearing, Pulse, Set};
 use libm::{exp, log, pow};
 use std::collections::{BTreeMap, VecDeque};
@@ -56,7 +58,7 @@
 struct ClassState {
     reserve: f64,
     out: usize,
-    queue: VecDeque<RequestId>,
+    queue: Waiting,
     waits: f64,
     wait_count: f64,
     error: f64,
@@ -106,7 +108,7 @@
 
     /// Whose is the next free slot: below its reserve, the least-worth class's own part, then worth order.
     fn next_class(&self) -> Option<usize> {
-        let waiting = |c: usize| !self.classes[c].queue.is_empty();
+        let waiting = |c: usize| self.classes[c].queue.any(|route| self.pools.has_room(route));
         let under = |c: usize, slots: f64| waiting(c) && (self.classes[c].out as f64) < slots;
         let (least, aimed) = self.by_worth.split_last()?;
         let reserved = aimed.iter().find(|c| under(**c, self.classes[**c].reserve));
@@ -133,15 +135,15 @@
         let mut stuck = Vec::new();
         while self.out() < self.slots() {
             let Some(c) = self.next_class() else { break };
-            let Some(id) = self.classes[c].queue.pop_front() else { break };
+            let Some(id) = self.classes[c].queue.pop(|route| self.pools.has_room(route)) else { break };
             let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Queued) else { continue };
-            let start_by = r.start_by(self.classes[c].latency);
+            let (start_by, route) = (r.start_by(self.classes[c].latency), r.route);
             match self.pick(now, id).filter(|_| now < start_by) {
                 Some(host) => self.send(now, id, host),
-                None => stuck.push((c, id)),
+                None => stuck.push((c, route, id)),
             }
         }
-        stuck.into_iter().rev().for_each(|(c, id)| self.classes[c].queue.push_front(id));
+        stuck.into_iter().rev().for_each(|(c, route, id)| self.classes[c].queue.push_front(route, id));
     }
 }
 
@@ -203,12 +205,16 @@
             }
             (s.entry, s.fed) = (entry, now);
         }
+        self.pools.recount(self.hosts.values().map(|s| &s.entry));
         let all = self.hosts.values().filter(|s| s.ready()).count().max(1) as f64;
         self.pace.total = SLOTS_PER_HOST * all / self.s.gateways.max(1) as f64;
     }
 
     /// Whether a request may go to this host, after what may already have run of it.
     fn legal(&self, now: Time, r: &Pending, entry: &HostEntry) -> bool {
+        if !self.pools.takes(&r.route, entry) {
+            return false;
+        }
         let Some(first) = r.ran() else { return true };
         let there = self.hosts.get(&first.host).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
         match self.s.classes[r.class].effect {
@@ -348,9 +354,9 @@
     host: HostId,
     sent: Time,
     open: bool,
-    harmless: bool, // proven never to have run
-    reached: bool,  // it came whole to a host, as far as is known
-    slot: bool,     // counted among the slots in use; a hanging one is not
+    harmless: bool,    // proven never to have run
+    reached: bool,     // it came whole to a host, as far as is known
+    slot: Option<u64>, // the pools where it is counted among the slots in use; a hanging one is not
     withdrawn: bool,
     hung: bool,
 }
@@ -358,6 +364,7 @@
 #[derive(Default)]
 struct Pending {
     class: usize,
+    route: Route,
     customer: CustomerId,
     units: f64,
     arrived: Time,
@@ -399,7 +406,8 @@
         r.stage = Stage::Out;
         s.out.push((id, r.attempts.len() as u32, now));
         (s.tokens, s.credit) = ((s.tokens - 1.0).max(0.0), (s.credit - 1.0).max(0.0));
-        r.attempts.push(Attempt { host, sent: now, open: true, slot: true, ..Attempt::default() });
+        let slot = Some(self.pools.send(&r.route));
+        r.attempts.push(Attempt { host, sent: now, open: true, slot, ..Attempt::default() });
         self.actions.push(Action::Send { id, host, until });
     }
 
@@ -418,7 +426,7 @@
         if self.classes[r.class].failing > DROWNING {
             return;
         }
-        self.classes[r.class].out -= usize::from(std::mem::take(&mut a.slot));
+        self.classes[r.class].out -= usize::from(self.pools.free(&mut a.slot));
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Out) else { return };
         match self.s.classes[r.class].effect == Effect::Safe && self.may_retry(now, r) {
             true if self.s.may_duplicate => self.requeue(now, id),
@@ -438,7 +446,7 @@
     fn requeue(&mut self, now: Time, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         (r.stage, r.queued) = (Stage::Queued, now);
-        self.classes[r.class].queue.push_front(id);
+        self.classes[r.class].queue.push_front(r.route, id);
         self.pace.retries -= 1.0;
     }
 
@@ -488,7 +496,8 @@
         (a.open, a.harmless) = (false, matches!(end.outcome, Full | NoConnection | Moot));
         a.reached = !matches!(end.outcome, NoConnection | Moot);
         let (class, unasked) = (r.class, end.outcome == Cancelled && !a.withdrawn);
-        self.classes[class].out -= usize::from(std::mem::take(&mut a.slot));
+        self.classes[class].out -= usize::from(self.pools.free(&mut a.slot));
+        self.pools.end(&r.route);
         let over = |(id, n, _): &(RequestId, u32, Time)| (*id, *n) == (end.id, end.attempt);
         let part = self.cold_part();
         if let Some(s) = self.hosts.get_mut(&end.host) {
@@ -524,17 +533,6 @@
 
 // ---- Event dispatch
 
-/// A customer: its stores (quota first, then ceiling, as its plan has them) and its open requests.
-#[derive(Default)]
-struct Customer {
-    plan: usize,
-    stores: Vec<Account>,
-    waiting: VecDeque<RequestId>,
-    open: u32,
-    asked: Time,
-    owing: bool, // among those that the counter is to be told of
-}
-
 #[derive(Default)]
 struct Pace {
     control_at: Time,
@@ -565,6 +563,7 @@
     by_worth: Vec<usize>,
     classes: Vec<ClassState>,
     hosts: BTreeMap<HostId, Host>,
+    pools: Pools,
     requests: BTreeMap<RequestId, Pending>,
     customers: BTreeMap<CustomerId, Customer>,
     names: BTreeMap<CountName, (CustomerId, usize, u64)>,
@@ -587,6 +586,7 @@
             by_worth,
             classes: s.classes.iter().map(|_| ClassState::default()).collect(),
             hosts: BTreeMap::new(),
+            pools: Pools::new(SLOTS_PER_HOST / f64::from(s.gateways.max(1))),
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -618,6 +618,11 @@
             Event::Timer { .. } => self.on_tick(now),
             Event::Probed { host, outcome, report } => self.on_report(now, host, outcome, report),
             Event::Counted { name, outcome, total, took } => self.on_counted(now, name, outcome, total, took),
+            Event::Plans(plans) => {
+                self.s.plans = plans;
+                let change = |c: &mut Customer| c.change_plan(now, &self.hearing, &self.s.plans[c.plan]);
+                self.customers.values_mut().for_each(change);
+            }
             Event::PeerMessage { .. } => {}
         }
         std::mem::take(&mut self.freed).into_iter().for_each(|customer| self.settle(now, customer));
@@ -654,32 +659,25 @@
     }
 
     fn on_request(&mut self, now: Time, request: Request) {
-        let Request { id, class, plan, customer, patience, units, spread, first, .. } = request;
+        let Request { id, class, plan, customer, patience, units, spread, first, route, .. } = request;
         let (Some(c), Some(p)) = (self.s.classes.get(class), self.s.plans.get(plan)) else {
             return self.actions.push(Action::Refuse { id, retry_after: None });
         };
         let units = if units.is_finite() { units.max(0.0) } else { 1.0 };
         let deadline = now.saturating_add(patience);
         let aim_at = now.saturating_add(c.aim).min(deadline);
-        let held = Pending { class, customer, units, arrived: now, aim_at, deadline, ..Pending::default() };
+        let held =
+            Pending { class, route, customer, units, arrived: now, aim_at, deadline, ..Pending::default() };
         self.requests.insert(id, held);
         self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
-        // No time for an answer, nor for a later look at it.
-        if aim_at <= now + 2 * TICK {
+        // No time for an answer, nor for a later look at it; or no host for it.
+        if aim_at <= now + 2 * TICK || self.pools.lets_nothing_out(&route, !self.hosts.is_empty()) {
             return self.give_up(id);
         }
         let entry = self.customers.entry(customer).or_insert_with(|| {
-            let (alone, me, gateways) = (!self.s.counter, self.s.me, self.s.gateways);
-            let set = Set { first, spread, me, gateways };
-            let terms = |rate, burst, strict| Terms { rate, burst, strict, alone, set };
-            let both = [terms(p.rate, p.burst, false), terms(p.ceiling_rate, p.ceiling_burst, true)];
-            let has = both.into_iter().filter(|terms| terms.rate > 0.0);
-            let mut stores = has.map(|terms| Account::new(now, terms, self.pace.epoch)).collect::<Vec<_>>();
-            for a in &mut stores {
-                a.thin &= p.ceiling_rate <= 0.0;
-                a.ration.begin(units * self.rng.unit());
-            }
-            Customer { plan, stores, ..Customer::default() }
+            let set = Set { first, spread, me: self.s.me, gateways: self.s.gateways };
+            let (alone, epoch) = (!self.s.counter, self.pace.epoch);
+            Customer::met(now, epoch, (plan, p), set, alone, || units * self.rng.unit())
         });
         entry.stores.iter_mut().for_each(|a| a.ask(units));
         entry.waiting.push_back(id);
@@ -715,7 +713,7 @@
             if inside || (earns && idle) {
                 (r.stage, r.queued, r.inside) = (Stage::Queued, now, inside);
                 c.open += 1;
-                self.classes[r.class].queue.push_back(id);
+                self.classes[r.class].queue.push_back(r.route, id);
             } else {
                 self.give_up(id);
             }
--- /dev/null
+++ b/crates/policy/src/pools.rs
@@ -0,0 +1,162 @@
+//! Where requests may go: which pools have hosts that take work, the slots of each pool, the limits of routes,
+//! and the requests that wait, in a line for each route so that a full pool holds up no other.
+
+use crate::api::{HostEntry, HostState, Limit, RequestId, Route};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Bits of a mask.
+const POOLS: usize = 64;
+/// Lines that stay while they are empty, so that usual ones are not made again for each request.
+const LINES_KEPT: usize = 16;
+
+/// Pools and limited routes, as far as they say what may go out now.
+pub struct Pools {
+    /// Slots at each host, for one gateway.
+    slots: f64,
+    ready: [u32; POOLS],
+    /// Pools with a host that takes work, a bit each.
+    alive: u64,
+    out: [u32; POOLS],
+    limited: BTreeMap<u32, u32>,
+}
+
+fn bits(mask: u64) -> impl Iterator<Item = usize> {
+    (0..POOLS).filter(move |bit| mask >> bit & 1 == 1)
+}
+
+impl Pools {
+    /// Without hosts. `slots` are those that one gateway has at each host, also a part of one.
+    pub fn new(slots: f64) -> Pools {
+        Pools { slots, ready: [0; POOLS], alive: 0, out: [0; POOLS], limited: BTreeMap::new() }
+    }
+
+    /// Counts the hosts anew, all of them: for each list, not for each request.
+    pub fn recount<'a>(&mut self, hosts: impl Iterator<Item = &'a HostEntry>) {
+        self.ready = [0; POOLS];
+        self.alive = 0;
+        for host in hosts.filter(|host| host.state == HostState::Ready) {
+            self.alive |= host.pools;
+            bits(host.pools).for_each(|bit| self.ready[bit] += 1);
+        }
+    }
+
+    /// The pools that serve a route now; zero: all hosts do.
+    pub fn in_force(&self, route: &Route) -> u64 {
+        let deserted = route.pools & self.alive == 0;
+        if deserted && route.fallback != 0 {
+            route.fallback
+        } else {
+            route.pools
+        }
+    }
+
+    /// Whether a request of this route may go to this host.
+    pub fn takes(&self, route: &Route, host: &HostEntry) -> bool {
+        let pools = self.in_force(route);
+        pools == 0 || pools & host.pools != 0
+    }
+
+    /// Nothing can be sent for it, though there are hosts for others: waiting is of no use.
+    pub fn lets_nothing_out(&self, route: &Route, hosts: bool) -> bool {
+        let pools = self.in_force(route);
+        let deserted = hosts && pools != 0 && pools & self.alive == 0;
+        deserted || route.limit.is_some_and(|limit| limit.most_out == 0)
+    }
+
+    /// Whether the pools have a free slot, and the route a place under its limit.
+    pub fn has_room(&self, route: &Route) -> bool {
+        let below = |limit: &Limit| self.out_of(limit.route) < limit.most_out;
+        let pools = self.in_force(route);
+        route.limit.as_ref().is_none_or(below) && (pools == 0 || bits(pools).any(|bit| self.has_slot(bit)))
+    }
+
+    fn has_slot(&self, bit: usize) -> bool {
+        f64::from(self.out[bit]) < (self.slots * f64::from(self.ready[bit])).ceil()
+    }
+
+    fn out_of(&self, route: u32) -> u32 {
+        self.limited.get(&route).copied().unwrap_or(0)
+    }
+
+    /// An attempt is sent; gives the pools whose slots it takes, for [`Pools::free`].
+    pub fn send(&mut self, route: &Route) -> u64 {
+        if let Some(limit) = &route.limit {
+            *self.limited.entry(limit.route).or_default() += 1;
+        }
+        let pools = self.in_force(route);
+        bits(pools).for_each(|bit| self.out[bit] += 1);
+        pools
+    }
+
+    /// An attempt leaves its slot, if it has not before: it has ended, or hangs. Whether it had one.
+    pub fn free(&mut self, slot: &mut Option<u64>) -> bool {
+        let Some(pools) = slot.take() else { return false };
+        bits(pools).for_each(|bit| self.out[bit] -= 1);
+        true
+    }
+
+    /// An attempt has ended.
+    pub fn end(&mut self, route: &Route) {
+        let Some(limit) = &route.limit else { return };
+        if let Some(out) = self.limited.get_mut(&limit.route) {
+            *out -= 1;
+            if *out == 0 {
+                self.limited.remove(&limit.route);
+            }
+        }
+    }
+}
+
+/// Requests that wait for a slot, in their order, in a line for each route.
+#[derive(Default)]
+pub struct Waiting {
+    lines: BTreeMap<Route, VecDeque<(i64, RequestId)>>,
+    len: usize,
+    first: i64,
+    last: i64,
+}
+
+impl Waiting {
+    /// Behind all others.
+    pub fn push_back(&mut self, route: Route, id: RequestId) {
+        self.last += 1;
+        self.len += 1;
+        self.lines.entry(route).or_default().push_back((self.last, id));
+    }
+
+    /// Before all others.
+    pub fn push_front(&mut self, route: Route, id: RequestId) {
+        self.first -= 1;
+        self.len += 1;
+        self.lines.entry(route).or_default().push_front((self.first, id));
+    }
+
+    /// Takes the one that has waited longest among those whose route has room.
+    pub fn pop(&mut self, has_room: impl Fn(&Route) -> bool) -> Option<RequestId> {
+        let open = self.lines.iter().filter(|(route, line)| !line.is_empty() && has_room(route));
+        let oldest = open.min_by_key(|(_, line)| line.front().map(|(number, _)| *number));
+        let route = *oldest?.0;
+        let line = self.lines.get_mut(&route)?;
+        let (_, id) = line.pop_front()?;
+        if line.is_empty() && self.lines.len() > LINES_KEPT {
+            self.lines.remove(&route);
+        }
+        self.len -= 1;
+        Some(id)
+    }
+
+    /// Whether one waits whose route has room.
+    pub fn any(&self, has_room: impl Fn(&Route) -> bool) -> bool {
+        self.len > 0 && self.lines.iter().any(|(route, line)| !line.is_empty() && has_room(route))
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// All that wait, line by line.
+    pub fn iter(&self) -> impl Iterator<Item = &RequestId> {
+        self.lines.values().flatten().map(|(_, id)| id)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/pools.rs
@@ -0,0 +1,197 @@
+//! Pools and routes: where requests go, what a full or deserted pool holds up, and limits of routes.
+mod common;
+use common::*;
+use fennelbeam_policy::api::*;
+
+const A: u64 = 1;
+const B: u64 = 2;
+
+fn open() -> Settings {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    settings.max_retry_after = Some(800 * MS);
+    settings
+}
+
+fn member(id: u64, pools: u64) -> HostEntry {
+    HostEntry { pools, ..entry(id) }
+}
+
+fn to(pools: u64) -> Route {
+    Route { pools, ..Route::default() }
+}
+
+/// Two hosts in A, two in B and one in neither.
+fn gateway() -> Harness {
+    let mut g = Harness::new(open(), 0);
+    let hosts = vec![member(1, A), member(2, A), member(3, B), member(4, B), member(5, 0)];
+    g.list(ListKind::Full, hosts);
+    g
+}
+
+fn request(g: &mut Harness, id: u64, class: usize, route: Route) -> Vec<Action> {
+    let request = Request {
+        id: RequestId(id),
+        class,
+        customer: CustomerId(id),
+        units: 1.0,
+        route,
+        ..Request::default()
+    };
+    g.on(Event::Request(Request { patience: 4_000 * MS, spread: 2, ..request }))
+}
+
+/// Sends until nothing more goes out; gives the hosts.
+fn fill(g: &mut Harness, from: u64, route: Route) -> Vec<HostId> {
+    (from..from + 100).flat_map(|id| sends(&request(g, id, 0, route))).map(|(_, host)| host).collect()
+}
+
+#[test]
+fn requests_go_to_their_pool_and_nowhere_else() {
+    let mut g = gateway();
+    for id in 1..60 {
+        let pools = [A, B, A | B, 0][id as usize % 4];
+        let (_, host) = sends(&request(&mut g, id, 0, to(pools)))[0];
+        let inside: &[u64] = match pools {
+            A => &[1, 2],
+            B => &[3, 4],
+            0 => &[1, 2, 3, 4, 5],
+            _ => &[1, 2, 3, 4],
+        };
+        assert!(inside.contains(&host.0), "{pools}: {host:?}");
+        g.ended(id, 0, host, Outcome::Ok);
+    }
+}
+
+#[test]
+fn a_retry_stays_in_the_pool() {
+    let mut g = gateway();
+    for id in 1..20 {
+        let (_, first) = sends(&request(&mut g, id, 0, to(A)))[0];
+        let again = sends(&g.ended(id, 0, first, Outcome::Error));
+        for (_, host) in again {
+            assert!([1, 2].contains(&host.0) && host != first, "{host:?} after {first:?}");
+            g.ended(id, 1, host, Outcome::Ok);
+        }
+        g.pass(1_000 * MS);
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_sent_to_the_fallback() {
+    let mut g = gateway();
+    let route = Route { fallback: B, ..to(A) };
+    let (_, host) = sends(&request(&mut g, 1, 1, route))[0];
+    g.list(ListKind::Delta, vec![member(5, 0), HostEntry { state: HostState::Gone, ..member(1, A) }]);
+    g.list(ListKind::Delta, vec![HostEntry { state: HostState::Gone, ..member(2, A) }]);
+    let actions = g.ended(1, 0, host, Outcome::Reset);
+    assert!(failed(&actions, 1) && sends(&actions).is_empty());
+}
+
+#[test]
+fn the_fallback_takes_over_while_no_host_is_in_service_and_only_then() {
+    let mut g = gateway();
+    let route = Route { fallback: B, ..to(A) };
+    let goes = |g: &mut Harness, id| {
+        let (_, host) = sends(&request(g, id, 0, route))[0];
+        g.ended(id, 0, host, Outcome::Ok);
+        host.0
+    };
+    g.list(ListKind::Delta, vec![HostEntry { state: HostState::Draining, ..member(1, A) }]);
+    assert!((1..10).all(|id| goes(&mut g, id) == 2), "one is left");
+    g.list(ListKind::Delta, vec![HostEntry { state: HostState::Draining, ..member(2, A) }]);
+    assert!((10..20).all(|id| [3, 4].contains(&goes(&mut g, id))));
+    g.list(ListKind::Delta, vec![member(1, A)]);
+    assert!((20..30).all(|id| goes(&mut g, id) == 1), "it is back");
+}
+
+#[test]
+fn what_no_host_can_serve_is_refused_at_once_with_advice() {
+    let mut g = gateway();
+    g.list(ListKind::Full, vec![member(3, B)]);
+    let actions = request(&mut g, 1, 0, to(A));
+    let refusal = Action::Refuse { id: RequestId(1), retry_after: Some(800 * MS) };
+    assert!(actions.contains(&refusal), "{actions:?}");
+    // Before the first list there is nothing to go by: it waits, as ever.
+    let mut new = Harness::unheard(open(), 0);
+    assert!(!refused(&request(&mut new, 1, 0, to(A)), 1));
+    assert_eq!(sends(&new.list(ListKind::Full, vec![member(1, A)])), [(RequestId(1), HostId(1))]);
+}
+
+#[test]
+fn a_full_pool_holds_up_no_other() {
+    let mut g = gateway();
+    // Four slots a host, shared among three gateways: ceil(2 x 4 / 3) in A.
+    let sent = fill(&mut g, 1, to(A));
+    assert_eq!(sent.len(), 3, "{sent:?}");
+    let (_, other) = sends(&request(&mut g, 500, 0, to(B)))[0];
+    assert!([3, 4].contains(&other.0));
+    // An answer frees the slot for the one that has waited longest.
+    let next = sends(&g.ended(1, 0, sent[0], Outcome::Ok));
+    assert_eq!(next.iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [4]);
+}
+
+#[test]
+fn hosts_that_leave_a_pool_take_nothing_new_for_it() {
+    let mut g = gateway();
+    g.list(ListKind::Delta, vec![member(1, B)]);
+    let sent: Vec<_> = (1..20)
+        .map(|id| {
+            let (_, host) = sends(&request(&mut g, id, 0, to(A)))[0];
+            g.ended(id, 0, host, Outcome::Ok);
+            host.0
+        })
+        .collect();
+    assert!(sent.iter().all(|host| *host == 2), "{sent:?}");
+    // Its slot went with it: a pool of one host has as many as one host has.
+    assert_eq!(fill(&mut g, 100, to(A)).len(), 2);
+}
+
+#[test]
+fn a_route_has_no_more_out_than_its_limit() {
+    let mut g = gateway();
+    let limited = |route, most_out| Route { limit: Some(Limit { route, most_out }), ..to(0) };
+    let sent = fill(&mut g, 1, limited(7, 2));
+    assert_eq!(sent.len(), 2, "{sent:?}");
+    assert_eq!(fill(&mut g, 200, limited(8, 1)).len(), 1, "another route has its own");
+    assert!(!sends(&request(&mut g, 400, 0, to(0))).is_empty(), "what has no limit goes on");
+    let next = sends(&g.ended(1, 0, sent[0], Outcome::Ok));
+    assert_eq!(next.iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [3]);
+    // One that ends without success frees its place as well, and its own retry needs one.
+    let again = sends(&g.ended(2, 0, sent[1], Outcome::Error));
+    assert_eq!(again.len(), 1, "{again:?}");
+}
+
+#[test]
+fn a_limit_of_nothing_refuses_at_once() {
+    let mut g = gateway();
+    let closed = Route { limit: Some(Limit { route: 1, most_out: 0 }), ..to(A) };
+    assert!(refused(&request(&mut g, 1, 0, closed), 1));
+}
+
+#[test]
+fn a_hanging_attempt_leaves_its_slot_and_keeps_its_place_under_the_limit() {
+    let hung = |limit| {
+        let mut g = Harness::new(Settings { may_duplicate: true, ..open() }, 0);
+        g.list(ListKind::Full, vec![member(1, A), member(2, A), member(3, B)]);
+        let sent = fill(&mut g, 1, Route { limit, ..to(A) });
+        // Longer than the aim without an answer; those that waited for a slot are over.
+        g.pass(1_100 * MS);
+        (sent.len(), sends(&request(&mut g, 500, 0, Route { limit, ..to(A) })).len())
+    };
+    assert_eq!(hung(None), (3, 1), "slots of hanging attempts are lost");
+    assert_eq!(hung(Some(Limit { route: 1, most_out: 2 })), (2, 0), "more out than the limit");
+}
+
+#[test]
+fn nothing_is_kept_of_routes_and_pools_that_are_done_with() {
+    let mut g = gateway();
+    for id in 1..2_000 {
+        let route =
+            Route { limit: Some(Limit { route: id as u32, most_out: 3 }), ..to([A, B][id as usize % 2]) };
+        let (_, host) = sends(&request(&mut g, id, 0, route))[0];
+        g.ended(id, 0, host, Outcome::Ok);
+    }
+    // Counts that drifted would shut the pools in the end.
+    assert_eq!(fill(&mut g, 5_000, to(A)).len(), 3);
+}
--- a/crates/policy/tests/session.rs
+++ b/crates/policy/tests/session.rs
@@ -109,6 +109,7 @@
             spread: 1 + customer as u32 % 3,
             first: 0,
             repeat: false,
+            route: Route::default(),
         };
         if self.dice.chance(0.02) {
             let after = self.span(300.0);
--- a/crates/quota/src/adder.rs
+++ b/crates/quota/src/adder.rs
@@ -25,7 +25,7 @@
 }
 
 /// A member's side of one number.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Adder {
     marks: Option<Marks>,
     member: u32,
--- a/crates/quota/src/ration.rs
+++ b/crates/quota/src/ration.rs
@@ -4,7 +4,7 @@
 use crate::{Time, SECOND};
 
 /// What is known of a rationed customer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Ration {
     rate: f64,
     burst: f64,
@@ -23,6 +23,13 @@
         Ration { rate, burst, share: None, credit: 0.0, store: burst, seen: None }
     }
 
+    /// The quota is another from now on.
+    pub fn retune(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst;
+        self.store = self.store.min(burst);
+    }
+
     /// Share of what is asked for that the quota covers, once known.
     pub fn share(&self) -> Option<f64> {
         self.share
--- a/crates/quota/src/shares.rs
+++ b/crates/quota/src/shares.rs
@@ -14,7 +14,7 @@
 const EVEN: f64 = 0.1;
 
 /// A customer's shares.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Shares {
     members: u32,
     /// Units a second that came through each, as last seen.
--- a/crates/quota/src/side.rs
+++ b/crates/quota/src/side.rs
@@ -53,7 +53,7 @@
 }
 
 /// This gateway's side, for one customer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Side {
     set: Set,
     shares: Shares,
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -7,6 +7,7 @@
 use crate::virtual_time::{GatewayMaker, VirtualStage};
 use anyhow::{bail, Result};
 use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_gateway::Operators;
 use fennelbeam_judge::{Judge, Verdict};
 use fennelbeam_model::scenario::{Event, Scenario, Side};
 use fennelbeam_model::seen::{Got, What};
@@ -71,6 +72,8 @@
     pub progress: OnProgress<'a>,
     /// What runs in the place of the real gateway, if anything does.
     pub gateway: Option<GatewayMaker>,
+    /// What the operators' files of the real gateways say.
+    pub operators: Operators,
     /// One turn of a simulated task may take this long on the machine's own clock. Longer, and the program
     /// ends with status 3 and a message: nothing else can be done about such a task.
     pub stuck: Duration,
@@ -78,7 +81,14 @@
 
 impl Default for VirtualOptions<'_> {
     fn default() -> Self {
-        VirtualOptions { trace: None, stop_at_breach: false, progress: None, gateway: None, stuck: STUCK }
+        VirtualOptions {
+            trace: None,
+            stop_at_breach: false,
+            progress: None,
+            gateway: None,
+            operators: Operators::default(),
+            stuck: STUCK,
+        }
     }
 }
 
@@ -161,7 +171,9 @@
 pub fn play_virtual(scenario: &Scenario, seed: u64, mut options: VirtualOptions<'_>) -> Result<Played> {
     let start = EPOCH + HEAD_START;
     let mut bench = Bench::new(scenario, start);
-    let stage = VirtualStage::new(&scenario.site, seed, EPOCH).with_gateway(options.gateway.take());
+    let stage = VirtualStage::new(&scenario.site, seed, EPOCH)
+        .with_gateway(options.gateway.take())
+        .with_operators(std::mem::take(&mut options.operators));
     let sim = stage.sim().clone();
     let played = format!("{}, seed {seed}", scenario.name);
     let _watchdog = Watchdog::start(&sim, options.stuck, move |stuck| {
--- a/crates/rehearse/src/virtual_time.rs
+++ b/crates/rehearse/src/virtual_time.rs
@@ -3,7 +3,7 @@
 use crate::stage::{lock, Exit, Post, Signal, Stage};
 use anyhow::Result;
 use fennelbeam_env::{Env, Span, Time};
-use fennelbeam_gateway::{serve, Config};
+use fennelbeam_gateway::{serve, Config, Operators};
 use fennelbeam_model::scenario::{NetworkSpec, Site};
 use fennelbeam_sim::{Cut, CutId, Machine, Place, ProcessId, Sim, SimConfig, SimEnv};
 use serde_json::Value;
@@ -53,10 +53,13 @@
 /// Makes what runs in the place of the real gateway, once for each start of a process.
 pub type GatewayMaker = Arc<dyn Fn(GatewayStart) -> GatewayTask + Send + Sync>;
 
-/// The real one. Fails where its document cannot be read.
-fn real_gateway(start: GatewayStart) -> Result<GatewayTask> {
+/// The real one, with these operators' files. Fails where its document cannot be read.
+fn real_gateway(start: GatewayStart, operators: Operators) -> Result<GatewayTask> {
     let GatewayStart { env, document, signals } = start;
-    let read = move || Config::parse(document.text().as_bytes());
+    let read = move || {
+        let config = Config::parse(document.text().as_bytes())?;
+        Ok(Config { operators: operators.clone(), ..config })
+    };
     let config = read()?;
     Ok(Box::pin(serve(env, config, read, signals)))
 }
@@ -73,6 +76,7 @@
 pub struct VirtualStage {
     sim: Sim,
     gateway: Option<GatewayMaker>,
+    operators: Operators,
     buildings: u32,
     descriptors: usize,
     machines: Arc<Mutex<BTreeMap<Post, Machine>>>,
@@ -89,6 +93,7 @@
         VirtualStage {
             sim: Sim::new(SimConfig { seed, start, network }),
             gateway: None,
+            operators: Operators::default(),
             buildings: site.buildings.max(1),
             descriptors: site.sockets as usize,
             machines: Arc::default(),
@@ -104,6 +109,11 @@
         VirtualStage { gateway, ..self }
     }
 
+    /// The same with operators' files for the real gateways.
+    pub fn with_operators(self, operators: Operators) -> VirtualStage {
+        VirtualStage { operators, ..self }
+    }
+
     /// The machine room.
     pub fn sim(&self) -> &Sim {
         &self.sim
@@ -155,7 +165,7 @@
         let start = GatewayStart { env: env.clone(), document: document.clone(), signals: inbox };
         let serving = match &self.gateway {
             Some(other) => other(start),
-            None => real_gateway(start).map_err(io::Error::other)?,
+            None => real_gateway(start, self.operators.clone()).map_err(io::Error::other)?,
         };
         let (exits, own) = (self.exits.clone(), env.clone());
         env.spawn(async move {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -229,6 +229,7 @@
             spread: r.f32(37)? as u32,
             first: r.f32(41)? as u32,
             repeat: r.u8(45)? & 2 != 0,
+            route: Route::default(),
         }),
         _ => Event::Timer { token: r.u32(6)? },
     })
@@ -263,6 +264,7 @@
             state,
             size: r.f32(12)?,
             started: r.u64(16)?,
+            pools: 0,
         })
     };
     (0..bytes.len() / ENTRY).map(read).collect()
