--- a/crates/fennelbeam/src/command.rs
+++ b/crates/fennelbeam/src/command.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
+use crate::config::Tool;
 use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
 use std::ffi::OsString;
 use std::path::PathBuf;
 
@@ -17,19 +19,27 @@
 
 const EXIT_CODES: &str = "\
 Exit status: 0 done as asked; 1 could not start, or a configuration that cannot be used; 2 wrong usage.
-Signals: SIGHUP reads the configuration again (addresses of discovery and the counter);
+Signals: SIGHUP reads the configuration again (addresses of discovery and the counter, and the operators' files);
 SIGTERM answers all that was taken, then ends with 0.";
 
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Serve until SIGTERM
-    Serve(ConfigFile),
+    Serve(Files),
     /// Read a configuration, say what is wrong with it or what it means, and end
     Check {
         /// The configuration file
         config: PathBuf,
     },
+    /// Check, format, compare and show operators' files: pools, routes and quota policies
+    #[command(subcommand)]
+    Config(Tool),
+    /// Print the script by which a shell completes the words of this program
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
     /// Rehearse a whole site on this machine; hands over to `fennelbeam-rehearse` beside this program
     #[command(disable_help_flag = true)]
     Rehearse {
@@ -39,12 +49,15 @@
     },
 }
 
-/// Which configuration.
+/// Which files.
 #[derive(Args, Debug, Default)]
-pub struct ConfigFile {
+pub struct Files {
     /// The configuration file, in place of the one that ROUTER_CONFIG names
     #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
+    /// The operators' file: pools, routes and quota policies
+    #[arg(long, value_name = "FILE")]
+    pub operator: Option<PathBuf>,
 }
 
 #[cfg(test)]
--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -1,14 +1,20 @@
 //! One real gateway: command line, configuration and signals.
 
 mod command;
+mod completions;
+mod config;
 mod descriptors;
+mod operators;
+mod output;
+mod source;
 
 use anyhow::{Context as _, Result};
 use clap::Parser;
-use command::{Command, CommandLine, ConfigFile};
+use command::{Command, CommandLine, Files};
 use fennelbeam_env::Real;
-use fennelbeam_gateway::{Config, Signal, Site, MIN_SOCKETS};
+use fennelbeam_gateway::{Signal, Site, MIN_SOCKETS};
 use fennelbeam_quota::bound::{beyond, Failure, Quota};
+use source::Source;
 use std::ffi::OsString;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -21,34 +27,41 @@
 
 fn main() -> ExitCode {
     let done = match CommandLine::parse().command {
-        None => serve(ConfigFile::default()),
-        Some(Command::Serve(file)) => serve(file),
+        None => serve(Files::default()),
+        Some(Command::Serve(files)) => serve(files),
         Some(Command::Check { config }) => check(&config),
         Some(Command::Rehearse { words }) => rehearse(words),
+        Some(Command::Completions { shell }) => completions::print(shell),
+        Some(Command::Config(tool)) => return ended(config::run(tool)),
     };
+    ended(done.map(|()| ExitCode::SUCCESS))
+}
+
+fn ended(done: Result<ExitCode>) -> ExitCode {
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(status) => status,
         Err(error) => {
-            eprintln!("fennelbeam: {error:#}");
+            output::complain(&format!("fennelbeam: {error:#}\n"));
             ExitCode::FAILURE
         }
     }
 }
 
-fn serve(file: ConfigFile) -> Result<()> {
+fn serve(files: Files) -> Result<()> {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(file))
+    runtime.block_on(run(files))
 }
 
-async fn run(file: ConfigFile) -> Result<()> {
+async fn run(files: Files) -> Result<()> {
     // Before all else: without a handler either signal ends the process.
     let signals = signals()?;
-    let path = match file.config {
+    let path = match files.config {
         Some(path) => path,
         None => PathBuf::from(std::env::var_os("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?),
     };
-    let mut config = read(&path)?;
+    let source = Source::new(path, files.operator);
+    let mut config = source.read()?;
     config.sockets = descriptors::granted(config.sockets);
     anyhow::ensure!(
         config.sockets >= MIN_SOCKETS,
@@ -58,12 +71,7 @@
     for key in &config.unknown {
         tracing::warn!("configuration: `{key}` is skipped, this version does not know it");
     }
-    fennelbeam_gateway::serve(Real::start(), config, move || read(&path), signals).await
-}
-
-fn read(path: &Path) -> Result<Config> {
-    let text = std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
-    Config::parse(&text).with_context(|| format!("cannot use {}", path.display()))
+    fennelbeam_gateway::serve(Real::start(), config, move || source.read(), signals).await
 }
 
 /// SIGHUP and SIGTERM, in the order of their coming.
@@ -82,7 +90,7 @@
 
 /// Says in a few lines what the configuration means.
 fn check(path: &Path) -> Result<()> {
-    let config = read(path)?;
+    let config = source::document(path)?;
     let settings = &config.site.settings;
     println!("{}: can be used", path.display());
     println!("  {} listens on {}, asks discovery at {}", config.name, config.listen, config.discovery);
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -75,6 +75,20 @@
         Self::within(limits, None, settings, known, discovery, counter)
     }
 
+    /// With an operators' file.
+    pub fn with_operators(
+        file: &Path,
+        settings: Value,
+        known: &[Value],
+        discovery: SocketAddr,
+        counter: SocketAddr,
+    ) -> Self {
+        let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 256});
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fennelbeam"));
+        command.args(["serve", "--operator"]).arg(file);
+        Self::spawn(command, limits, settings, known, discovery, counter)
+    }
+
     /// Within these limits of its configuration, and so many descriptors of the system.
     pub fn within(
         limits: Value,
@@ -83,6 +97,23 @@
         known: &[Value],
         discovery: SocketAddr,
         counter: SocketAddr,
+    ) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fennelbeam"));
+        if let Some(descriptors) = descriptors {
+            command = Command::new("sh");
+            let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_fennelbeam"));
+            command.args(["-c", &run]);
+        }
+        Self::spawn(command, limits, settings, known, discovery, counter)
+    }
+
+    fn spawn(
+        mut command: Command,
+        limits: Value,
+        settings: Value,
+        known: &[Value],
+        discovery: SocketAddr,
+        counter: SocketAddr,
     ) -> Self {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
@@ -93,12 +124,6 @@
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("fennelbeam-test-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_fennelbeam"));
-        if let Some(descriptors) = descriptors {
-            command = Command::new("sh");
-            let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_fennelbeam"));
-            command.args(["-c", &run]);
-        }
         let mut child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (told, port) = channel();
@@ -150,6 +175,20 @@
         self.signal("HUP");
     }
 
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
+    /// Waits until so many lines of its log hold this.
+    pub fn until_logged(&self, count: usize, text: &str) {
+        let end = Instant::now() + LONG;
+        while self.log().iter().filter(|line| line.contains(text)).count() < count {
+            assert!(Instant::now() < end, "waited in vain for {count} times `{text}`: {:?}", self.log());
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// What it has written to its log so far.
     pub fn log(&self) -> Vec<String> {
         self.log.lock().unwrap().clone()
--- a/crates/quota/src/adder.rs
+++ b/crates/quota/src/adder.rs
@@ -41,8 +41,9 @@
     /// Adds in this epoch that were not proven when they were in doubt: each may have been added after that.
     unproven: u8,
     /// Answers in a row in which our digit was found as it was expected: only then does another one prove
-    /// anything. Gateways of another version, which set no marks, make digits a matter of chance.
-    agreed: u8,
+    /// anything. Gateways of another version, which set no marks, make digits a matter of chance. `None`: the
+    /// number has begun anew in this epoch, and whoever goes back to nought there changes the digits of others.
+    agreed: Option<u8>,
 }
 
 /// Answers that make digits believed.
@@ -62,7 +63,7 @@
             out: None,
             doubt: None,
             unproven: 0,
-            agreed: 0,
+            agreed: Some(0),
         }
     }
 
@@ -111,7 +112,7 @@
             self.added = 0.0;
             self.doubt = None;
             self.unproven = 0;
-            self.agreed = 0;
+            self.agreed = Some(0);
         }
     }
 
@@ -133,6 +134,9 @@
         self.unproven = self.unproven.saturating_add(u8::from(doubt.is_some() && proven.is_none()));
         // The smallest total that holds all of ours; where others have added as much meanwhile, our digit tells.
         let is_fresh = whole + 0.5 < self.added + landed || self.began_anew(expected, found);
+        if is_fresh {
+            self.agreed = None;
+        }
         let lost = if is_fresh { self.added + landed - units } else { 0.0 };
         self.added += landed - lost;
         self.digit = found.or(expected);
@@ -145,10 +149,12 @@
         let base = marks.base();
         let ahead = (u32::from(found) + base - u32::from(expected) % base) % base;
         if ahead <= u32::from(self.unproven) {
-            self.agreed = self.agreed.saturating_add(1);
+            self.agreed = self.agreed.map(|answers| answers.saturating_add(1));
             return false;
         }
-        std::mem::take(&mut self.agreed) >= BELIEVED
+        let agreed = self.agreed;
+        self.agreed = agreed.map(|_| 0);
+        agreed.is_some_and(|answers| answers >= BELIEVED)
     }
 
     /// The call got none. `may_count`: it may have been added all the same.
@@ -222,6 +228,29 @@
         assert_eq!(adder.added(), 5.0);
     }
 
+    #[test]
+    fn a_neighbour_that_goes_back_on_a_number_begun_anew_is_no_second_beginning() {
+        let (mut full, mut other) = (Adder::new(0, 3, 3000.0, 0), Adder::new(1, 3, 3000.0, 0));
+        let mut total = 0.0;
+        for _ in 0..6 {
+            total += full.call(1, 5.0) + other.call(1, 5.0);
+            full.answered(1, seven(total));
+            other.answered(1, seven(total));
+        }
+        // Replaced: one goes on from a full digit, and takes what is missing from the other's.
+        let mut total = 0.0;
+        let mut lost = 0.0;
+        for step in 0..12 {
+            total += other.call(1, 5.0);
+            lost += other.answered(1, seven(total)).lost;
+            if step == 6 {
+                total += full.call(1, 5.0);
+                full.answered(1, seven(total));
+            }
+        }
+        assert_eq!(lost, 30.0, "told once");
+    }
+
     #[test]
     fn adds_without_marks_are_no_sign_of_a_number_begun_anew() {
         let mut adder = Adder::new(0, 3, 900.0, 0);
