--- a/crates/gateway/tests/room/routes.rs
+++ b/crates/gateway/tests/room/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{entry, get, list, name, post, tariff, Client, Manner, Peer, Plan, Room};
 use fennelbeam_env::Span;
+use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::Cut;
@@ -226,6 +227,30 @@
     drop((clients, late));
 }
 
+#[test]
+fn a_reload_upon_a_reload_and_one_while_it_stops_count_in_their_order() {
+    let room = room(TWO_POOLS, 4);
+    room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, 0)));
+    let client = room.client();
+    let only =
+        |host: usize| format!("pool \"one\" {{ ids = \"s-{host}\" }}\nroute \"all\" {{ pool = \"one\" }}\n");
+    // Two at the same instant: the later one holds.
+    room.reload_operators(&spaced(&only(2)));
+    room.reload_operators(&spaced(&only(3)));
+    room.run(MS);
+    client.get(2);
+    room.run(10 * MS);
+    assert_eq!(calls(&room)[3], [2]);
+    room.signal(Signal::Terminate);
+    room.run(50 * MS);
+    room.reload_operators(&spaced(&only(1)));
+    room.run(MS);
+    client.get(4);
+    room.run(10 * MS);
+    assert_eq!(calls(&room)[1], [4], "for what it still takes");
+    assert_eq!(client.heard(), [name(2), name(4)]);
+}
+
 /// Which hosts reads and orders may go to, by version; the last one is broken, and never in force.
 const ALLOWED: [[&[usize]; 2]; 4] = {
     let all: &[usize] = &[0, 1, 2, 3];
