--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -129,3 +129,73 @@
     };
     Ok(granted.iter().zip(in_force).map(plan).collect())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fennelbeam_lang::{load, loader::Memory};
+
+    fn operators(text: &str) -> Operators {
+        load("site.fb".as_ref(), &Memory::default().with("site.fb", text), None).set.unwrap().operators
+    }
+
+    fn route(name: &str, pool: &str) -> String {
+        format!("route \"{name}\" {{\n  customers = 1..9\n  pool = \"{pool}\"\n  most-out = 5 attempts\n}}\n")
+    }
+
+    fn routing(text: &str) -> Routing {
+        let site = Site::parse(&crate::config::sample("safe", 1_000_000_000, 1_000_000_000)).unwrap();
+        Routing::new(Arc::new(site), &operators(text)).unwrap()
+    }
+
+    fn request() -> Request {
+        Request { customer: fennelbeam_policy::api::CustomerId(1), ..Request::default() }
+    }
+
+    fn number(routing: &mut Routing) -> u32 {
+        let route = routing.choose(&request());
+        routing.let_go(&route);
+        route.limit.unwrap().route
+    }
+
+    #[test]
+    fn a_route_keeps_its_number_by_its_name_and_no_other_gets_it() {
+        let pool = "pool \"all\" {}\n";
+        let mut routing = routing(&format!("{pool}{}", route("a", "all")));
+        let first = number(&mut routing);
+        let other = format!(
+            "{pool}route \"before\" {{\n  customers = 77\n  pool = \"all\"\n}}\n{}",
+            route("a", "all")
+        );
+        routing.turn(&operators(&other)).unwrap();
+        assert_eq!(number(&mut routing), first);
+        routing.turn(&operators(&format!("{pool}{}", route("b", "all")))).unwrap();
+        assert_ne!(number(&mut routing), first);
+    }
+
+    #[test]
+    fn a_pool_is_held_for_requests_in_hand_and_not_for_longer() {
+        let mut routing = routing(&format!("pool \"old\" {{}}\n{}", route("a", "old")));
+        let held = routing.choose(&request());
+        let again = routing.choose(&request());
+        routing.let_go(&again);
+        let next = operators(&format!("pool \"new\" {{}}\n{}", route("a", "new")));
+        routing.turn(&next).unwrap();
+        let host = HostFacts { id: "s-1", zone: "a", machine: "m", cell: 0 };
+        assert_ne!(routing.pools_of(&host) & held.pools, 0, "its request may still go there");
+        routing.let_go(&held);
+        routing.turn(&next).unwrap();
+        assert_eq!(routing.pools_of(&host).count_ones(), 1, "nobody holds it any more");
+    }
+
+    #[test]
+    fn with_an_error_all_stays_as_it_was() {
+        let mut routing = routing(&format!("pool \"all\" {{}}\n{}", route("a", "all")));
+        let before = number(&mut routing);
+        let policy = "quota policy \"q\" {\n  plan = \"nobody\"\n  rate = 1 units/s\n}\n";
+        let broken = operators(&format!("{policy}pool \"all\" {{}}\n{}", route("b", "all")));
+        let error = routing.turn(&broken).unwrap_err().to_string();
+        assert!(error.starts_with("site.fb:2:10"), "{error}");
+        assert_eq!((number(&mut routing), routing.len()), (before, 1));
+    }
+}
--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -106,7 +106,6 @@
             dark.at = now;
         }
         self.terms = Terms { rate, burst, ..self.terms };
-        self.level = self.level.min(self.room());
         self.ration.retune(rate, burst);
     }
 
