--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -160,3 +160,42 @@
         self.lines.values().flatten().map(|(_, id)| id)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whoever_has_waited_longest_goes_first_whatever_the_route() {
+        let route = |pools| Route { pools, ..Route::default() };
+        let mut waiting = Waiting::default();
+        for (id, pools) in [(1, 4), (2, 1), (3, 4), (4, 2)] {
+            waiting.push_back(route(pools), RequestId(id));
+        }
+        waiting.push_front(route(2), RequestId(5));
+        let order: Vec<u64> = std::iter::from_fn(|| waiting.pop(|_| true)).map(|id| id.0).collect();
+        assert_eq!(order, [5, 1, 2, 3, 4]);
+        assert!(waiting.len() == 0 && !waiting.any(|_| true));
+    }
+
+    #[test]
+    fn a_line_without_room_is_passed_over_and_kept() {
+        let mut waiting = Waiting::default();
+        waiting.push_back(Route { pools: 1, ..Route::default() }, RequestId(1));
+        waiting.push_back(Route { pools: 2, ..Route::default() }, RequestId(2));
+        assert_eq!(waiting.pop(|route| route.pools == 2), Some(RequestId(2)));
+        assert_eq!(waiting.pop(|route| route.pools == 2), None);
+        assert_eq!(waiting.iter().collect::<Vec<_>>(), [&RequestId(1)]);
+    }
+
+    #[test]
+    fn lines_that_are_empty_do_not_add_up() {
+        let mut waiting = Waiting::default();
+        for route in 0..1_000 {
+            let limit = Some(Limit { route, most_out: 1 });
+            waiting.push_back(Route { limit, ..Route::default() }, RequestId(u64::from(route)));
+            waiting.pop(|_| true);
+        }
+        assert!(waiting.lines.len() <= LINES_KEPT + 1, "{}", waiting.lines.len());
+    }
+}
