--- a/crates/standins/tests/client/main.rs
+++ b/crates/standins/tests/client/main.rs
@@ -93,7 +93,10 @@
             let asked = Asked { at: *at, gateway, class, first_try, patience };
             let Some(first) = all.insert(request, asked) else { continue };
             let goes_on = asked.at >= first.at && asked.patience <= first.patience;
-            assert!(goes_on && asked.class == first.class, "{request:x} is asked twice: {first:?}, {asked:?}");
+            assert!(
+                goes_on && asked.class == first.class,
+                "{request:x} is asked twice: {first:?}, {asked:?}"
+            );
             assert!(again.insert(request), "{request:x} is asked for a third time");
             all.insert(request, first);
         }
