--- a/crates/fennelbeam/tests/operators.rs
+++ b/crates/fennelbeam/tests/operators.rs
@@ -124,8 +124,7 @@
         files.write(name, text);
         gateway.hang_up();
         gateway.until_logged(n + 1, "configuration kept as it was: ");
-        let line =
-            gateway.log().into_iter().filter(|line| line.contains("kept as it was")).next_back().unwrap();
+        let line = gateway.log().into_iter().rfind(|line| line.contains("kept as it was")).unwrap();
         assert!(line.contains(named), "{line}");
         assert_eq!(read(&mut client, 2 * n as u64 + 2), "host-0", "{name}: {text}");
         files.write("pools.fb", POOLS);
