--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -338,7 +338,7 @@
         self.next_call = now;
     }
 
-    /// The counter answers again, and leaves so much by its total. Nobody knows what the others lent meanwhile:
+    /// The counter answers again, and leaves so much by its total. Nobody knows what the others lent:
     /// not more is left than was then, and than our own part has left; of a known customer the others' parts
     /// are taken to have as much.
     fn after_dark(&self, dark: Dark, left: f64) -> f64 {
