Leave the module alone at a reload that changes no route, pool or quota

Read once more: each SIGHUP told the decision module all plans and hosts again, also without an operators' file, went through all customers, and reset what cold hosts were fed up to. Files that say the same are no news now; the test fails without that. Masks of pools are gone through by the bits that are set, not by all 64, for each attempt of a request without a route.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -77,6 +77,8 @@
     module: D,
     hosts: Hosts<E>,
     routing: Routing,
+    /// What the operators' files in force say.
+    operators: Operators,
     counter: Counter<E>,
     requests: FxHashMap<RequestId, InHand>,
     /// Ids that clients gave to the requests held. They choose them, so the set's own seed is random; nothing
@@ -110,6 +112,7 @@
             module: D::start(settings.clone(), config.seed),
             hosts: Hosts::new(env.clone(), site, inputs.clone(), most_conns),
             routing,
+            operators: config.operators.clone(),
             counter: Counter::new(env.clone(), config.counter, inputs.clone(), patience),
             env,
             settings,
@@ -168,7 +171,7 @@
                 }
             }
             Input::CounterAt(address) => self.counter.move_to(address),
-            Input::Operators(operators) => self.on_operators(&operators),
+            Input::Operators(operators) => self.on_operators(*operators),
             Input::Hosts(list) => {
                 self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
                 self.ready();
@@ -229,11 +232,15 @@
 
     /// Another version of the operators' files comes into force as a whole, or nothing changes. Requests in hand
     /// keep to the pools that they began with; where a host has left one, what waits there for a connection is
-    /// not sent any more.
-    fn on_operators(&mut self, operators: &Operators) {
-        if let Err(error) = self.routing.turn(operators) {
+    /// not sent any more. Files that say the same as before are no news to the module.
+    fn on_operators(&mut self, operators: Operators) {
+        if operators == self.operators {
+            return;
+        }
+        if let Err(error) = self.routing.turn(&operators) {
             return tracing::warn!("operators' files kept as they were: {error}");
         }
+        self.operators = operators;
         tracing::info!("operators' files in force: {} routes", self.routing.len());
         let plans = self.routing.plans().to_vec();
         self.settings.plans.clone_from(&plans);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -168,6 +168,22 @@
         }
     }
 
+    /// The decision module, but that it panics where its plans change.
+    struct Settled(Policy);
+
+    impl Decisions for Settled {
+        fn start(settings: Settings, seed: u64) -> Self {
+            Settled(Policy::new(settings, seed))
+        }
+        fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+            assert!(!matches!(event, Event::Plans(_)), "as the test wants");
+            self.0.handle(now, event, actions);
+        }
+        fn counter_state(&self, now: Time) -> fennelbeam_quota::CounterState {
+            self.0.counter_state(now)
+        }
+    }
+
     fn config(host: SocketAddr) -> Config {
         let nowhere = "127.0.0.1:9";
         let host = json!({"instanceId": "s-1", "hostPort": host.to_string(), "lifecycle": "in_service"});
@@ -243,4 +259,36 @@
         stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n").await.unwrap();
         assert_eq!(first.line().await, "$1\r\n");
     }
+
+    #[tokio::test]
+    async fn a_reload_that_changes_nothing_is_no_news_to_the_module() {
+        let host = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = host.local_addr().unwrap();
+        let (tell, signals) = mpsc::unbounded_channel();
+        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let first = Config { listen: free, ..config(address) };
+        tokio::spawn(serve_with::<Real, Settled, _>(
+            Real::start(),
+            first,
+            move || Ok(config(address)),
+            signals,
+        ));
+        let mut client = loop {
+            tokio::task::yield_now().await;
+            if let Ok(stream) = TcpStream::connect(free).await {
+                break Client(BufReader::new(stream));
+            }
+        };
+        client.post(1, 1).await;
+        let (_, mut stream) = command(&host).await;
+        (0..3).for_each(|_| tell.send(Signal::Reload).unwrap());
+        // A second command is taken in behind the reloads.
+        let mut other = Client::connect(free).await;
+        other.post(2, 1).await;
+        let (_, mut second) = command(&host).await;
+        second.write_all(b"*3\r\n$1\r\nw\r\n$-1\r\n$-1\r\n").await.unwrap();
+        assert_eq!(other.line().await, "$1\r\n");
+        stream.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n").await.unwrap();
+        assert_eq!(client.line().await, "$1\r\n", "what was in hand goes on");
+    }
 }
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -20,8 +20,10 @@
     limited: BTreeMap<u32, u32>,
 }
 
+/// The bits that are set: none, and no work, for a request without a route.
 fn bits(mask: u64) -> impl Iterator<Item = usize> {
-    (0..POOLS).filter(move |bit| mask >> bit & 1 == 1)
+    let rest = std::iter::successors(Some(mask), |left| Some(left & left.wrapping_sub(1)));
+    rest.take_while(|left| *left != 0).map(|left| left.trailing_zeros() as usize)
 }
 
 impl Pools {
