Keep customers that come seldom small, and hold all to a budget made of memory_mb

Need: a customer seen took 2.2 KB, and the bound on known customers was never set: started with memory_mb 32 the gateway grew to 197 MB at 100,000 customers. Whoever sends ids could kill it.

Change: one budget made of limits.memory_mb for commands, connections and customers, told by `fennelbeam check`. A customer that is idle is kept in a small form where room is short (its fill, its time, what it left on the counter), and woken when it asks; room is made of those that came once first, of regular ones last, and never of one that is owed something. Places lie in chunks and the index in 512 parts, so that no growth copies all. Without a counter customers no longer count as owing for ever, which kept them for good.

--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -12,7 +12,7 @@
 use clap::Parser;
 use command::{Command, CommandLine, Files};
 use fennelbeam_env::Real;
-use fennelbeam_gateway::{Signal, Site, MIN_SOCKETS};
+use fennelbeam_gateway::{Config, Signal, Site, MIN_SOCKETS};
 use fennelbeam_quota::bound::{beyond, Failure, Quota};
 use source::Source;
 use std::ffi::OsString;
@@ -98,7 +98,7 @@
         Some(counter) => println!("  counts quotas with the counter at {counter}"),
         None => println!("  counts quotas by itself: the settings allow no counter"),
     }
-    println!("  {} descriptors, {} MB", config.sockets, config.memory >> 20);
+    say_budget(&config);
     if settings.counter && config.counter.is_some() {
         say_bounds(&config.site);
     }
@@ -111,6 +111,19 @@
     Ok(())
 }
 
+/// What the memory goes to (see docs/capacity.md).
+fn say_budget(config: &Config) {
+    let budget = config.budget();
+    let (full, small) = budget.customers_known();
+    println!("  {} descriptors, {} MB:", config.sockets, config.memory >> 20);
+    println!("    {} commands in hand, with values of 64 KiB", budget.places);
+    println!("    {} KiB of commands that wait", budget.commands >> 10);
+    println!(
+        "    {} KiB of customers: {full} that come often, or up to {small} that come seldom",
+        budget.customers >> 10
+    );
+}
+
 /// What a failing counter may cost, stated in advance (see docs/quota-doubt.md).
 fn say_bounds(site: &Site) {
     for (name, plan) in site.plans.iter().zip(&site.settings.plans).filter(|(_, plan)| plan.rate > 0.0) {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: the listener and their connections. Commands are read as they come, answers leave in the order
 //! of the commands. What becomes of a call is the gateway's business.
 
+use crate::budget::Budget;
 use crate::call;
 use crate::messages::{Answer, Incoming, Input, Phase, ReplyTo};
 use crate::outage::Outage;
@@ -26,8 +27,6 @@
 const READ_AHEAD: usize = 16 * 1024;
 /// A connection owes its first command, and the rest of a begun one, within this.
 const OWED: Span = 2_000 * MS;
-/// Commands in hand on all connections together, however much memory there is: far above a day's peak.
-const MAX_IN_HAND: usize = 512;
 /// Bytes of commands that a connection may hold without a share of the common room.
 const FREE_BYTES: usize = 4 * 1024;
 /// A client that takes nothing of its answers for this long has gone.
@@ -85,11 +84,10 @@
 }
 
 impl Room {
-    /// Half of the memory for values, an eighth for commands; the rest is the program's own.
-    pub fn within(memory: usize) -> Room {
-        let places = (memory / 2 / resp::MAX_VALUE).clamp(1, MAX_IN_HAND);
-        let bytes = (memory / 8).min(Semaphore::MAX_PERMITS);
-        Room { places: Arc::new(Semaphore::new(places)), bytes: Arc::new(Semaphore::new(bytes)) }
+    /// What the budget grants.
+    pub fn within(budget: &Budget) -> Room {
+        let bytes = budget.commands.min(Semaphore::MAX_PERMITS);
+        Room { places: Arc::new(Semaphore::new(budget.places)), bytes: Arc::new(Semaphore::new(bytes)) }
     }
 }
 
@@ -615,7 +613,7 @@
             phase,
             ids: Arc::default(),
             crowd: Crowd::default(),
-            room: Room::within(room * 2 * resp::MAX_VALUE),
+            room: Room::within(&Budget::within(room * 2 * resp::MAX_VALUE, 0)),
         };
         (context, inbox)
     }
@@ -765,7 +763,7 @@
     async fn long_commands_beyond_the_room_are_an_error_not_a_wait() {
         let (_phase, phases) = watch::channel(Phase::Ready);
         let (mut context, _inbox) = context(2, phases);
-        context.room = Room::within(8 * 64 * 1024);
+        context.room = Room::within(&Budget::within(8 * 64 * 1024, 0));
         let address = accepting(context);
         let mut begun = BytesMut::new();
         resp::put_header(&mut begun, b'*', 5);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What this gateway is told at its start.
 
+use crate::budget::Budget;
 use crate::membership::Membership;
 use anyhow::{anyhow, ensure, Context, Result};
 use fennelbeam_lang::model::Operators;
@@ -101,6 +102,11 @@
             unknown,
         })
     }
+
+    /// What the memory goes to.
+    pub fn budget(&self) -> Budget {
+        Budget::within(self.memory, self.sockets)
+    }
 }
 
 /// The keys that are not known here, outside the settings; an error for a misspelt one.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,7 +112,9 @@
         phase: watch::Sender<Phase>,
     ) -> Self {
         let patience = site.settings.counter_timeout;
-        let settings = Settings { plans: routing.plans().to_vec(), ..site.settings.clone() };
+        let customer_bytes = config.budget().customers as u64;
+        let plans = routing.plans().to_vec();
+        let settings = Settings { plans, customer_bytes, ..site.settings.clone() };
         let counter_log = CounterLog::new(env.now(), quotas(&settings, &site.plans, site.units_top));
         let mut gateway = Gateway {
             module: D::start(settings.clone(), config.seed),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! `discovery` speak to the outside on their own tasks. Where a request may go is found in `routing`. What passes between them is in `messages`, and none of
 //! them knows another.
 
+mod budget;
 mod call;
 mod clients;
 mod config;
@@ -22,6 +23,7 @@
 mod routing;
 mod serve;
 
+pub use budget::Budget;
 pub use config::{Config, MIN_SOCKETS};
 pub use fennelbeam_lang::model::Operators;
 pub use fennelbeam_settings::Site;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -80,7 +80,7 @@
         phase: phases,
         ids: Arc::default(),
         crowd: clients::Crowd::default(),
-        room: Room::within(config.memory),
+        room: Room::within(&config.budget()),
     };
     let limits = Limits { connections: sockets - for_hosts, callers: config.sockets / 4 };
     let accepting = env.spawn(clients::accept(listener, limits, context));
--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -12,15 +12,15 @@
 
 #[derive(Default)]
 pub(crate) struct Account {
-    store: Store,
+    pub store: Store,
     pub thin: bool, // too many gateways for blocks: what is asked for is counted, and rationed
-    adder: Adder,
-    late: Option<Box<Late>>, // made when something is owed first
-    epoch: u64,              // in which this gateway started
+    pub adder: Adder,
+    pub late: Option<Box<Late>>, // made when something is owed first
+    epoch: u64,                  // in which this gateway started
     at: Time,
     pub next_call: Time,
-    ration: Option<Box<Ration>>, // of a thin one
-    mine: f64,                   // units a second let in here
+    pub ration: Option<Box<Ration>>, // of a thin one
+    mine: f64,                       // units a second let in here
 }
 
 impl Account {
@@ -40,9 +40,9 @@
         Adder::new(set.member(), if self.thin { 0 } else { set.spread }, rate * 60.0 + burst, self.epoch)
     }
 
-    /// More of it is to be told to the counter; less, below zero.
+    /// More of it is to be told to the counter, if there is one; less, below zero.
     fn owe(&mut self, units: f64) {
-        if units != 0.0 {
+        if units != 0.0 && !self.store.terms().alone {
             let late = self.late.take();
             let mut late = late.unwrap_or_else(|| Box::new(Late::new(self.new_adder())));
             late.owe(units);
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -122,8 +122,8 @@
     pub cold_share: f64,
     /// A fresh host is warm after this.
     pub cold: Span,
-    /// Customers that may be known at once, so that memory is bounded; zero: no bound.
-    pub most_customers: u32,
+    /// Bytes that customers known may take, so that memory is bounded; zero: no bound.
+    pub customer_bytes: u64,
 }
 
 /// State of a host in the list.
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -108,10 +108,11 @@
         if out {
             return;
         }
+        let Some(r) = self.requests.remove(&id).filter(|r| r.met) else { return };
+        let Some(c) = self.customers.get_mut(r.customer) else { return };
+        c.in_hand -= 1;
         // A try takes its units when an attempt has come whole to a host.
-        let unsent = |r: &Pending| r.inside && !r.attempts.iter().any(|a| a.reached);
-        let Some(r) = self.requests.remove(&id).filter(unsent) else { return };
-        if let Some(c) = self.customers.get_mut(r.customer) {
+        if r.inside && !r.attempts.iter().any(|a| a.reached) {
             c.stores.iter_mut().for_each(|a| a.give_back(r.units));
         }
     }
--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -2,23 +2,42 @@
 
 use crate::account::Account;
 use crate::api::{Plan, RequestId, Time};
-use fennelbeam_quota::{Contact, Set, Terms};
+use crate::customers::House;
+use fennelbeam_quota::{Contact, Rest, Set, Terms};
+use smallvec::SmallVec;
 use std::collections::VecDeque;
 
 /// A customer: its stores (quota first, then ceiling, as its plan has them) and its open requests.
 #[derive(Default)]
 pub(crate) struct Customer {
     pub plan: usize,
-    pub stores: Vec<Account>,
+    pub stores: SmallVec<[Account; 1]>,
     pub waiting: VecDeque<RequestId>,
     pub open: u32,
-    pub asked: Time,
-    pub owing: bool, // among those that the counter is to be told of
+    pub in_hand: u32, // requests of it that are not over, or have attempts out
+    pub owing: bool,  // among those that the counter is to be told of
     set: Set,
     alone: bool, // there is no counter
     epoch: u64,  // in which this gateway started
 }
 
+/// What is kept of a customer that comes seldom.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Small {
+    plan: u16,
+    first: u16,
+    spread: u16,
+    /// Of its quota; `None`: it has none.
+    rest: Option<Rest>,
+}
+
+impl Small {
+    /// Whether the counter holds something of it in this epoch.
+    pub fn has_added(&self, epoch: u64) -> bool {
+        self.rest.is_some_and(|rest| rest.has_added(epoch))
+    }
+}
+
 /// Rate, burst, and whether it is a ceiling, of each limit that a plan has.
 fn limits(plan: &Plan) -> impl Iterator<Item = (f64, f64, bool)> {
     let both = [(plan.rate, plan.burst, false), (plan.ceiling_rate, plan.ceiling_burst, true)];
@@ -26,25 +45,47 @@
 }
 
 impl Customer {
-    /// One that is met now, with its first request, by a gateway that started in this epoch. `lot` is drawn for each store from 0 to the units of that,
-    /// so that gateways do not all begin alike.
-    pub fn met(
-        now: Time,
-        epoch: u64,
-        plan: (usize, &Plan),
-        set: Set,
-        alone: bool,
-        mut lot: impl FnMut() -> f64,
-    ) -> Customer {
-        let mut customer = Customer { plan: plan.0, set, alone, epoch, ..Customer::default() };
-        customer.stores = customer.new_stores(now, plan.1, &mut lot);
+    /// One that is met now, with its first request. `lot` is drawn for each store from 0 to the units of that, so
+    /// that gateways do not all begin alike.
+    pub fn met(now: Time, house: &House, plan: usize, set: Set, mut lot: impl FnMut() -> f64) -> Customer {
+        let House { alone, epoch, .. } = *house;
+        let mut customer = Customer { plan, set, alone, epoch, ..Customer::default() };
+        customer.stores = customer.new_stores(now, &house.plans[plan], &mut lot);
+        customer
+    }
+
+    /// One that was small, in its full form. Where its plan has other limits by now it is met anew.
+    pub fn woken(now: Time, house: &House, small: Small) -> Customer {
+        let set = Set {
+            first: small.first.into(),
+            spread: small.spread.into(),
+            me: house.me,
+            gateways: house.gateways,
+        };
+        let mut customer = Customer::met(now, house, small.plan.into(), set, || 0.0);
+        if let ([store], Some(rest)) = (&mut customer.stores[..], small.rest) {
+            store.wake(&rest);
+        }
         customer
     }
 
+    /// Its small form, if it is idle and there is no more to it than that holds.
+    pub fn small(&self) -> Option<Small> {
+        let rest = match &self.stores[..] {
+            [] => None,
+            [account] => Some(account.rest()?),
+            _ => return None,
+        };
+        let Set { first, spread, .. } = self.set;
+        let small = |n: u32| u16::try_from(n).ok();
+        let (plan, first, spread) = (u16::try_from(self.plan).ok()?, small(first)?, small(spread)?);
+        Some(Small { plan, first, spread, rest }).filter(|_| !self.is_busy())
+    }
+
     /// Whether anything of it is open, or to come.
     pub fn is_busy(&self) -> bool {
         let calling = self.stores.iter().any(Account::is_calling);
-        self.open > 0 || self.owing || calling || !self.waiting.is_empty()
+        self.in_hand > 0 || self.open > 0 || self.owing || calling || !self.waiting.is_empty()
     }
 
     /// The counter has begun anew: calls that look for what it has forgotten, by the place of the store.
@@ -53,7 +94,7 @@
         stores.filter_map(move |(place, account)| Some((place, account.recheck(epoch)?)))
     }
 
-    fn new_stores(&self, now: Time, plan: &Plan, lot: &mut impl FnMut() -> f64) -> Vec<Account> {
+    fn new_stores(&self, now: Time, plan: &Plan, lot: &mut impl FnMut() -> f64) -> SmallVec<[Account; 1]> {
         let (set, alone, epoch) = (self.set, self.alone, self.epoch);
         let account = |(rate, burst, strict)| {
             let terms = Terms { rate, burst, strict, alone, set };
@@ -77,3 +118,23 @@
         }
     }
 }
+
+impl Account {
+    /// Its small form, if nothing is in doubt, on the way or owed.
+    fn rest(&self) -> Option<Rest> {
+        let ration = self.ration.as_deref().filter(|_| self.thin);
+        Rest::of(&self.store, &self.adder, ration).filter(|_| self.late.is_none())
+    }
+
+    /// This one, which is new, goes on where one came to rest. One that is rationed now and was not then, or the
+    /// other way round, stays new.
+    fn wake(&mut self, rest: &Rest) {
+        if rest.is_rationed() != self.thin {
+            return;
+        }
+        let new = (std::mem::take(&mut self.store), std::mem::take(&mut self.adder));
+        let (store, adder, ration) = rest.wake(new.0, new.1);
+        (self.store, self.adder) = (store, adder);
+        self.ration = ration.map(Box::new);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,4 +39,7 @@
 mod pools;
 mod quotas;
 mod room;
+mod slab;
 mod slots;
+
+pub use customers::customers_within;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -40,7 +40,6 @@
 pub(crate) struct Pace {
     pub met: Time, // when it was told anything first
     pub ask_at: Time,
-    pub epoch: u64,   // in which this gateway started: one before it may have left marks there
     pub answers: f64, // of warm hosts, fading by the period
     pub warm: f64,    // seconds that they were warm and in service, each host's added, fading alike
     pub warmed: Time, // up to when those were counted
--- a/crates/policy/src/pending.rs
+++ b/crates/policy/src/pending.rs
@@ -39,6 +39,7 @@
     pub aim_at: Time,
     pub deadline: Time,
     pub stage: Stage,
+    pub met: bool,     // its customer is known, and counts it
     pub inside: bool,  // let in on leased units, which are spent by the first send
     pub is_due: bool,  // it is to be looked at again once it has waited for units long enough
     pub counted: bool, // its units are on the way to the counter: a rationed one waits for that answer
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -7,7 +7,7 @@
 use crate::chance::Chance;
 use crate::class::ClassState;
 use crate::customer::Customer;
-use crate::customers::{ByRequest, Customers};
+use crate::customers::{ByRequest, Customers, House};
 use crate::debts::Debts;
 use crate::due::{Dues, STEP};
 use crate::fleet::Fleet;
@@ -61,7 +61,7 @@
             fleet: Fleet::default(),
             pools: Pools::new(s.gateways),
             requests: ByRequest::default(),
-            customers: Customers::new(seed, s.most_customers as usize),
+            customers: Customers::new(seed, s.customer_bytes as usize, House::of(&s)),
             names: HashMap::default(),
             dues: Dues::default(),
             freed: Vec::new(),
@@ -94,6 +94,7 @@
             Event::Probed { host, outcome, report } => self.on_report(now, host, outcome, report),
             Event::Counted { name, outcome, total, took } => self.on_counted(now, name, outcome, total, took),
             Event::Plans(plans) => {
+                self.customers.house.plans.clone_from(&plans);
                 self.s.plans = plans;
                 let change = |c: &mut Customer| c.change_plan(now, &self.contact, &self.s.plans[c.plan]);
                 self.customers.iter_mut().for_each(change);
@@ -124,7 +125,7 @@
         let pace = &mut self.pace;
         (pace.met, pace.born, pace.beat.0) = (now, now, now);
         (pace.warmed, pace.saved_at) = (now, now);
-        pace.epoch = now / EPOCH;
+        self.customers.house.epoch = now / EPOCH;
         self.dues.put(now + PERIOD, Due::Control);
         self.dues.put(now + 1, Due::Beat);
         if self.s.must_subscribe {
@@ -199,6 +200,11 @@
         self.requests.len() + self.customers.len() + self.fleet.len() + self.names.len()
     }
 
+    /// Bytes that the customers known take, as they are reckoned.
+    pub fn customer_bytes(&self) -> usize {
+        self.customers.bytes()
+    }
+
     /// Records looked at since the start: what an event costs, in units that are the same on each machine.
     pub fn work(&self) -> u64 {
         self.work
@@ -207,7 +213,7 @@
     fn on_request(&mut self, now: Time, request: Request) {
         let Request { id, class, plan, customer, patience, units, spread, first, route, arrived, .. } =
             request;
-        let (Some(c), Some(p)) = (self.s.classes.get(class), self.s.plans.get(plan)) else {
+        let (Some(c), Some(_)) = (self.s.classes.get(class), self.s.plans.get(plan)) else {
             return self.actions.push(Action::Refuse { id, retry_after: None });
         };
         let units = if units.is_finite() { units.max(0.0) } else { 1.0 };
@@ -222,13 +228,13 @@
         if aim_at <= now + 2 * STEP || self.pools.lets_nothing_out(&route, !self.fleet.is_empty()) {
             return self.give_up(id);
         }
-        let (s, rng) = (&self.s, &mut self.rng);
-        let met = self.customers.meet(now, customer, || {
-            let set = Set { first, spread, me: s.me, gateways: s.gateways };
-            Customer::met(now, self.pace.epoch, (plan, p), set, !s.counter, || units * rng.unit())
-        });
+        let set = Set { first, spread, me: self.s.me, gateways: self.s.gateways };
+        let rng = &mut self.rng;
+        let met = |house: &House| Customer::met(now, house, plan, set, || units * rng.unit());
+        let met = self.customers.meet(now, customer, met);
         // More customers at once than there is room for.
-        let Some(met) = met else { return self.give_up(id) };
+        let (Some(met), Some(r)) = (met, self.requests.get_mut(&id)) else { return self.give_up(id) };
+        (met.in_hand, r.met) = (met.in_hand + 1, true);
         met.stores.iter_mut().for_each(|a| a.ask(units));
         met.waiting.push_back(id);
         let is_behind = met.waiting.len() > IN_VAIN;
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -289,7 +289,7 @@
         let Some(mut place) = self.debts.recheck else { return };
         let (mut calls, mut looked) = (self.contact.spare_calls(now).min(2), 0);
         while calls > 0 && looked < LOOKED_THROUGH {
-            let (customer, next) = self.customers.place(place);
+            let (customer, next) = self.customers.place(now, place, epoch);
             looked += 1;
             if let Some((customer, c)) = customer {
                 let reads: Vec<(usize, f64)> = c.rechecks(epoch).collect();
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 pub mod cold;
 pub mod counter;
+pub mod load;
 pub mod site;
 
 use fennelbeam_policy::api::*;
--- /dev/null
+++ b/crates/policy/tests/memory.rs
@@ -0,0 +1,109 @@
+//! What the customers known cost in memory, and that it stays within the bytes that were granted, whoever comes.
+//! Counted by the allocator, and so the same on each machine.
+mod common;
+use cap::Cap;
+use common::load::Load;
+use common::*;
+use fennelbeam_policy::customers_within;
+use std::alloc::System;
+use std::sync::Mutex;
+
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+/// What other tests take at the same time must not count.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+const MB: usize = 1 << 20;
+
+/// A gateway whose customers may take so many bytes.
+fn load(bytes: usize) -> Load {
+    let mut settings = settings();
+    settings.gateways = 1;
+    (settings.plans[0].rate, settings.plans[0].burst) = (100.0, 100.0);
+    settings.customer_bytes = bytes as u64;
+    Load::with(settings, 500, 0)
+}
+
+/// Bytes that the decision module holds.
+fn held_by(load: Load) -> usize {
+    let before = ALLOCATOR.allocated();
+    drop(load.policy);
+    before - ALLOCATOR.allocated()
+}
+
+#[test]
+fn a_customer_costs_what_is_stated_in_either_form() {
+    let _alone = ONE_AT_A_TIME.lock();
+    let nobody = held_by(load(0));
+    // Asked three times, each at a different time, so that there is history.
+    let mut often = load(0);
+    for n in 0..6_000 {
+        often.ask(n % 2_000);
+        often.pass(MS);
+    }
+    often.pass(1_000 * MS);
+    let often = (held_by(often) - nobody) / 2_000;
+    // Room for a few in full only.
+    let granted = 3 * MB;
+    let (few, many) = customers_within(granted);
+    let mut once = load(granted);
+    for n in 0..2 * many as u64 {
+        once.ask(n);
+        if n % 20 == 0 {
+            once.pass(MS);
+        }
+    }
+    once.pass(1_000 * MS);
+    let known = once.policy.size();
+    let once = held_by(once) - nobody;
+    assert!(known >= many && many > 7 * few, "{known} of {many} are known, in full there is room for {few}");
+    assert!(granted / many <= 150 && often <= 1_100, "{} bytes, and {often} in full", granted / many);
+    // What is granted is reckoned by these, so they must not be too small.
+    assert!(once <= granted + granted / 32 && often <= granted / few, "{once} of {granted}; {often} in full");
+}
+
+#[test]
+fn customers_that_come_once_stay_within_what_is_granted_and_cost_regular_ones_nothing() {
+    let _alone = ONE_AT_A_TIME.lock();
+    let granted = 4 * MB;
+    let play = |flood: u64| {
+        let mut load = load(granted);
+        let (mut most, mut regular) = (0, 0);
+        for ms in 0..4_000 {
+            (0..flood).for_each(|n| load.ask(1_000_000 + ms * flood + n));
+            // Two hundred that ask five times a second.
+            let before = load.refused;
+            load.ask(ms % 200);
+            regular += u64::from(load.refused == before);
+            load.pass(MS);
+            if ms % 500 == 0 {
+                most = most.max(load.policy.customer_bytes());
+            }
+        }
+        load.pass(1_000 * MS);
+        (regular, load.refused, most, held_by(load))
+    };
+    let (calm, flooded) = (play(0), play(25));
+    assert_eq!(
+        (flooded.0, flooded.1),
+        (4_000, 0),
+        "of 104,000 requests none was refused; regular ones, refused"
+    );
+    assert_eq!(calm.0, 4_000);
+    assert!(flooded.2 <= granted, "{} bytes of {granted}", flooded.2);
+    assert!(flooded.3 <= granted + 2 * MB, "{} bytes held", flooded.3);
+}
+
+#[test]
+fn where_all_are_owed_something_another_is_refused_and_nobody_forgotten() {
+    let _alone = ONE_AT_A_TIME.lock();
+    let mut load = load(200_000);
+    let (most, _) = customers_within(200_000);
+    // None is answered yet.
+    (0..2 * most as u64).for_each(|n| load.ask(n));
+    assert_eq!((load.out.len(), load.refused), (most, most as u64));
+    load.pass(100 * MS);
+    assert_eq!(load.served, most as u64);
+    load.ask(1_000_000);
+    assert_eq!(load.refused, most as u64, "there is room again");
+}
--- a/crates/quota/src/adder.rs
+++ b/crates/quota/src/adder.rs
@@ -46,6 +46,23 @@
     agreed: Option<u8>,
 }
 
+/// All that an adder at rest has to remember: see [`Adder::rest`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct AdderAtRest {
+    epoch: u32,
+    added: f32,
+    digit: Option<u8>,
+    unproven: u8,
+    agreed: Option<u8>,
+}
+
+impl AdderAtRest {
+    /// Whether own units are known to stand there in this epoch.
+    pub(crate) fn has_added(&self, epoch: u64) -> bool {
+        u64::from(self.epoch) == epoch && self.added > 0.0
+    }
+}
+
 /// Answers that make digits believed.
 const BELIEVED: u8 = 3;
 
@@ -178,6 +195,21 @@
     pub fn doubt(&self) -> f64 {
         self.doubt.map_or(0.0, |doubt| doubt.units)
     }
+
+    /// What there is to remember of one with no call out and none in doubt; else `None`. Units added are whole
+    /// numbers of few digits, so the small figures are exact; where one is not, there is no rest either.
+    pub(crate) fn rest(&self) -> Option<AdderAtRest> {
+        let (epoch, added) = (u32::try_from(self.epoch).ok()?, self.added as f32);
+        let Adder { digit, unproven, agreed, .. } = *self;
+        let is_still = self.out.is_none() && self.doubt.is_none() && f64::from(added) == self.added;
+        is_still.then_some(AdderAtRest { epoch, added, digit, unproven, agreed })
+    }
+
+    /// This one, which is new, with what another had to remember when it came to rest.
+    pub(crate) fn woken(self, rest: AdderAtRest) -> Adder {
+        let AdderAtRest { epoch, added, digit, unproven, agreed } = rest;
+        Adder { epoch: epoch.into(), added: added.into(), digit, unproven, agreed, ..self }
+    }
 }
 
 #[cfg(test)]
--- a/crates/quota/src/ration.rs
+++ b/crates/quota/src/ration.rs
@@ -17,12 +17,46 @@
     seen: Option<(u64, f64, Time)>,
 }
 
+/// All that a ration at rest has to remember.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RationAtRest {
+    at: Time,
+    total: f64,
+    epoch: u32,
+    credit: f32,
+    store: f32,
+    share: Option<f32>,
+    is_seen: bool,
+}
+
 impl Ration {
     /// For a customer with this rate, in units a second, and burst.
     pub fn new(rate: f64, burst: f64) -> Ration {
         Ration { rate, burst, share: None, credit: 0.0, store: burst, seen: None }
     }
 
+    /// What there is to remember of one.
+    pub(crate) fn rest(&self) -> Option<RationAtRest> {
+        let Ration { share, credit, store, seen, .. } = *self;
+        let (epoch, total, at) = seen.unwrap_or_default();
+        let epoch = u32::try_from(epoch).ok()?;
+        let (credit, store, share) = (credit as f32, store as f32, share.map(|share| share as f32));
+        Some(RationAtRest { at, total, epoch, credit, store, share, is_seen: seen.is_some() })
+    }
+
+    /// One of a customer with this rate and burst, with what another had to remember.
+    pub(crate) fn woken(rest: RationAtRest, rate: f64, burst: f64) -> Ration {
+        let RationAtRest { at, total, epoch, credit, store, share, is_seen } = rest;
+        Ration {
+            rate,
+            burst,
+            share: share.map(f64::from),
+            credit: credit.into(),
+            store: f64::from(store).min(burst),
+            seen: is_seen.then_some((epoch.into(), total, at)),
+        }
+    }
+
     /// The quota is another from now on.
     pub fn retune(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
--- a/crates/quota/src/store.rs
+++ b/crates/quota/src/store.rs
@@ -12,6 +12,7 @@
 use crate::{Span, Time, SECOND};
 use libm::exp;
 
+const MS: Span = 1_000_000;
 /// Seconds that what a customer asks for looks back.
 const ASKED_SPAN: f64 = 8.0;
 /// Who asks for so many times its rate gets no credit.
@@ -94,6 +95,28 @@
     known: Option<Time>,
 }
 
+/// All that a store at rest has to remember: see [`Store::rest`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct StoreAtRest {
+    at: Time,
+    /// Milliseconds since it was met, as far as they can be counted.
+    age_ms: u32,
+    held: f32,
+    /// Of the whole quota, also where this side has a part only since there is no counter.
+    level: f32,
+    whole: f32,
+    asked: f32,
+    seen_whole: f32,
+    seen_epoch: u32,
+    digits: Digits,
+    has_digits: bool,
+    is_seen: bool,
+    is_known: bool,
+    greedy: bool,
+    /// Milliseconds for which it gets no credit yet.
+    wary_ms: u16,
+}
+
 impl Store {
     /// A full one, met now.
     pub fn new(now: Time, terms: Terms) -> Store {
@@ -111,6 +134,63 @@
         }
     }
 
+    /// What there is to remember of one that is in no doubt: not in the dark, and nobody apart. Of
+    /// who came through which gateway nothing is kept, as of a customer that is met anew: in the dark that means a
+    /// smaller part. `None`: there is more to it.
+    pub(crate) fn rest(&self) -> Option<StoreAtRest> {
+        let Terms { strict, alone, .. } = self.terms;
+        let is_whole = self.side.is_whole() || alone;
+        let is_dark = self.dark.is_some() && !alone;
+        if strict || !is_whole || is_dark || self.is_just_back {
+            return None;
+        }
+        let wary_ms = self.wary_until.saturating_sub(self.at).div_ceil(MS);
+        let seen_epoch = u32::try_from(self.seen.map_or(0, |seen| seen.epoch)).ok()?;
+        let digits = self.seen.and_then(|seen| seen.digits);
+        Some(StoreAtRest {
+            at: self.at,
+            age_ms: u32::try_from(self.at.saturating_sub(self.born) / MS).unwrap_or(u32::MAX),
+            held: self.held as f32,
+            level: (self.level / self.side.part_of_burst().max(1e-3)) as f32,
+            whole: self.whole_now() as f32,
+            asked: self.asked as f32,
+            seen_whole: self.seen.map_or(0.0, |seen| seen.whole) as f32,
+            seen_epoch,
+            digits: digits.unwrap_or_default(),
+            has_digits: digits.is_some(),
+            is_seen: self.seen.is_some(),
+            is_known: self.known.is_some(),
+            greedy: self.greedy,
+            wary_ms: u16::try_from(wary_ms).ok()?,
+        })
+    }
+
+    /// One with these terms, and with what another had to remember when it came to rest. It has yet to fill since
+    /// then, and to find its part.
+    pub(crate) fn woken(rest: StoreAtRest, terms: Terms) -> Store {
+        let StoreAtRest { at, seen_epoch, digits, .. } = rest;
+        let born = at.saturating_sub(u64::from(rest.age_ms) * MS);
+        let new = Store::new(at, terms);
+        let (level, whole) = (f64::from(rest.level), f64::from(rest.whole));
+        let digits = rest.has_digits.then_some(digits);
+        let seen = Seen { epoch: seen_epoch.into(), whole: rest.seen_whole.into(), digits, at };
+        Store {
+            held: rest.held.into(),
+            level: level.min(new.terms.burst),
+            base: level.min(new.terms.burst),
+            whole: whole.min(new.terms.burst),
+            whole_at: at,
+            was_whole: !terms.alone,
+            seen: rest.is_seen.then_some(seen),
+            asked: rest.asked.into(),
+            greedy: rest.greedy,
+            wary_until: at + u64::from(rest.wary_ms) * MS,
+            known: rest.is_known.then_some(born),
+            born,
+            ..new
+        }
+    }
+
     /// Whose it is.
     pub fn terms(&self) -> &Terms {
         &self.terms
