--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -41,7 +41,7 @@
     }
 
     /// More of it is to be told to the counter, if there is one; less, below zero.
-    fn owe(&mut self, units: f64) {
+    pub fn owe(&mut self, units: f64) {
         if units != 0.0 && !self.store.terms().alone {
             let late = self.late.take();
             let mut late = late.unwrap_or_else(|| Box::new(Late::new(self.new_adder())));
@@ -156,41 +156,4 @@
     pub fn call_for(&mut self, epoch: u64, units: f64) -> f64 {
         self.adder.call(epoch, units, false)
     }
-
-    /// Takes in a total of a rationed customer: the share of what is asked for that its quota covers.
-    pub fn rationed(&mut self, now: Time, epoch: (u64, Time), total: f64) -> f64 {
-        self.store.light_up();
-        let amount = self.adder.answered(epoch.0, total, false).landed;
-        self.ration().counted(now, epoch, total, amount)
-    }
-
-    /// Takes in a total. Whether it shows that the counter has begun anew, where that is not known yet.
-    pub fn counted(&mut self, now: Time, contact: &Contact, epoch: (u64, Time), total: f64) -> bool {
-        self.refill(now, contact);
-        let suspected = contact.is_fresh_since(self.store.seen_at());
-        let told = self.adder.answered(epoch.0, total, suspected);
-        // What a new counter has forgotten is told it again, beside what is leased from now on.
-        self.owe(told.lost);
-        self.store.counted(now, contact, epoch, &told, self.adder.marks());
-        self.next_call = now;
-        told.lost > 0.0 && !suspected
-    }
-
-    /// The counter has begun anew: a call that looks for what it has forgotten, if it was told anything in
-    /// this epoch. What it was told late is looked at as well.
-    pub fn recheck(&mut self, epoch: u64) -> Option<f64> {
-        self.late.iter_mut().for_each(|late| late.doubt(epoch));
-        let looks = !self.thin && !self.adder.is_out() && self.adder.has_added(epoch);
-        looks.then(|| self.adder.call(epoch, 0.0, false))
-    }
-
-    /// What the counter has yet to be told.
-    pub fn late(&mut self) -> Option<&mut Late> {
-        self.late.as_deref_mut().filter(|_| !self.thin)
-    }
-
-    /// Whether the counter has yet to be told something.
-    pub fn owes(&self) -> bool {
-        !self.thin && self.late.as_ref().is_some_and(|late| late.is_due())
-    }
 }
--- /dev/null
+++ b/crates/policy/src/counting.rs
@@ -0,0 +1,179 @@
+//! What the shared counter tells, and what it is told: answers to calls, beats, what was lent while it was away, and
+//! what a fresh one has forgotten. Evidence and recovery; who is let in is decided in `src/quotas.rs`.
+
+use crate::account::Account;
+use crate::api::*;
+use crate::due::STEP;
+use crate::names::{ALL, EPOCH, LATE};
+use crate::pace::{Due, SECOND};
+use crate::policy::Policy;
+use crate::quotas::CALL_ODDS;
+use fennelbeam_quota::{Contact, Late, Pulse};
+
+const CROWDED: f64 = 0.4; // a counter's answer that takes this share of the time-out: it has no room left
+pub(crate) const BEAT: Span = 5_000_000_000; // between a gateway's calls to the count that tells how long counts go back
+const LOOKED_THROUGH: usize = 64; // customers looked through in a step for what a new counter forgot
+
+impl Policy {
+    pub(crate) fn on_counted(
+        &mut self,
+        now: Time,
+        name: CountName,
+        outcome: Outcome,
+        total: f64,
+        took: Span,
+    ) {
+        let Some((customer, store, epoch)) = self.names.remove(&name) else { return };
+        let good = outcome == Outcome::Ok && total.is_finite();
+        self.on_answer(now, outcome, good, took);
+        if customer == ALL && good && store == 0 {
+            // All gateways add the time they ran, so the total tells since when the counter has counted.
+            self.pace.beat.0 = self.pace.beat.1;
+            self.pace.born = now.saturating_sub((total * SECOND) as Time + BEAT / 2);
+        } else if customer == ALL && good && self.contact.heard(now, store as u32 - 1, epoch, total) {
+            self.look_through(now);
+        }
+        let Some(c) = self.customers.get_mut(customer) else { return };
+        let (plan, at) = (c.plan, if store == LATE { 0 } else { store });
+        let Some(a) = c.stores.get_mut(at) else { return };
+        let may_count = outcome == Outcome::Timeout;
+        let mut begun_anew = false;
+        match (good, store) {
+            (true, LATE) => drop(a.late().map(|late| late.answered(now, &self.contact, epoch, total))),
+            (false, LATE) => drop(a.late().map(|late| late.unanswered(may_count))),
+            (true, _) if !a.thin => {
+                begun_anew = a.counted(now, &self.contact, (epoch, epoch * EPOCH), total);
+            }
+            (true, _) => {
+                let known = a.ration().share().is_some();
+                let ration = a.rationed(now, (epoch, self.pace.born.max(epoch * EPOCH)), total);
+                self.rations[plan] += if known { 0.0 } else { 0.05 * (ration - self.rations[plan]) };
+            }
+            (false, _) => a.silent(now, &self.contact, may_count),
+        }
+        c.owing &= store != LATE;
+        self.debts.owe(now, &mut self.dues, customer, c);
+        if begun_anew && self.contact.has_begun_anew(now) {
+            self.look_through(now);
+        }
+        self.settle(now, customer);
+    }
+
+    /// The counter has answered, or not.
+    fn on_answer(&mut self, now: Time, outcome: Outcome, good: bool, took: Span) {
+        let pace = &mut self.pace;
+        // Calls follow the room that the counter shows: quick answers raise them, slow or missing ones lower.
+        let quick = good && (took as f64) < CROWDED * self.s.counter_timeout as f64;
+        let step = [if outcome == Outcome::Timeout { 0.75 } else { 0.9 }, 1.1][usize::from(quick)];
+        pace.call_odds = (pace.call_odds * step).clamp(CALL_ODDS.0, CALL_ODDS.1);
+        match good {
+            true => self.contact.answered(now),
+            false => self.contact.unanswered(now),
+        }
+    }
+
+    /// Tells the counter what was lent in the dark, and looks at its totals again if it has begun anew: some
+    /// customers a step, while there are any.
+    pub(crate) fn tell_counter(&mut self, now: Time) {
+        self.debts.is_due = false;
+        if self.counter_down(now) {
+            return self.debts.put(now, &mut self.dues);
+        }
+        for _ in 0..self.contact.spare_calls(now).clamp(1, 2) {
+            let next =
+                self.debts.customers.pop_front().and_then(|id| Some((id, self.customers.get_mut(id)?)));
+            let Some((customer, c)) = next else { break };
+            match c.stores.first_mut().filter(|a| a.owes()).and_then(Account::late) {
+                Some(late) => {
+                    let amount = late.call(&self.contact, now / EPOCH);
+                    self.call(now, (customer, LATE, now / EPOCH), amount);
+                }
+                // Given back meanwhile: it is told once it owes again.
+                None => c.owing = false,
+            }
+        }
+        self.look_again(now / EPOCH, now);
+        self.debts.put(now, &mut self.dues);
+    }
+
+    /// Lets it be heard that this gateway reaches the counter.
+    pub(crate) fn beat(&mut self, now: Time) {
+        if !self.quotas || self.s.gateways < 2 {
+            return;
+        }
+        if self.counter_down(now) {
+            return self.dues.put(now + STEP, Due::Beat);
+        }
+        for Pulse { group, epoch, amount } in self.contact.beat(now) {
+            self.call(now, (ALL, 1 + group as usize, epoch), amount);
+        }
+        self.dues.put(now + fennelbeam_quota::BEAT, Due::Beat);
+    }
+
+    /// The counter has begun anew: all totals are looked at again.
+    fn look_through(&mut self, now: Time) {
+        self.debts.recheck = Some(0);
+        self.debts.put(now, &mut self.dues);
+    }
+
+    /// Looks for what a counter that has begun anew has forgotten, some customers a step: also of those who
+    /// do not ask any more.
+    fn look_again(&mut self, epoch: u64, now: Time) {
+        let Some(mut place) = self.debts.recheck else { return };
+        let (mut calls, mut looked) = (self.contact.spare_calls(now).min(2), 0);
+        while calls > 0 && looked < LOOKED_THROUGH {
+            let (customer, next) = self.customers.place(now, place, epoch);
+            looked += 1;
+            if let Some((customer, c)) = customer {
+                let reads: Vec<(usize, f64)> = c.rechecks(epoch).collect();
+                self.debts.owe(now, &mut self.dues, customer, c);
+                calls -= usize::from(!reads.is_empty());
+                reads
+                    .into_iter()
+                    .for_each(|(store, amount)| self.call(now, (customer, store, epoch), amount));
+            }
+            let Some(next) = next else { return self.debts.recheck = None };
+            place = next;
+        }
+        self.debts.recheck = Some(place);
+    }
+}
+
+impl Account {
+    /// Takes in a total of a rationed customer: the share of what is asked for that its quota covers.
+    pub fn rationed(&mut self, now: Time, epoch: (u64, Time), total: f64) -> f64 {
+        self.store.light_up();
+        let amount = self.adder.answered(epoch.0, total, false).landed;
+        self.ration().counted(now, epoch, total, amount)
+    }
+
+    /// Takes in a total. Whether it shows that the counter has begun anew, where that is not known yet.
+    pub fn counted(&mut self, now: Time, contact: &Contact, epoch: (u64, Time), total: f64) -> bool {
+        self.refill(now, contact);
+        let suspected = contact.is_fresh_since(self.store.seen_at());
+        let told = self.adder.answered(epoch.0, total, suspected);
+        // What a new counter has forgotten is told it again, beside what is leased from now on.
+        self.owe(told.lost);
+        self.store.counted(now, contact, epoch, &told, self.adder.marks());
+        self.next_call = now;
+        told.lost > 0.0 && !suspected
+    }
+
+    /// The counter has begun anew: a call that looks for what it has forgotten, if it was told anything in
+    /// this epoch. What it was told late is looked at as well.
+    pub fn recheck(&mut self, epoch: u64) -> Option<f64> {
+        self.late.iter_mut().for_each(|late| late.doubt(epoch));
+        let looks = !self.thin && !self.adder.is_out() && self.adder.has_added(epoch);
+        looks.then(|| self.adder.call(epoch, 0.0, false))
+    }
+
+    /// What the counter has yet to be told.
+    pub fn late(&mut self) -> Option<&mut Late> {
+        self.late.as_deref_mut().filter(|_| !self.thin)
+    }
+
+    /// Whether the counter has yet to be told something.
+    pub fn owes(&self) -> bool {
+        !self.thin && self.late.as_ref().is_some_and(|late| late.is_due())
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,19 +1,12 @@
-//! All hosts, and which of them may be asked: found by pool and by cell, so that a choice looks at a few of the
-//! right ones and not at all there are.
+//! All hosts, and lists of those that take work: by pool and by cell, so that a choice looks at the right ones only.
 
 use crate::api::{HostEntry, HostId};
-use crate::chance::Chance;
 use crate::host::Host;
 use crate::pools::bits;
 use crate::room::LEAST;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap};
 
-/// Up to so many hosts a choice looks at all.
-const FEW: usize = 16;
-/// Of more at so many drawn at random, which is about as good.
-const EXAMINED: usize = 8;
-
 /// Hosts by their numbers, and lists of those that take work.
 #[derive(Default)]
 pub(crate) struct Fleet {
@@ -115,34 +108,6 @@
         leave
     }
 
-    /// Some of those within reach, drawn at random; all of them if there are few. Whether it is all.
-    pub fn draw(&self, reach: Reach, rng: &mut Chance, candidates: &mut Vec<HostId>) -> bool {
-        candidates.clear();
-        let lists = self.lists(reach);
-        let count: usize = lists.iter().map(|list| list.len()).sum();
-        let is_all = count <= FEW;
-        let mut add = |id: HostId| {
-            if !candidates.contains(&id) {
-                candidates.push(id);
-            }
-        };
-        if is_all {
-            lists.into_iter().flatten().for_each(|id| add(*id));
-            return true;
-        }
-        for _ in 0..EXAMINED {
-            let mut place = (rng.unit() * count as f64) as usize;
-            for list in &lists {
-                if let Some(id) = list.get(place) {
-                    add(*id);
-                    break;
-                }
-                place -= list.len();
-            }
-        }
-        false
-    }
-
     /// The lists that hold whom a request may go to; a host may stand in several.
     pub fn lists(&self, reach: Reach) -> SmallVec<[&[HostId]; 4]> {
         match reach {
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -12,8 +12,9 @@
 const MEAN_BY_GEOMETRIC: f64 = 1.78; // of exponential times: makes a geometric mean read as a mean
 const HANGS: f64 = 8.0; // mean latencies without an answer: e^-8 by chance
 const RISK: f64 = 1.0; // requests in hand that a sure failure weighs; four where it cannot be repeated
-                       // a host that takes no work and says nothing is forgotten after this
-const FORGOTTEN: Span = crate::names::EPOCH;
+const FORGOTTEN: Span = crate::names::EPOCH; // of a host that takes no work and says nothing
+const FEW: usize = 16; // up to so many hosts a choice looks at all
+const EXAMINED: usize = 8; // of more at so many drawn at random, which is about as good
 
 impl Policy {
     pub(crate) fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<HostEntry>) {
@@ -102,11 +103,30 @@
             .any(|list| matches!(reach, Reach::Pools(_)) && !list.is_empty() || list.iter().any(takes))
     }
 
+    /// Some of those within reach, drawn at random; all of them if there are few. Whether it is all.
+    fn draw(&mut self, reach: Reach, candidates: &mut Vec<HostId>) -> bool {
+        let lists = self.fleet.lists(reach);
+        let (count, all) = (lists.iter().map(|l| l.len()).sum::<usize>(), || lists.iter().copied().flatten());
+        candidates.clear();
+        let mut add = |id: &HostId| {
+            if !candidates.contains(id) {
+                candidates.push(*id);
+            }
+        };
+        match count <= FEW {
+            true => all().for_each(add),
+            false => (0..EXAMINED).for_each(|_| {
+                all().nth((self.rng.unit() * count as f64) as usize).into_iter().for_each(&mut add)
+            }),
+        }
+        count <= FEW
+    }
+
     /// The host with the least expected wait among those that may take this request.
     pub(crate) fn pick(&mut self, now: Time, id: RequestId) -> Option<HostId> {
         let reach = self.reach(now, self.requests.get(&id)?)?;
         let mut candidates = std::mem::take(&mut self.candidates);
-        let is_all = self.fleet.draw(reach, &mut self.rng, &mut candidates);
+        let is_all = self.draw(reach, &mut candidates);
         let mut best = self.best(now, id, &candidates);
         if best.is_none() && !is_all {
             candidates.clear();
@@ -206,20 +226,6 @@
         s.may_change(sid, &mut self.changing);
     }
 
-    /// A period is over: hosts that have answered get more slots or fewer.
-    pub(crate) fn settle_rooms(&mut self, now: Time) {
-        let wanted = std::mem::take(&mut self.pace.bound);
-        for id in std::mem::take(&mut self.changing) {
-            let Some(s) = self.fleet.get_mut(id) else { continue };
-            s.is_changing = false;
-            let change = s.room.settle(now, wanted) / self.s.gateways.max(1) as f64;
-            if s.is_ready() {
-                self.pace.total += change;
-                self.pools.widen(s.entry.pools, change);
-            }
-        }
-    }
-
     pub(crate) fn on_report(&mut self, now: Time, host: HostId, outcome: Outcome, report: Option<Report>) {
         let Some(s) = self.fleet.get_mut(host) else { return };
         if let Some(report) = report {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod attempts;
 mod chance;
 mod class;
+mod counting;
 mod customer;
 mod customers;
 mod debts;
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -4,12 +4,12 @@
 use crate::account::Account;
 use crate::api::*;
 use crate::class::ClassState;
+use crate::counting::BEAT;
 use crate::due::STEP;
-use crate::names::{count_name, ALL, EPOCH, KEEP, LATE};
-use crate::pace::{seconds, Due, MS, SECOND};
+use crate::names::{count_name, ALL, EPOCH, KEEP};
+use crate::pace::{seconds, Due};
 use crate::pending::Stage;
 use crate::policy::Policy;
-use fennelbeam_quota::Pulse;
 use libm::pow;
 use std::collections::VecDeque;
 
@@ -19,9 +19,6 @@
 const KEEP_BACK: f64 = 0.15; // part of a store kept back for the class worth most a unit
 pub(crate) const CALL_ODDS: (f64, f64) = (0.05, 0.6); // of rationed requests, those that ask the counter
 const SHADE: f64 = 2.0; // grants come at random: a ration below one is raised to this, to stay inside
-const CROWDED: f64 = 0.4; // a counter's answer that takes this share of the time-out: it has no room left
-const BEAT: Span = 5_000 * MS; // between a gateway's calls to the count that tells how long counts go back
-const LOOKED_THROUGH: usize = 64; // customers looked through in a step for what a new counter forgot
 pub(crate) const IN_VAIN: usize = 8; // requests of a customer that wait on: those behind are not tried
 
 impl Policy {
@@ -171,137 +168,14 @@
     }
 
     /// No counter, or several calls in a row failed and the next try is not due.
-    fn counter_down(&self, now: Time) -> bool {
+    pub(crate) fn counter_down(&self, now: Time) -> bool {
         !self.s.counter || self.contact.is_down(now)
     }
 
-    fn call(&mut self, now: Time, whose: (CustomerId, usize, u64), amount: f64) {
+    pub(crate) fn call(&mut self, now: Time, whose: (CustomerId, usize, u64), amount: f64) {
         let name = count_name(whose.0, whose.1, whose.2);
         self.names.insert(name, whose);
         self.contact.called(now);
         self.actions.push(Action::Count { name, amount, keep: KEEP });
     }
-
-    pub(crate) fn on_counted(
-        &mut self,
-        now: Time,
-        name: CountName,
-        outcome: Outcome,
-        total: f64,
-        took: Span,
-    ) {
-        let Some((customer, store, epoch)) = self.names.remove(&name) else { return };
-        let good = outcome == Outcome::Ok && total.is_finite();
-        self.on_answer(now, outcome, good, took);
-        if customer == ALL && good && store == 0 {
-            // All gateways add the time they ran, so the total tells since when the counter has counted.
-            self.pace.beat.0 = self.pace.beat.1;
-            self.pace.born = now.saturating_sub((total * SECOND) as Time + BEAT / 2);
-        } else if customer == ALL && good && self.contact.heard(now, store as u32 - 1, epoch, total) {
-            self.look_through(now);
-        }
-        let Some(c) = self.customers.get_mut(customer) else { return };
-        let (plan, at) = (c.plan, if store == LATE { 0 } else { store });
-        let Some(a) = c.stores.get_mut(at) else { return };
-        let may_count = outcome == Outcome::Timeout;
-        let mut begun_anew = false;
-        match (good, store) {
-            (true, LATE) => drop(a.late().map(|late| late.answered(now, &self.contact, epoch, total))),
-            (false, LATE) => drop(a.late().map(|late| late.unanswered(may_count))),
-            (true, _) if !a.thin => {
-                begun_anew = a.counted(now, &self.contact, (epoch, epoch * EPOCH), total);
-            }
-            (true, _) => {
-                let known = a.ration().share().is_some();
-                let ration = a.rationed(now, (epoch, self.pace.born.max(epoch * EPOCH)), total);
-                self.rations[plan] += if known { 0.0 } else { 0.05 * (ration - self.rations[plan]) };
-            }
-            (false, _) => a.silent(now, &self.contact, may_count),
-        }
-        c.owing &= store != LATE;
-        self.debts.owe(now, &mut self.dues, customer, c);
-        if begun_anew && self.contact.has_begun_anew(now) {
-            self.look_through(now);
-        }
-        self.settle(now, customer);
-    }
-
-    /// The counter has answered, or not.
-    fn on_answer(&mut self, now: Time, outcome: Outcome, good: bool, took: Span) {
-        let pace = &mut self.pace;
-        // Calls follow the room that the counter shows: quick answers raise them, slow or missing ones lower.
-        let quick = good && (took as f64) < CROWDED * self.s.counter_timeout as f64;
-        let step = [if outcome == Outcome::Timeout { 0.75 } else { 0.9 }, 1.1][usize::from(quick)];
-        pace.call_odds = (pace.call_odds * step).clamp(CALL_ODDS.0, CALL_ODDS.1);
-        match good {
-            true => self.contact.answered(now),
-            false => self.contact.unanswered(now),
-        }
-    }
-
-    /// Tells the counter what was lent in the dark, and looks at its totals again if it has begun anew: some
-    /// customers a step, while there are any.
-    pub(crate) fn tell_counter(&mut self, now: Time) {
-        self.debts.is_due = false;
-        if self.counter_down(now) {
-            return self.debts.put(now, &mut self.dues);
-        }
-        for _ in 0..self.contact.spare_calls(now).clamp(1, 2) {
-            let next =
-                self.debts.customers.pop_front().and_then(|id| Some((id, self.customers.get_mut(id)?)));
-            let Some((customer, c)) = next else { break };
-            match c.stores.first_mut().filter(|a| a.owes()).and_then(Account::late) {
-                Some(late) => {
-                    let amount = late.call(&self.contact, now / EPOCH);
-                    self.call(now, (customer, LATE, now / EPOCH), amount);
-                }
-                // Given back meanwhile: it is told once it owes again.
-                None => c.owing = false,
-            }
-        }
-        self.look_again(now / EPOCH, now);
-        self.debts.put(now, &mut self.dues);
-    }
-
-    /// Lets it be heard that this gateway reaches the counter.
-    pub(crate) fn beat(&mut self, now: Time) {
-        if !self.quotas || self.s.gateways < 2 {
-            return;
-        }
-        if self.counter_down(now) {
-            return self.dues.put(now + STEP, Due::Beat);
-        }
-        for Pulse { group, epoch, amount } in self.contact.beat(now) {
-            self.call(now, (ALL, 1 + group as usize, epoch), amount);
-        }
-        self.dues.put(now + fennelbeam_quota::BEAT, Due::Beat);
-    }
-
-    /// The counter has begun anew: all totals are looked at again.
-    fn look_through(&mut self, now: Time) {
-        self.debts.recheck = Some(0);
-        self.debts.put(now, &mut self.dues);
-    }
-
-    /// Looks for what a counter that has begun anew has forgotten, some customers a step: also of those who
-    /// do not ask any more.
-    fn look_again(&mut self, epoch: u64, now: Time) {
-        let Some(mut place) = self.debts.recheck else { return };
-        let (mut calls, mut looked) = (self.contact.spare_calls(now).min(2), 0);
-        while calls > 0 && looked < LOOKED_THROUGH {
-            let (customer, next) = self.customers.place(now, place, epoch);
-            looked += 1;
-            if let Some((customer, c)) = customer {
-                let reads: Vec<(usize, f64)> = c.rechecks(epoch).collect();
-                self.debts.owe(now, &mut self.dues, customer, c);
-                calls -= usize::from(!reads.is_empty());
-                reads
-                    .into_iter()
-                    .for_each(|(store, amount)| self.call(now, (customer, store, epoch), amount));
-            }
-            let Some(next) = next else { return self.debts.recheck = None };
-            place = next;
-        }
-        self.debts.recheck = Some(place);
-    }
 }
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -7,6 +7,7 @@
 //! while. Nothing is done before chance is ruled out: answers of very different lengths take many more of them.
 
 use crate::api::{Span, Time};
+use crate::policy::Policy;
 
 /// Slots of a host at the least, and of one that is not known: well above ordinary use of a small machine.
 pub(crate) const LEAST: f64 = 4.0;
@@ -197,6 +198,22 @@
     }
 }
 
+impl Policy {
+    /// A period is over: hosts that have answered get more slots or fewer.
+    pub(crate) fn settle_rooms(&mut self, now: Time) {
+        let wanted = std::mem::take(&mut self.pace.bound);
+        for id in std::mem::take(&mut self.changing) {
+            let Some(s) = self.fleet.get_mut(id) else { continue };
+            s.is_changing = false;
+            let change = s.room.settle(now, wanted) / self.s.gateways.max(1) as f64;
+            if s.is_ready() {
+                self.pace.total += change;
+                self.pools.widen(s.entry.pools, change);
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
