--- a/crates/fennelbeam/src/command.rs
+++ b/crates/fennelbeam/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::config::Tool;
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -26,7 +26,7 @@
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Serve until SIGTERM
-    Serve(Files),
+    Serve(Serve),
     /// Read a configuration, say what is wrong with it or what it means, and end
     Check {
         /// The configuration file
@@ -49,6 +49,27 @@
     },
 }
 
+/// How to serve.
+#[derive(Args, Debug, Default)]
+pub struct Serve {
+    /// The files.
+    #[command(flatten)]
+    pub files: Files,
+    /// The form of the log on standard error: lines for people, or a JSON object a line
+    #[arg(long, value_enum, value_name = "FORMAT", default_value_t)]
+    pub log_format: LogFormat,
+}
+
+/// The form of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
 /// Which files.
 #[derive(Args, Debug, Default)]
 pub struct Files {
--- a/crates/fennelbeam/src/main.rs
+++ b/crates/fennelbeam/src/main.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context as _, Result};
 use clap::Parser;
-use command::{Command, CommandLine, Files};
+use command::{Command, CommandLine, Files, LogFormat, Serve};
 use fennelbeam_env::Real;
 use fennelbeam_gateway::{Config, Signal, Site, MIN_SOCKETS};
 use fennelbeam_quota::bound::{beyond, Failure, Quota};
@@ -27,8 +27,8 @@
 
 fn main() -> ExitCode {
     let done = match CommandLine::parse().command {
-        None => serve(Files::default()),
-        Some(Command::Serve(files)) => serve(files),
+        None => serve(Serve::default()),
+        Some(Command::Serve(how)) => serve(how),
         Some(Command::Check { config }) => check(&config),
         Some(Command::Rehearse { words }) => rehearse(words),
         Some(Command::Completions { shell }) => completions::print(shell),
@@ -47,8 +47,12 @@
     }
 }
 
-fn serve(files: Files) -> Result<()> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
+fn serve(Serve { files, log_format }: Serve) -> Result<()> {
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    match log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(files))
 }
--- a/crates/fennelbeam/tests/example.rs
+++ b/crates/fennelbeam/tests/example.rs
@@ -35,11 +35,17 @@
 }
 
 impl Serving {
-    fn start(document: &Value) -> Serving {
-        let file = std::env::temp_dir().join(format!("fennelbeam-example-{}.json", std::process::id()));
+    fn start(document: &Value, words: &[&str]) -> Serving {
+        let name = format!("fennelbeam-example-{}{}.json", std::process::id(), words.len());
+        let file = std::env::temp_dir().join(name);
         std::fs::write(&file, document.to_string()).unwrap();
         let mut serve = fennelbeam();
-        serve.args(["serve", "--config"]).arg(&file).env_remove("ROUTER_CONFIG").stderr(Stdio::piped());
+        serve
+            .args(["serve", "--config"])
+            .arg(&file)
+            .args(words)
+            .env_remove("ROUTER_CONFIG")
+            .stderr(Stdio::piped());
         let mut child = serve.spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap()).lines();
         Serving { child, log, file }
@@ -129,7 +135,7 @@
         entry["hostPort"] = json!(addr.to_string());
     }
 
-    let mut gateway = Serving::start(&document);
+    let mut gateway = Serving::start(&document, &[]);
     let mut client = Caller::connect(gateway.address());
     client.until_ready();
     let list = "c=unit-order,t=premium,d=2500,units=2,spread=3,first=0";
@@ -155,3 +161,20 @@
         assert!(README.contains(&format!("| `{key}` | ")), "{key} is not explained");
     }
 }
+
+#[test]
+fn a_log_in_json_has_the_fields_that_its_page_names() {
+    let mut document = example();
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    document["listen"] = free.to_string().into();
+    document["discovery"] = NOWHERE.into();
+    let mut serving = Serving::start(&document, &["--log-format", "json"]);
+    let lines = serving.log.by_ref().map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap());
+    let mut lines = lines.filter(|line| line["message"].as_str().unwrap().contains("listens on"));
+    let line = lines.next().expect("it ended before it listened");
+    let fields: Vec<&String> = line.as_object().unwrap().keys().collect();
+    assert_eq!(fields, ["level", "message", "target", "timestamp"]);
+    let page = include_str!("../../../docs/logging.md");
+    assert!(fields.iter().all(|field| page.contains(&format!("| `{field}` |"))));
+    assert_eq!(line["level"], "INFO");
+}
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -42,8 +42,8 @@
 impl Feed {
     /// What a warm host was seen to answer here is no more than it can do. Where too few were warm there is
     /// credit: an answer brings it back at once, for a host can do what it has done; else time does, at
-    /// `COLD_OUT` in the longest aim from all gateways: a core that is cold does one, or its site serves nobody,
-    /// and a host falls at three times as much.
+    /// `COLD_OUT` in the longest aim from all gateways: a core that is cold does one, or its site serves
+    /// nobody, and a host falls at three times as much.
     pub fn new(now: Time, pace: &Pace, fleet: &Fleet, s: &Settings) -> Feed {
         let warm = pace.warm + fleet.warm() as f64 * seconds(pace.warmed, now);
         let answers = pace.answers / warm.max(STEP as f64 / SECOND);
