Refuse what cannot be sent in time as it comes, orders and dear plans last

Need: under more load than the hosts carry, each request waited for half of its aim and was refused then.

Classes worth more stand before it, and a plan that pays less is let wait behind somewhat fewer. What waits already stays.

--- a/crates/policy/src/counting.rs
+++ b/crates/policy/src/counting.rs
@@ -8,13 +8,38 @@
 use crate::pace::{Due, SECOND};
 use crate::policy::Policy;
 use crate::quotas::CALL_ODDS;
-use fennelbeam_quota::{Contact, Late, Pulse};
+use fennelbeam_quota::{Contact, CounterReport, Late, Pulse};
 
 const CROWDED: f64 = 0.4; // a counter's answer that takes this share of the time-out: it has no room left
 pub(crate) const BEAT: Span = 5_000_000_000; // between a gateway's calls to the count that tells how long counts go back
 const LOOKED_THROUGH: usize = 64; // customers looked through in a step for what a new counter forgot
 
 impl Policy {
+    /// What the shared counter looks like from here, and what rests on this gateway's word.
+    pub fn counter_report(&self, now: Time) -> CounterReport {
+        Some(&self.contact).filter(|_| self.quotas).map_or_else(Default::default, |c| c.report(now))
+    }
+
+    /// Counts from here on what rests on this gateway's word.
+    pub fn forget_lent(&mut self) {
+        self.contact.forget_lent();
+    }
+
+    /// Records held: requests, customers, hosts and calls that are out.
+    pub fn size(&self) -> usize {
+        self.requests.len() + self.customers.len() + self.fleet.len() + self.names.len()
+    }
+
+    /// Bytes that the customers known take, as they are reckoned.
+    pub fn customer_bytes(&self) -> usize {
+        self.customers.bytes()
+    }
+
+    /// Records looked at since the start: what an event costs, in units that are the same on each machine.
+    pub fn work(&self) -> u64 {
+        self.work
+    }
+
     pub(crate) fn on_counted(
         &mut self,
         now: Time,
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -1,5 +1,5 @@
-//! What is known of one host: its entry, how quick it is against its peers, what it did lately, and how far it
-//! has warmed up.
+//! What is known of one host: its entry, how quick it is against its peers, what it did lately, and how far
+//! it has warmed up.
 
 use crate::api::*;
 use crate::due::STEP;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,7 +17,7 @@
 use crate::pools::Pools;
 use crate::quotas::{CALL_ODDS, IN_VAIN};
 use crate::slots::PERIOD;
-use fennelbeam_quota::{Contact, CounterReport, Set};
+use fennelbeam_quota::{Contact, Set};
 use std::collections::HashMap;
 
 pub use crate::fuzzy::fuzzy;
@@ -185,31 +185,6 @@
         }
     }
 
-    /// What the shared counter looks like from here, and what rests on this gateway's word.
-    pub fn counter_report(&self, now: Time) -> CounterReport {
-        Some(&self.contact).filter(|_| self.quotas).map_or_else(Default::default, |c| c.report(now))
-    }
-
-    /// Counts from here on what rests on this gateway's word.
-    pub fn forget_lent(&mut self) {
-        self.contact.forget_lent();
-    }
-
-    /// Records held: requests, customers, hosts and calls that are out.
-    pub fn size(&self) -> usize {
-        self.requests.len() + self.customers.len() + self.fleet.len() + self.names.len()
-    }
-
-    /// Bytes that the customers known take, as they are reckoned.
-    pub fn customer_bytes(&self) -> usize {
-        self.customers.bytes()
-    }
-
-    /// Records looked at since the start: what an event costs, in units that are the same on each machine.
-    pub fn work(&self) -> u64 {
-        self.work
-    }
-
     fn on_request(&mut self, now: Time, request: Request) {
         let Request { id, class, plan, customer, patience, units, spread, first, route, arrived, .. } =
             request;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -14,6 +14,7 @@
 
 const ENOUGH_WAITS: f64 = 5.0; // waits that make a mean; with fewer, the error counts in proportion
 const SAVED: f64 = 2.0; // seconds for which a part below two slots is saved up
+const HOPE: f64 = 1.2; // so many times what the usual latency says may be done in time after all
 const REST: f64 = 0.15; // share of the slots that is the least-worth class's own, so it never starves
 
 impl Policy {
@@ -67,15 +68,29 @@
         let k = &mut self.classes[r.class];
         (r.stage, r.queued) = (Stage::Queued, now);
         k.hold(seconds(self.pace.met, now));
+        let (class, route, late) = (r.class, r.route, r.start_by(k.latency));
         if first {
-            k.queue.push_front(r.route, id);
+            k.queue.push_front(route, id);
+        } else if self.is_hopeless(id, late.saturating_sub(now)) {
+            return self.give_up(id);
         } else {
-            k.queue.push_back(r.route, id);
+            self.classes[class].queue.push_back(route, id);
         }
-        let late = r.start_by(k.latency);
         self.dues.put(late.max(now + 1), Due::Late(id));
     }
 
+    /// Whether more wait before it than all slots do in this time: to wait would be in vain. Of a plan that
+    /// pays less somewhat fewer may.
+    fn is_hopeless(&self, id: RequestId, time: Span) -> bool {
+        let Some(r) = self.requests.get(&id) else { return true };
+        let price = |plan: usize| self.s.plans[plan].price;
+        let top = (0..self.s.plans.len()).map(price).fold(1e-9, f64::max);
+        let part = self.customers.get(r.customer).map_or(1.0, |c| 0.5 + 0.5 * price(c.plan) / top);
+        let before = self.by_worth.iter().take_while(|c| **c != r.class).chain([&r.class]);
+        let ahead = before.map(|c| self.classes[*c].held).sum::<f64>() - 1.0;
+        ahead * self.classes[r.class].latency > HOPE * part * self.pace.total * seconds(0, time)
+    }
+
     /// A request that waited for a slot does not any more.
     pub(crate) fn unqueue(&mut self, class: usize, queued: Time) {
         let since = seconds(self.pace.met, queued);
--- a/crates/policy/tests/slots.rs
+++ b/crates/policy/tests/slots.rs
@@ -1,5 +1,6 @@
 //! The fuzzy table, reserves, and the order in which slots are given.
 mod common;
+use common::load::Load;
 use common::*;
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::policy::fuzzy;
@@ -158,3 +159,44 @@
     }
     assert!(sent <= 24, "a silent fleet is not sent one attempt after another: {sent}");
 }
+
+#[test]
+fn what_cannot_be_sent_in_time_is_refused_as_it_comes_and_orders_and_dear_plans_last() {
+    let mut settings = settings();
+    settings.gateways = 1;
+    let plan = Plan { rate: 1e5, burst: 1e5, ..settings.plans[0].clone() };
+    settings.plans = vec![Plan { price: 1.0, ..plan.clone() }, Plan { price: 2.0, ..plan }];
+    // Ten hosts have forty slots at the least, and an answer takes 20 ms: some hundreds go out in half of a read's aim.
+    let mut load = Load::with(settings, 10, 0);
+    load.cost(2_000, 10);
+    load.pass(100 * MS);
+    let (served, refused) = (load.served, load.refused);
+    let ask = |load: &mut Load, count: u64, class: usize, plan: usize| {
+        let before = load.refused;
+        for _ in 0..count {
+            load.next += 1;
+            let (id, customer) = (RequestId(load.next), CustomerId(100 + plan as u64));
+            let (patience, units) = (4_000 * MS, 1.0);
+            load.tell(Event::Request(Request {
+                id,
+                class,
+                plan,
+                customer,
+                patience,
+                units,
+                spread: 1,
+                ..Request::default()
+            }));
+        }
+        load.refused - before
+    };
+    assert_eq!(ask(&mut load, 500, 0, 0), 0, "as many as the slots take in time wait");
+    let all_at_once = ask(&mut load, 20_000, 0, 0);
+    assert!((10_000..20_000).contains(&all_at_once), "{all_at_once}");
+    assert_eq!(ask(&mut load, 100, 0, 0), 100);
+    assert_eq!(ask(&mut load, 100, 0, 1), 0, "a plan that pays more may wait a little longer");
+    assert_eq!(ask(&mut load, 100, 1, 0), 0, "before orders nobody waits");
+    load.pass(2_000 * MS);
+    assert!(load.served - served >= 600, "{}", load.served - served);
+    assert!(load.refused - refused < 20_500);
+}
