Tell of the gateway's own lag, stop a program by turns in the rig, pair with relay and floor

Need: a gateway with too little of a core looked as if hosts, counter and clients were all slow; the rig could not play that; and the ratio to a proxy that decides nothing was only to be had from runs far apart.

Change: the log tells at once, then ever more seldom, how old requests are when they are taken up, and when that is over. `--stop-ms` and `--go-ms` stop the program under test by turns. `compare` takes `relay:N` and `floor` for either side.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::counter::Counter;
 use crate::counter_log::{quotas, CounterLog, Line};
 use crate::hosts::{Finished, Hosts};
+use crate::lag::{Lag, Said};
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, News, Phase, ReplyTo};
 use crate::routing::Routing;
@@ -102,6 +103,7 @@
     counter_log: CounterLog,
     phase: watch::Sender<Phase>,
     unanswered: Unanswered,
+    lag: Lag,
 }
 
 impl<E: Env, D: Decisions> Gateway<E, D> {
@@ -136,6 +138,7 @@
             counter_log,
             phase,
             unanswered: Unanswered::default(),
+            lag: Lag::default(),
         };
         if !config.known.instances.is_empty() {
             gateway.set_timer(gateway.env.now() + KNOWN_WILL_DO, Timer::Ready);
@@ -220,6 +223,7 @@
 
     fn on_request(&mut self, incoming: Incoming) {
         let Incoming { at, mut request, call, reply } = incoming;
+        self.speak_of_lag(at);
         // Two requests of one id could not be told apart at a host.
         if !self.open.insert(call.client_id) {
             return reply.answer(Answer::Failed);
@@ -326,6 +330,19 @@
         }
     }
 
+    /// A request that came in then is taken up now.
+    fn speak_of_lag(&mut self, came: Time) {
+        match self.lag.took(self.env.now(), came) {
+            None => {}
+            Some(Said::Behind(lag)) => tracing::warn!(
+                lag_ms = lag / MS,
+                in_hand = self.requests.len(),
+                "too little of a core: requests wait before they are looked at"
+            ),
+            Some(Said::Over(span)) => tracing::info!(after_s = span / (1_000 * MS), "requests wait no more"),
+        }
+    }
+
     fn speak_of_counter(&mut self) {
         let now = self.env.now();
         if !self.counter_log.is_due(now) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod host_line;
 mod hosts;
+mod lag;
 mod lasting;
 mod membership;
 mod messages;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -64,10 +64,10 @@
     },
     /// Two programs in turn: the ratio of each pair, with its spread
     Compare {
-        /// The one program
-        a: PathBuf,
+        /// The one: a gateway's program, `relay:CONNECTIONS` or `floor`
+        a: Subject,
         /// The other
-        b: PathBuf,
+        b: Subject,
         #[command(flatten)]
         spec: Spec,
         /// Pairs
@@ -158,9 +158,7 @@
         }
         Command::Compare { a, b, spec, pairs } => {
             let cores = part_cores()?;
-            let run = |program: &Path| {
-                (spec.clone(), Subject::Gateway(program.to_owned()), Rig { cores, ..Rig::default() })
-            };
+            let run = |subject: &Subject| (spec.clone(), subject.clone(), Rig { cores, ..Rig::default() });
             let runs: Vec<_> = (0..pairs.clamp(1, 50)).flat_map(|_| [run(&a), run(&b)]).collect();
             let outcomes = all(&runs)?;
             let (a, b): (Vec<_>, Vec<_>) =
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -98,6 +98,20 @@
         bail!("the program was not ready within {} s", READY_WITHIN.as_secs())
     }
 
+    /// Stops it and lets it go on, by turns, until what is given back is dropped; it goes on then.
+    pub fn halt_by_turns(&self, stop: Duration, go: Duration) -> Halting {
+        let pid = self.pid;
+        Halting(tokio::spawn(async move {
+            loop {
+                let going = Going(pid);
+                let _ = kill_process(pid, Signal::STOP);
+                tokio::time::sleep(stop).await;
+                drop(going);
+                tokio::time::sleep(go).await;
+            }
+        }))
+    }
+
     /// Its number.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -122,6 +136,26 @@
     }
 }
 
+/// A program that is stopped by turns.
+pub struct Halting(tokio::task::JoinHandle<()>);
+
+impl Halting {
+    /// Waits until it is stopped no more.
+    pub async fn end(self) {
+        self.0.abort();
+        let _ = self.0.await;
+    }
+}
+
+/// However a turn ends, the program goes on after it.
+struct Going(Pid);
+
+impl Drop for Going {
+    fn drop(&mut self) {
+        let _ = kill_process(self.0, Signal::CONT);
+    }
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -22,6 +22,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::str::FromStr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,6 +44,22 @@
     Floor,
 }
 
+impl FromStr for Subject {
+    type Err = String;
+
+    /// `floor`, `relay:CONNECTIONS`, or the path of a gateway's program.
+    fn from_str(word: &str) -> Result<Subject, String> {
+        match (word, word.strip_prefix("relay:")) {
+            ("floor", _) => Ok(Subject::Floor),
+            (_, Some(connections)) => match connections.parse() {
+                Ok(connections @ 1..=64) => Ok(Subject::Relay(connections)),
+                _ => Err(format!("`{word}`: a relay has 1 to 64 connections a host, as in `relay:8`")),
+            },
+            (path, None) => Ok(Subject::Gateway(path.into())),
+        }
+    }
+}
+
 impl Subject {
     /// Its name in tables.
     pub fn name(&self) -> String {
@@ -233,9 +250,14 @@
     };
     let (before, marked, begun) = (program.usage()?, marks(&site), Instant::now());
     let tracer = if rig.calls { Some(calls::Tracer::start(program.id(), folder.path())?) } else { None };
+    let span = |ms| Duration::from_millis(ms);
+    let halting = (spec.stop_ms > 0).then(|| program.halt_by_turns(span(spec.stop_ms), span(spec.go_ms)));
     crowd.count(true);
     watch(&program, spec.length_s, progress, &subject.name(), &crowd).await?;
     crowd.count(false);
+    if let Some(halting) = halting {
+        halting.end().await;
+    }
     let (after, seconds) = (program.usage()?, begun.elapsed().as_secs_f64());
     let traced = tracer.map(calls::Tracer::end).transpose()?;
     let marked: Vec<u64> = marks(&site).iter().zip(marked).map(|(now, then)| now - then).collect();
--- a/crates/load/src/spec.rs
+++ b/crates/load/src/spec.rs
@@ -87,6 +87,13 @@
     /// What the gateway is told of its descriptors
     #[arg(long, default_value_t = 1024)]
     pub sockets: u32,
+    /// The program is stopped for so many milliseconds at a time while it counts, as by a machine that gives it a part
+    /// of a core
+    #[arg(long, default_value_t = 0)]
+    pub stop_ms: u64,
+    /// And goes on for so many
+    #[arg(long, default_value_t = 100)]
+    pub go_ms: u64,
     /// Seconds before anything counts
     #[arg(long, default_value_t = 2.0)]
     pub warm_s: f64,
@@ -123,6 +130,8 @@
             (!(0.0..=MOST_SECONDS).contains(&self.warm_s), "--warm-s is up to 900"),
             (!(0.1..=MOST_SECONDS).contains(&self.length_s), "--length-s is from 0.1 to 900"),
             (self.retries > 10, "--retries is up to 10"),
+            (self.stop_ms > 5_000, "--stop-ms is up to 5,000"),
+            (!(10..=60_000).contains(&self.go_ms), "--go-ms is from 10 to 60,000"),
         ];
         checks.iter().find(|(is_wrong, _)| *is_wrong).map_or(Ok(()), |(_, why)| Err((*why).to_owned()))
     }
@@ -170,6 +179,8 @@
             (Spec { length_s: 1e9, ..usual() }, "--length-s"),
             (Spec { value: 15, ..usual() }, "--value"),
             (Spec { rate: 10.0, pipeline: 2, ..usual() }, "--pipeline"),
+            (Spec { stop_ms: 5_001, ..usual() }, "--stop-ms"),
+            (Spec { go_ms: 0, ..usual() }, "--go-ms"),
         ];
         for (spec, word) in broken {
             let why = spec.check().unwrap_err();
--- a/crates/load/tests/rig.rs
+++ b/crates/load/tests/rig.rs
@@ -56,6 +56,14 @@
     assert!(outcome["latency"]["max_ms"].as_f64().unwrap() > 300.0, "{outcome:#}");
 }
 
+#[test]
+fn a_program_that_is_stopped_by_turns_answers_late() {
+    let words = ["--relay", "1", "--rate", "30", "--hosts", "2", "--service-ms", "1"];
+    let outcome = run(&[&words[..], &["--stop-ms", "200", "--go-ms", "50"]].concat());
+    assert!(outcome["latency"]["max_ms"].as_f64().unwrap() > 150.0, "{outcome:#}");
+    assert_eq!(count(&outcome, "all", "lost"), 0, "{outcome:#}");
+}
+
 #[test]
 fn wrong_words_have_a_status_and_a_line_of_their_own() {
     let cases = [
@@ -63,6 +71,7 @@
         (&["run", "--gateway", "/nowhere/at/all"], 1, "cannot start"),
         (&["sweep"], 1, "a sweep needs --cores"),
         (&["walk"], 2, "unrecognized subcommand"),
+        (&["compare", "relay:0", "floor"], 2, "1 to 64 connections a host"),
     ];
     for (words, status, reason) in cases {
         let output = rig(words);
