--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -344,6 +344,7 @@
         self.drains.received(id, (gateway, up), host, first_byte, &mut self.log);
         self.cold.received(now, host, (gateway, up), first_byte, work);
         self.figures.received(host);
+        self.worth.received(request.thing);
         if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
             self.ceilings.sent(now, request.customer, request.plan, request.units, &mut self.log);
             let sent = self.quotas.sent(now, request);
@@ -369,6 +370,7 @@
             return false;
         }
         self.figures.dealt(host, dealt);
+        self.worth.dealt(request.thing, dealt);
         if let (Dealt::Served, Some(units)) = (dealt, units) {
             if let Some((more, let_in)) = self.worth.settle(request.thing, units) {
                 self.quotas.settle_thing(now, request.customer, more, let_in);
@@ -427,6 +429,7 @@
             worth_worst_10s: shares.worst_10s,
             worth_worst_plan: shares.worst_plan,
             worth: shares.figure,
+            causes: self.worth.causes(),
             classes: self.classes(classes),
             plans: self.plans(plans, &shares.plans),
             hosts: self.figures.hosts(),
--- a/crates/judge/src/verdict.rs
+++ b/crates/judge/src/verdict.rs
@@ -20,6 +20,44 @@
     NoCrash,
 }
 
+/// Why worth was lost, as far as the wires tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// Refused or failed, never having come to a host, though its customer's quota had room.
+    Unsent,
+    /// Refused beyond its customer's quota, where that would have been worth something.
+    BeyondQuota,
+    /// All of its attempts were turned away by hosts, or ended there before they ran.
+    TurnedAway,
+    /// An attempt ran and no gateway got its answer, or a spoilt one: no further one was made, or none in time.
+    Unheard,
+    /// It was still at a host when its client's time was over.
+    InWork,
+    /// Answered after its aim, at the first attempt.
+    Late,
+    /// Answered after its aim, after more than one attempt.
+    LateAgain,
+    /// Its client went away, or its connection to the gateway broke.
+    Gone,
+    /// What it costs to send beyond a quota, less what was earned by letting in where one gateway would not have.
+    Overrun,
+    /// What it costs to hold a request for long and never send it.
+    Held,
+}
+
+/// Worth lost for one cause.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct CauseFigures {
+    /// Which.
+    pub cause: Cause,
+    /// Things asked for that it concerns.
+    pub things: u64,
+    /// Of the worth asked for inside the quotas; below 0 where more was earned. All causes add up to what is missing
+    /// from 1.
+    pub share: f64,
+}
+
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Breach {
@@ -175,6 +213,8 @@
     pub worth_worst_plan: f64,
     /// The site's figure: 55 % the whole, 20 % the worst 10 s, 25 % the worst plan.
     pub worth: f64,
+    /// Why the rest of the worth was lost, the greatest part first.
+    pub causes: Vec<CauseFigures>,
     /// By class.
     pub classes: Vec<ClassFigures>,
     /// By plan.
--- a/crates/judge/src/worth.rs
+++ b/crates/judge/src/worth.rs
@@ -4,9 +4,11 @@
 //! its class times its plan's price times its units: the true ones where an answer told them, else those that it
 //! names.
 
-use crate::Counts;
+use crate::{Cause, CauseFigures, Counts};
 use fennelbeam_model::scenario::{ClassSpec, PlanSpec, Site};
+use fennelbeam_model::seen::Dealt;
 use fennelbeam_model::{Time, SECOND};
+use std::collections::BTreeMap;
 
 /// Weights of the whole run, the worst 10 s and the worst plan.
 const WEIGHTS: [f64; 3] = [0.55, 0.20, 0.25];
@@ -54,6 +56,10 @@
     /// Tries sent on beyond the quota, and tries held for too long.
     beyond: u16,
     held: u16,
+    /// Attempts that came whole to hosts, those that ended there, and whether any ran without a good answer.
+    attempts: u16,
+    ended: u16,
+    unheard: bool,
 }
 
 /// All things asked for, in the order of their first tries.
@@ -123,6 +129,9 @@
             outcome: Outcome::Open,
             beyond: 0,
             held: 0,
+            attempts: 0,
+            ended: 0,
+            unheard: false,
         });
         self.things.len() - 1
     }
@@ -143,6 +152,19 @@
         Some((more, thing.let_in))
     }
 
+    /// An attempt came whole to a host.
+    pub(crate) fn received(&mut self, thing: usize) {
+        let attempts = &mut self.things[thing].attempts;
+        *attempts = attempts.saturating_add(1);
+    }
+
+    /// An attempt has ended there.
+    pub(crate) fn dealt(&mut self, thing: usize, dealt: Dealt) {
+        let thing = &mut self.things[thing];
+        thing.ended = thing.ended.saturating_add(1);
+        thing.unheard |= matches!(dealt, Dealt::Failed | Dealt::Unheard);
+    }
+
     /// A try was sent on beyond the quota.
     pub(crate) fn sent_beyond(&mut self, thing: usize) {
         let beyond = &mut self.things[thing].beyond;
@@ -190,6 +212,46 @@
         Sum { offered: worth * extra(thing.let_in), earned: worth * (served - costs) }
     }
 
+    /// Why a thing earned less than it might have.
+    fn cause(&self, thing: &Thing) -> Cause {
+        match (&thing.served, thing.outcome) {
+            (Some(_), _) if self.in_time(thing) >= 1.0 => Cause::Overrun,
+            (Some(_), _) if thing.attempts > 1 => Cause::LateAgain,
+            (Some(_), _) => Cause::Late,
+            (None, Outcome::Left) if thing.attempts == 0 => Cause::Gone,
+            (None, _) if thing.unheard => Cause::Unheard,
+            (None, _) if thing.attempts > thing.ended => Cause::InWork,
+            (None, _) if thing.attempts > 0 => Cause::TurnedAway,
+            (None, Outcome::Refused) if !thing.let_in => Cause::BeyondQuota,
+            (None, Outcome::Refused) => Cause::Unsent,
+            (None, _) => Cause::Gone,
+        }
+    }
+
+    /// Worth lost by cause, the greatest part first; it adds up to what is missing from the whole.
+    pub(crate) fn causes(&self) -> Vec<CauseFigures> {
+        let mut offered = 0.0;
+        let mut sums: BTreeMap<Cause, (u64, f64)> = BTreeMap::new();
+        for thing in &self.things {
+            let (sum, worth) = (self.whole(thing), self.worth(thing));
+            offered += sum.offered;
+            let overrun = worth * f64::from(thing.beyond) * self.plans[thing.plan].overrun_cost;
+            let held = worth * f64::from(thing.held) * HELD_COST;
+            let rest = sum.offered - sum.earned - overrun - held;
+            for (cause, lost) in [(self.cause(thing), rest), (Cause::Overrun, overrun), (Cause::Held, held)] {
+                if lost != 0.0 {
+                    let (things, all) = sums.entry(cause).or_default();
+                    (*things, *all) = (*things + 1, *all + lost);
+                }
+            }
+        }
+        let part =
+            |(cause, (things, lost))| CauseFigures { cause, things, share: lost / f64::max(offered, 1e-9) };
+        let mut causes: Vec<CauseFigures> = sums.into_iter().map(part).collect();
+        causes.sort_by(|a, b| b.share.total_cmp(&a.share));
+        causes
+    }
+
     fn inside(&self, thing: &Thing) -> Sum {
         let worth = self.worth(thing);
         let offered = if thing.let_in { worth } else { 0.0 };
--- a/crates/model/src/agent.rs
+++ b/crates/model/src/agent.rs
@@ -164,6 +164,15 @@
         silences.map(|active| active.until).max()
     }
 
+    /// When a watch opened then is reset, as things are.
+    pub fn cut_at(&self, now: Time, opened: Time) -> Option<Time> {
+        let cut = |active: &Active| match active.fault {
+            DiscoveryFault::Cut(every) => Some(opened.saturating_add(every)),
+            _ => None,
+        };
+        self.active(now).filter_map(cut).min()
+    }
+
     /// When an agent hears of something next, if it does.
     pub fn next_due(&self, now: Time, agent: u32) -> Option<Time> {
         let due = self.agents[agent as usize].waiting.front()?.due;
--- a/crates/model/src/file/events.rs
+++ b/crates/model/src/file/events.rs
@@ -4,13 +4,13 @@
 use super::figure::{number_text, share_text, span_text};
 use super::line::{Bounds, Line};
 use super::{MOST_GATEWAYS, MOST_HOSTS, MOST_LENGTH, MOST_NUMBERS};
-use crate::scenario::{CounterFault, DiscoveryFault, Event, Side, Which};
+use crate::scenario::{CounterFault, DiscoveryFault, Event, Mishap, Side, Which};
 use crate::{Span, MS};
 use std::fmt;
 
 /// The words that events begin with. The one without a verb begins with its share: `10 % of the clients leave
 /// early for 10 s`.
-pub const VERBS: [&str; 14] = [
+pub const VERBS: [&str; 17] = [
     "kill",
     "restart",
     "reload",
@@ -23,6 +23,9 @@
     "heavy",
     "garble",
     "cut",
+    "reset",
+    "stale",
+    "swallow",
     "counter",
     "discovery",
 ];
@@ -112,6 +115,9 @@
             "heavy" => self.heavy(),
             "garble" => self.garble(),
             "cut" => self.cut(),
+            "reset" => self.mishap(Mishap::Reset),
+            "swallow" => self.mishap(Mishap::Swallowed),
+            "stale" => self.stale(),
             "counter" => self.counter(),
             _ => self.discovery(),
         }
@@ -192,6 +198,24 @@
         })
     }
 
+    /// `3 % of requests at all hosts for 20 s`.
+    fn mishap(&mut self, mishap: Mishap) -> Parsed<Event> {
+        let share = self.line.share("share", SHARE)?;
+        for word in ["of", "requests", "at"] {
+            self.line.require(word)?;
+        }
+        Ok(Event::Mishaps(mishap, share, self.only(Machines::Hosts)?, self.lasting()?))
+    }
+
+    /// `connections after 300 ms at all hosts for 20 s`.
+    fn stale(&mut self) -> Parsed<Event> {
+        self.line.require("connections")?;
+        self.line.require("after")?;
+        let after = self.line.span("after", WITHIN)?;
+        self.line.require("at")?;
+        Ok(Event::Stale(after, self.only(Machines::Hosts)?, self.lasting()?))
+    }
+
     fn cut(&mut self) -> Parsed<Event> {
         let one = self.side()?;
         self.line.require("from")?;
@@ -257,7 +281,7 @@
     }
 
     fn discovery(&mut self) -> Parsed<Event> {
-        let faults = ["silent", "late", "repeats", "reordered"];
+        let faults = ["silent", "late", "repeats", "reordered", "cut"];
         let fault = match self.line.one_of("discovery fault", &faults)? {
             "silent" => DiscoveryFault::Silent,
             "late" => {
@@ -265,6 +289,10 @@
                 DiscoveryFault::Late(self.line.span("late by", LASTING)?)
             }
             "repeats" => DiscoveryFault::Repeats,
+            "cut" => {
+                self.line.require("every")?;
+                DiscoveryFault::Cut(self.line.span("every", LASTING)?)
+            }
             _ => DiscoveryFault::Reordered,
         };
         Ok(Event::Discovery(fault, self.lasting()?))
@@ -363,6 +391,9 @@
         | Event::KillHosts(which, _)
         | Event::RestartHosts(which)
         | Event::ReplaceHosts(which, _) => named_machines(which, Named::Host, Named::Hosts),
+        Event::Mishaps(_, _, which, _) | Event::Stale(_, which, _) => {
+            named_machines(which, Named::Host, Named::Hosts)
+        }
         Event::Heavy(class, ..) => vec![Named::Class(class)],
         Event::Cut(one, other, ..) => [one, other].into_iter().filter_map(named_side).collect(),
         Event::Counter(CounterFault::Split(groups), _) => {
@@ -437,6 +468,18 @@
             Event::GarbleHosts(share, span) => {
                 write!(f, "garble {} of the hosts' answers for {}", share_text(*share), span_text(*span))
             }
+            Event::Mishaps(mishap, share, which, span) => {
+                let verb = match mishap {
+                    Mishap::Swallowed => "swallow",
+                    Mishap::Reset => "reset",
+                };
+                let (share, span) = (share_text(*share), span_text(*span));
+                write!(f, "{verb} {share} of requests at {} for {span}", hosts(which))
+            }
+            Event::Stale(after, which, span) => {
+                let (after, span) = (span_text(*after), span_text(*span));
+                write!(f, "stale connections after {after} at {} for {span}", hosts(which))
+            }
             Event::GarbleCounter(share, span) => {
                 write!(f, "garble {} of the counter's answers for {}", share_text(*share), span_text(*span))
             }
@@ -514,5 +557,6 @@
         DiscoveryFault::Late(by) => format!("late by {}", span_text(*by)),
         DiscoveryFault::Repeats => "repeats".into(),
         DiscoveryFault::Reordered => "reordered".into(),
+        DiscoveryFault::Cut(every) => format!("cut every {}", span_text(*every)),
     }
 }
--- a/crates/model/src/file/shipped.rs
+++ b/crates/model/src/file/shipped.rs
@@ -9,6 +9,10 @@
     ("slow-nodes", include_str!("../../../../scenarios/slow-nodes.scenario")),
     ("counter-lost", include_str!("../../../../scenarios/counter-lost.scenario")),
     ("garbled-answers", include_str!("../../../../scenarios/garbled-answers.scenario")),
+    ("stale-connections", include_str!("../../../../scenarios/stale-connections.scenario")),
+    ("resets", include_str!("../../../../scenarios/resets.scenario")),
+    ("deaf-hosts", include_str!("../../../../scenarios/deaf-hosts.scenario")),
+    ("discovery-cut", include_str!("../../../../scenarios/discovery-cut.scenario")),
     ("planned-restarts", include_str!("../../../../scenarios/planned-restarts.scenario")),
 ];
 
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -315,6 +315,17 @@
     Repeats,
     /// Changes are told in another order than they came in.
     Reordered,
+    /// Watches are reset each time so long has passed.
+    Cut(Span),
+}
+
+/// What a host does to a request, without a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mishap {
+    /// It takes it in and never answers.
+    Swallowed,
+    /// Its connection is reset: before it runs, when it has run, or within its answer, as chance has it.
+    Reset,
 }
 
 /// What happens.
@@ -346,6 +357,11 @@
     Heavy(String, f64, f64, Span),
     /// This share of hosts' answers comes spoilt for a while.
     GarbleHosts(f64, Span),
+    /// This happens to a share of the requests at hosts for a while.
+    Mishaps(Mishap, f64, Which, Span),
+    /// Connections to hosts that have stood idle for longer are dead, and nobody tells, for a while: what is written
+    /// to one is lost, and then it is reset.
+    Stale(Span, Which, Span),
     /// This share of the counter's answers comes spoilt for a while.
     GarbleCounter(f64, Span),
     /// Nothing passes between two sides for a while; true: connections are reset, else silence.
--- a/crates/model/tests/file.rs
+++ b/crates/model/tests/file.rs
@@ -198,6 +198,10 @@
         at 1 s: discovery late by 3 s for 10 s\n\
         at 1 s: discovery repeats for 1 s\n\
         at 1 s: discovery reordered for 1 s\n\
+        at 1 s: discovery cut every 700 ms for 5 s\n\
+        at 1 s: swallow 3.7 % of requests at all hosts for 20 s\n\
+        at 1 s: reset 5 % of requests at hosts 1 and 2 for 20 s\n\
+        at 1 s: stale connections after 300 ms at 2 hosts for 20 s\n\
         at 1 s: 10 % of the clients leave early for 10 s";
     use Event::*;
     let wanted = vec![
@@ -236,6 +240,10 @@
         Discovery(DiscoveryFault::Late(3 * SECOND), 10 * SECOND),
         Discovery(DiscoveryFault::Repeats, SECOND),
         Discovery(DiscoveryFault::Reordered, SECOND),
+        Discovery(DiscoveryFault::Cut(700 * MS), 5 * SECOND),
+        Mishaps(Mishap::Swallowed, 0.037, Which::All, 20 * SECOND),
+        Mishaps(Mishap::Reset, 0.05, Which::These(vec![1, 2]), 20 * SECOND),
+        Stale(300 * MS, Which::Count(2), 20 * SECOND),
         Impatient(0.1, 10 * SECOND),
     ];
     let read = events(lines);
@@ -511,6 +519,10 @@
         "slow-nodes",
         "counter-lost",
         "garbled-answers",
+        "stale-connections",
+        "resets",
+        "deaf-hosts",
+        "discovery-cut",
         "planned-restarts",
     ];
     assert_eq!(names, wanted);
@@ -775,7 +787,7 @@
     let (gateways, hosts) = (which(rng, site.gateways), which(rng, site.hosts));
     let (lasts, times, part) = (lasting(rng), number(rng, 1.0, 1000.0), some_share(rng));
     let back = rng.chance(0.5).then_some(lasts);
-    match rng.below(18) {
+    match rng.below(21) {
         0 => Event::KillGateways(gateways, back),
         1 => Event::RestartGateways(gateways),
         2 => Event::ReloadGateways(gateways),
@@ -793,10 +805,15 @@
         13 => Event::GarbleCounter(part, lasts),
         14 => random_cut(rng, site),
         15 => random_counter_fault(rng, site.gateways),
+        17 => Event::Mishaps(Mishap::Swallowed, part, hosts, lasts),
+        18 => Event::Mishaps(Mishap::Reset, part, hosts, lasts),
+        19 => Event::Stale(lasts, hosts, lasting(rng)),
         16 => {
             let late = DiscoveryFault::Late(lasting(rng));
-            let faults = [DiscoveryFault::Silent, late, DiscoveryFault::Repeats, DiscoveryFault::Reordered];
-            Event::Discovery(faults[rng.below(4) as usize].clone(), lasts)
+            let cut = DiscoveryFault::Cut(lasting(rng));
+            let faults =
+                [DiscoveryFault::Silent, late, DiscoveryFault::Repeats, DiscoveryFault::Reordered, cut];
+            Event::Discovery(faults[rng.below(5) as usize].clone(), lasts)
         }
         _ => Event::Impatient(part, lasts),
     }
--- a/crates/model/tests/page.rs
+++ b/crates/model/tests/page.rs
@@ -33,7 +33,7 @@
     let read =
         parse("page", &format!("scenario \"events\"\n{examples}")).unwrap_or_else(|error| panic!("{error}"));
     let faults = ["lost", "silent", "mute", "slow", "split", "fresh", "flapping", "full"];
-    let news = ["silent", "late", "repeats", "reordered"];
+    let news = ["silent", "late", "repeats", "reordered", "cut"];
     let counter = faults.map(|fault| format!("counter {fault}"));
     let discovery = news.map(|fault| format!("discovery {fault}"));
     let plain =
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -208,6 +208,16 @@
                 self.site.weather.garble = Some((share, now + span));
                 self.on_all_hosts(|host| host.garble(share, now + span));
             }
+            Event::Mishaps(mishap, share, which, span) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.on_host(host, |host| host.mishaps(mishap, share, now + span));
+                }
+            }
+            Event::Stale(after, which, span) => {
+                for host in self.hosts(&which, &mut rng) {
+                    self.on_host(host, |host| host.stale(after, now + span));
+                }
+            }
             Event::GarbleCounter(share, span) => self.site.counter.garble(share, span),
             Event::Cut(a, b, span, reset) => self.cut(now, &a, &b, span, reset),
             Event::Counter(fault, span) => self.site.counter.fail(fault, span),
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -4,6 +4,7 @@
 //! per gateway, before the same stand-ins. A judge looks at what passes on the wires.
 
 mod director;
+mod explain;
 mod play;
 mod real;
 mod site;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -46,6 +46,9 @@
     /// Write a line for everything that arrives on any wire
     #[arg(long, value_name = "FILE")]
     trace: Option<PathBuf>,
+    /// Tell the way of this request through the site (its id as the gateways' log names it), instead of the table
+    #[arg(long, value_name = "REQUEST", value_parser = id, conflicts_with_all = ["real", "swarm", "digest"])]
+    explain: Option<u64>,
     /// Write what the judge found as JSON
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -95,6 +98,11 @@
     }
 }
 
+/// 16 hex digits, or fewer.
+fn id(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| "an id is up to 16 hex digits".into())
+}
+
 /// Whether all rules were kept.
 fn run(line: &CommandLine) -> Result<bool> {
     if line.list {
@@ -154,7 +162,12 @@
     let trace = line.trace.as_ref().map(|path| tracer(path)).transpose()?;
     let mut meter = Meter::new();
     let mut told = |now: Progress| meter.tell(now);
-    let options = VirtualOptions { trace, progress: Some(&mut told), ..VirtualOptions::default() };
+    let options = VirtualOptions {
+        trace,
+        progress: Some(&mut told),
+        explain: line.explain,
+        ..VirtualOptions::default()
+    };
     let played = play_virtual(scenario, seed, options);
     meter.end();
     played
@@ -205,6 +218,13 @@
         println!("{}", heading.digest.as_deref().unwrap_or("-"));
         return Ok(());
     }
+    if let Some(request) = line.explain {
+        if played.explained.is_empty() {
+            bail!("no request {request:016x} was seen");
+        }
+        played.explained.iter().for_each(|line| println!("{line}"));
+        return Ok(());
+    }
     print!("{}", table(&played.verdict, heading));
     for trouble in &played.troubles {
         println!("{trouble}");
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -1,6 +1,7 @@
 //! A scenario from its first request to its last answer.
 
 use crate::director::Director;
+use crate::explain::Explain;
 use crate::real::RealStage;
 use crate::site::{SiteOf, HEAD_START};
 use crate::stage::{lock, Post, Stage};
@@ -60,6 +61,8 @@
     pub gateway_cpu_s: Option<f64>,
     /// Tries that came to gateways.
     pub tries: u64,
+    /// The way of the request that was to be explained, a line for each thing seen.
+    pub explained: Vec<String>,
 }
 
 /// How to play in virtual time.
@@ -74,6 +77,8 @@
     pub gateway: Option<GatewayMaker>,
     /// What the operators' files of the real gateways say.
     pub operators: Operators,
+    /// The request whose way is to be told.
+    pub explain: Option<u64>,
     /// One turn of a simulated task may take this long on the machine's own clock. Longer, and the program
     /// ends with status 3 and a message: nothing else can be done about such a task.
     pub stuck: Duration,
@@ -87,6 +92,7 @@
             progress: None,
             gateway: None,
             operators: Operators::default(),
+            explain: None,
             stuck: STUCK,
         }
     }
@@ -111,10 +117,11 @@
     offered: u64,
     served: u64,
     told_s: u64,
+    explain: Option<Explain>,
 }
 
 impl Bench {
-    fn new(scenario: &Scenario, start: Time) -> Bench {
+    fn new(scenario: &Scenario, start: Time, explain: Option<u64>) -> Bench {
         Bench {
             recorder: Recorder::default(),
             judge: Judge::new(&scenario.site, &scenario.traffic, start),
@@ -123,6 +130,7 @@
             offered: 0,
             served: 0,
             told_s: 0,
+            explain: explain.map(|request| Explain::new(request, &scenario.site, start)),
         }
     }
 
@@ -135,6 +143,7 @@
                 _ => {}
             }
             self.judge.see(&seen);
+            self.explain.iter_mut().for_each(|explain| explain.see(&seen));
         }
         !self.judge.breaches().is_empty()
     }
@@ -152,9 +161,10 @@
     }
 
     /// All breaches of a run that ended early are in the verdict, too.
-    fn finish(mut self, now: Time) -> (Verdict, u64) {
+    fn finish(mut self, now: Time) -> (Verdict, u64, Vec<String>) {
         self.judge();
-        (self.judge.finish(now), self.offered)
+        let explained = self.explain.map_or_else(Vec::new, Explain::lines);
+        (self.judge.finish(now), self.offered, explained)
     }
 }
 
@@ -170,7 +180,7 @@
 /// Where the site cannot be put up, or a process panics or spins: the message names it.
 pub fn play_virtual(scenario: &Scenario, seed: u64, mut options: VirtualOptions<'_>) -> Result<Played> {
     let start = EPOCH + HEAD_START;
-    let mut bench = Bench::new(scenario, start);
+    let mut bench = Bench::new(scenario, start, options.explain);
     let stage = VirtualStage::new(&scenario.site, seed, EPOCH)
         .with_gateway(options.gateway.take())
         .with_operators(std::mem::take(&mut options.operators));
@@ -216,8 +226,9 @@
     if let Some(halt) = halted {
         return Err(Halt::into(halt));
     }
-    let (verdict, tries) = bench.finish(sim.now());
-    Ok(Played { verdict, digest: Some(sim.digest()), troubles, gateway_cpu_s: None, tries })
+    let (verdict, tries, explained) = bench.finish(sim.now());
+    let digest = Some(sim.digest());
+    Ok(Played { verdict, digest, troubles, gateway_cpu_s: None, tries, explained })
 }
 
 /// Plays a scenario on real sockets and in real time.
@@ -239,7 +250,7 @@
     let stage = RealStage::new(&scenario.site, &options.program, options.logs)?;
     let env = stage.env();
     let start = env.now() + HEAD_START;
-    let mut bench = Bench::new(scenario, start);
+    let mut bench = Bench::new(scenario, start, None);
     let site = SiteOf::put_up(scenario.clone(), seed, stage, start, bench.recorder.clone())?;
     let done = Arc::new(AtomicBool::new(false));
     site.watch_clients(&done);
@@ -253,9 +264,9 @@
         bench.tell(env.now(), &mut options.progress);
     }
     let cpu = director.site.stage.cpu_s();
-    let (verdict, tries) = bench.finish(env.now());
+    let (verdict, tries, explained) = bench.finish(env.now());
     let troubles = std::mem::take(&mut director.troubles);
-    Ok(Played { verdict, digest: None, troubles, gateway_cpu_s: Some(cpu), tries })
+    Ok(Played { verdict, digest: None, troubles, gateway_cpu_s: Some(cpu), tries, explained })
 }
 
 impl Director<RealStage> {
--- a/crates/rehearse/src/swarm.rs
+++ b/crates/rehearse/src/swarm.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use fennelbeam_judge::Rule;
 use fennelbeam_model::rng::Rng;
-use fennelbeam_model::scenario::{CounterFault, DiscoveryFault, Event, Scenario, Side, Timed, Which};
+use fennelbeam_model::scenario::{CounterFault, DiscoveryFault, Event, Mishap, Scenario, Side, Timed, Which};
 use fennelbeam_model::{Span, MS, SECOND};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -236,7 +236,7 @@
 
 fn event(rng: &mut Rng, scenario: &Scenario) -> Event {
     let site = &scenario.site;
-    match rng.below(21) {
+    match rng.below(25) {
         0 | 1 => Event::KillGateways(some(rng), Some(span(rng, 1.0, 8.0))),
         2 => Event::RestartGateways(some(rng)),
         3 => Event::ReloadGateways(Which::All),
@@ -258,6 +258,10 @@
         15 => Event::GarbleCounter(share(rng, 1, 30), span(rng, 2.0, 10.0)),
         16 => cut(rng, site.gateways, site.hosts, site.buildings),
         17 | 18 => Event::Counter(counter_fault(rng, site.gateways), span(rng, 1.0, 12.0)),
+        20 => Event::Mishaps(Mishap::Swallowed, share(rng, 1, 30), some(rng), span(rng, 2.0, 10.0)),
+        21 => Event::Mishaps(Mishap::Reset, share(rng, 1, 20), some(rng), span(rng, 2.0, 10.0)),
+        22 => Event::Stale(span(rng, 0.1, 2.0), some(rng), span(rng, 2.0, 10.0)),
+        23 => Event::Discovery(DiscoveryFault::Cut(span(rng, 0.3, 3.0)), span(rng, 2.0, 10.0)),
         19 => Event::Impatient(share(rng, 5, 40), span(rng, 2.0, 10.0)),
         _ => Event::Discovery(discovery_fault(rng), span(rng, 1.0, 8.0)),
     }
@@ -322,6 +326,7 @@
             "Building",
             "Clients",
             "Counter",
+            "Cut",
             "DrainHosts",
             "Flapping",
             "Fresh",
@@ -335,6 +340,7 @@
             "KillHosts",
             "Late",
             "Lost",
+            "Mishaps",
             "Mute",
             "PauseHosts",
             "ReloadGateways",
@@ -347,6 +353,7 @@
             "SlowHosts",
             "Slow",
             "Split",
+            "Stale",
             "Traffic",
         ];
         assert_eq!(kinds, wanted.map(String::from).into());
--- a/crates/report/src/facts.rs
+++ b/crates/report/src/facts.rs
@@ -3,7 +3,7 @@
 use crate::number::{count, fixed, percent, share, NONE};
 use crate::rules;
 use crate::words::clip;
-use fennelbeam_judge::{Counts, CustomerFigures, HostFigures, Verdict};
+use fennelbeam_judge::{Cause, Counts, CustomerFigures, HostFigures, Verdict};
 
 /// Customers shown in a table of them.
 const CUSTOMERS: usize = 5;
@@ -83,6 +83,7 @@
         latency(verdict),
         by_class_and_plan(verdict),
         worth(verdict),
+        causes(verdict),
         calls(verdict),
         quotas(verdict),
         beyond(verdict),
@@ -138,6 +139,28 @@
     section
 }
 
+/// What the worth that is missing went to.
+fn causes(verdict: &Verdict) -> Section {
+    let mut section = Section::new("Why worth was lost", &["<", "things", "% of the|worth"]);
+    section.fixed_rows = true;
+    for figures in &verdict.causes {
+        let words = match figures.cause {
+            Cause::Unsent => "refused with room in the quota, never sent",
+            Cause::BeyondQuota => "refused beyond the quota",
+            Cause::TurnedAway => "turned away by hosts, or ended before it ran",
+            Cause::Unheard => "ran, and no good answer came",
+            Cause::InWork => "still at a host when the time was over",
+            Cause::Late => "answered too late",
+            Cause::LateAgain => "answered too late, after a further attempt",
+            Cause::Gone => "the client left, or never got through",
+            Cause::Overrun => "sent beyond the quota",
+            Cause::Held => "held for long and never sent",
+        };
+        section.row([words.into(), count(figures.things), fixed(100.0 * figures.share, 2)]);
+    }
+    section
+}
+
 fn by_class_and_plan(verdict: &Verdict) -> Section {
     let labels = ["<", "<name", "asked", "served", "within|the aim", "refused", "failed", "left"];
     let mut section = Section::new("Requests by class and plan, % of asked", &labels);
--- a/crates/report/tests/common/mod.rs
+++ b/crates/report/tests/common/mod.rs
@@ -30,6 +30,11 @@
         worth_worst_10s: 0.842,
         worth_worst_plan: 0.933,
         worth: 0.925,
+        causes: vec![
+            CauseFigures { cause: Cause::Unheard, things: 41, share: 0.0307 },
+            CauseFigures { cause: Cause::Unsent, things: 23, share: 0.0192 },
+            CauseFigures { cause: Cause::Overrun, things: 4, share: -0.0009 },
+        ],
         classes: classes(counts),
         plans: plans(counts),
         customers: customers(&mut rng),
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -5,7 +5,7 @@
 
 use crate::Recorder;
 use bytes::BytesMut;
-use fennelbeam_env::{Env, Listener, Span, Stream, Task, Time};
+use fennelbeam_env::{Env, Listener, Span, Stream, Task, Time, Writer};
 use fennelbeam_model::agent::{Entry, Line, Member, Notice, Registry, Watch};
 use fennelbeam_model::scenario::DiscoveryFault;
 use fennelbeam_model::seen::What;
@@ -192,11 +192,16 @@
 /// Serves a connection until it ends, or the agent closes it.
 async fn connection<E: Env>(shared: Arc<Shared<E>>, stream: E::Stream) {
     let (mut reader, mut writer) = stream.into_split();
-    tokio::select! {
+    let opened = shared.env.now();
+    let reset = tokio::select! {
         biased;
-        () = shared.closed() => {}
+        () = shared.closed() => false,
+        () = shared.cut(opened) => true,
         // However it ends, there is nobody to tell.
-        _ = shared.serve(&mut reader, &mut writer) => {}
+        _ = shared.serve(&mut reader, &mut writer) => false,
+    };
+    if reset {
+        writer.reset();
     }
 }
 
@@ -218,6 +223,23 @@
         }
     }
 
+    /// Comes when a connection that was opened then is to be reset.
+    async fn cut(&self, opened: Time) {
+        loop {
+            let stirred = self.registry.0.stirred.notified();
+            let now = self.env.now();
+            let at = self.registry.lock().cut_at(now, opened);
+            if at.is_some_and(|at| at <= now) {
+                return;
+            }
+            tokio::select! {
+                biased;
+                () = stirred => {}
+                () = self.env.sleep_until(at.unwrap_or(Time::MAX)), if at.is_some() => {}
+            }
+        }
+    }
+
     /// Answers requests until one is a watch, which lasts as long as the connection.
     async fn serve<R, W>(&self, reader: &mut R, writer: &mut W) -> Result<(), resp::RespError>
     where
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -16,7 +16,7 @@
 use connection::Connection;
 use fennelbeam_env::{Env, Listener, Sleep, Span, Stream, Task, Time, Writer};
 use fennelbeam_model::draw::Draws;
-use fennelbeam_model::scenario::{ClassSpec, HostSpec, RulesSpec};
+use fennelbeam_model::scenario::{ClassSpec, HostSpec, Mishap, RulesSpec};
 use fennelbeam_model::MS;
 use state::State;
 use std::io;
@@ -137,6 +137,16 @@
         self.0.act(|state, _| state.heavy(class, share, times, until));
     }
 
+    /// Until then this happens to a share of the requests.
+    pub fn mishaps(&self, mishap: Mishap, share: f64, until: Time) {
+        self.0.act(|state, _| state.mishaps(mishap, share, until));
+    }
+
+    /// Until then connections that have stood idle for longer are dead, without a word.
+    pub fn stale(&self, after: Span, until: Time) {
+        self.0.act(|state, _| state.stale(after, until));
+    }
+
     /// While it is silent to a gateway, nothing that the gateway sends comes, and nothing leaves for it. What
     /// was on its way comes after that. (The system still completes connections that it opens.)
     pub fn set_silent(&self, gateway: u32, silent: bool) {
--- a/crates/standins/src/host/answer.rs
+++ b/crates/standins/src/host/answer.rs
@@ -22,6 +22,13 @@
     pub figures: bool,
 }
 
+impl Answer {
+    /// As much of it as is sent before its connection is reset.
+    pub fn half(&self) -> Answer {
+        Answer { bytes: self.bytes.slice(..self.bytes.len() / 2), good: false, figures: false }
+    }
+}
+
 /// The answer to a request: its value, the figures where there are any, no load report.
 pub(super) fn served(id: u64, units: Option<u32>) -> Answer {
     let figures = units.map(|units| format!("cost={units}"));
--- a/crates/standins/src/host/state.rs
+++ b/crates/standins/src/host/state.rs
@@ -9,7 +9,7 @@
 use fennelbeam_model::draw::Draws;
 use fennelbeam_model::host::{Ending, Finished, Host, JobId, Offer, Request, Setup, Stage};
 use fennelbeam_model::rng::Rng;
-use fennelbeam_model::scenario::{ClassSpec, HostSpec};
+use fennelbeam_model::scenario::{ClassSpec, HostSpec, Mishap};
 use fennelbeam_model::seen::{Dealt, What};
 use fennelbeam_model::{Span, Time};
 use fennelbeam_resp::Frame;
@@ -41,6 +41,15 @@
     Stopped,
 }
 
+/// What is to become of the command on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// It is reset once the answer is there, before it is written.
+    BeforeAnswer,
+    /// It is reset within the answer.
+    WithinAnswer,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Heavy {
     share: f64,
@@ -85,8 +94,11 @@
     entries: VecDeque<Entry>,
     /// When bytes last came or went.
     active: Time,
-    /// A spoilt answer was sent; nothing follows it.
+    /// A spoilt answer was sent, or the command on it was swallowed; nothing follows.
     mute: bool,
+    fate: Option<Fate>,
+    /// It had stood idle for too long: nothing on it counts.
+    dead: bool,
 }
 
 /// All of a stand-in host that is under its lock.
@@ -108,6 +120,11 @@
     pub paused_until: Time,
     garble: Option<(f64, Time)>,
     heavy: BTreeMap<usize, Heavy>,
+    /// Shares of the requests that are swallowed, and reset, and until when.
+    swallows: Option<(f64, Time)>,
+    resets: Option<(f64, Time)>,
+    /// Connections that have stood idle for longer are dead, until then.
+    stale: Option<(Span, Time)>,
     rng: Rng,
     down: Option<Down>,
     /// When the driver wakes next.
@@ -142,6 +159,9 @@
             paused_until: now,
             garble: None,
             heavy: BTreeMap::new(),
+            swallows: None,
+            resets: None,
+            stale: None,
             rng: Rng::stream(config.seed, "garble", u64::from(config.number)),
             down: None,
             armed: Time::MAX,
@@ -206,7 +226,9 @@
         self.next_conn += 1;
         let signals = Arc::<Signals>::default();
         let entries = VecDeque::new();
-        self.conns.insert(id, Conn { gateway, signals: signals.clone(), entries, active: now, mute: false });
+        let (mute, fate, dead) = (false, None, false);
+        let conn = Conn { gateway, signals: signals.clone(), entries, active: now, mute, fate, dead };
+        self.conns.insert(id, conn);
         Some((id, signals))
     }
 
@@ -249,9 +271,13 @@
 
     /// Bytes came.
     pub(super) fn touch(&mut self, now: Time, id: ConnId) {
-        if let Some(conn) = self.conns.get_mut(&id) {
-            conn.active = now;
+        let stale = self.stale.filter(|(_, until)| now < *until).map(|(after, _)| after);
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        if conn.entries.is_empty() && stale.is_some_and(|after| now.saturating_sub(conn.active) > after) {
+            conn.dead = true;
+            conn.signals.cut.notify_one();
         }
+        conn.active = now;
     }
 
     /// Another command may be begun on this connection.
@@ -279,7 +305,9 @@
     }
 
     fn on_call(&mut self, now: Time, id: ConnId, call: Call, first_byte: Time) {
-        let Some(gateway) = self.conns.get(&id).map(|conn| conn.gateway) else { return };
+        let Some(gateway) = self.conns.get(&id).filter(|conn| !conn.dead).map(|conn| conn.gateway) else {
+            return;
+        };
         let Some(class) = self.classes.get(call.class) else { return };
         let heavy = self.heavy.get(&call.class).filter(|heavy| now < heavy.until);
         let usual = self.draws.work(call.id, class, None);
@@ -300,11 +328,32 @@
             Offer::Down => Progress::Ready(Reply::Lost(Stage::Waiting)),
         };
         self.enter(now, id, Some(call.id), progress);
+        self.befall(now, id);
         if offer == Offer::Down {
             self.go_down(now, Down::Fell);
         }
     }
 
+    /// What happens to a request that has come, without a word.
+    fn befall(&mut self, now: Time, id: ConnId) {
+        let share =
+            |of: Option<(f64, Time)>| of.filter(|(_, until)| now < *until).map_or(0.0, |(share, _)| share);
+        let (swallowed, reset) = (share(self.swallows), share(self.resets));
+        if swallowed + reset <= 0.0 {
+            return;
+        }
+        let (swallowed, reset) = (self.rng.chance(swallowed), self.rng.chance(reset));
+        let phase = self.rng.below(3);
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.mute |= swallowed;
+        match phase {
+            _ if !reset => {}
+            0 => conn.signals.cut.notify_one(),
+            1 => conn.fate = Some(Fate::BeforeAnswer),
+            _ => conn.fate = Some(Fate::WithinAnswer),
+        }
+    }
+
     fn enter(&mut self, now: Time, id: ConnId, request: Option<u64>, progress: Progress) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.entries.push_back(Entry { request, progress, ready: now });
@@ -322,6 +371,11 @@
     pub(super) fn begin(&mut self, now: Time, id: ConnId) -> Option<Bytes> {
         self.ready_since(id)?;
         let conn = self.conns.get_mut(&id)?;
+        if conn.fate == Some(Fate::BeforeAnswer) {
+            conn.signals.cut.notify_one();
+            conn.mute = true;
+            return None;
+        }
         let alone = conn.entries.len() == 1;
         let first = conn.entries.front_mut()?;
         let Progress::Ready(reply) = first.progress else { return None };
@@ -341,7 +395,10 @@
 
     fn serve(&mut self, now: Time, id: ConnId, request: u64, alone: bool) -> Bytes {
         let units = self.settled.is_open(request).then(|| self.draws.units(request));
-        let answer = self.garbled(now, request, answer::served(request, units), alone);
+        let mut answer = self.garbled(now, request, answer::served(request, units), alone);
+        if self.conns.get(&id).is_some_and(|conn| conn.fate.is_some()) {
+            answer = answer.half();
+        }
         let units = units.filter(|_| answer.figures);
         if units.is_some() {
             self.settled.close(request);
@@ -368,6 +425,9 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.active = now;
         conn.signals.room.notify_one();
+        if conn.fate.is_some() {
+            conn.signals.cut.notify_one();
+        }
         let gateway = conn.gateway;
         if let Some(request) = conn.entries.pop_front().and_then(|entry| entry.request) {
             self.see(now, What::Out { request, host: self.number, gateway });
@@ -388,6 +448,18 @@
         self.garble = Some((share, until));
     }
 
+    pub(super) fn mishaps(&mut self, mishap: Mishap, share: f64, until: Time) {
+        let of = match mishap {
+            Mishap::Swallowed => &mut self.swallows,
+            Mishap::Reset => &mut self.resets,
+        };
+        *of = Some((share, until));
+    }
+
+    pub(super) fn stale(&mut self, after: Span, until: Time) {
+        self.stale = Some((after, until));
+    }
+
     pub(super) fn heavy(&mut self, class: usize, share: f64, times: f64, until: Time) {
         self.heavy.insert(class, Heavy { share, times, until });
     }
