Make further attempts by the odds, keep orders off stale connections, say why requests fail

Orders were written to kept connections that had died unseen.

Change: answers and refusals carry why, the log names lost requests with each attempt, at a bounded rate, and sums up each minute. crates/odds: answer times, the share never answered, and the moment at which a further attempt is worth most; the decision module asks it. keep.rs: trust in idle connections by evidence of each host; what may run once gets a quarter of it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::counter_log::{quotas, CounterLog, Line};
 use crate::hosts::{Finished, Hosts};
 use crate::lag::{Lag, Said};
+use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, News, Phase, ReplyTo};
 use crate::routing::Routing;
@@ -78,11 +79,19 @@
     route: Route,
     attempts: u32,
     out: u32,
+    class: usize,
+    plan: usize,
+    arrived: Time,
+    /// Of an answer within its aim.
+    worth: f64,
+    /// Attempts that ended without a value.
+    tried: Vec<Tried>,
 }
 
 /// One gateway.
 pub(crate) struct Gateway<E: Env, D> {
     env: E,
+    site: Arc<Site>,
     settings: Settings,
     seed: u64,
     module: D,
@@ -104,6 +113,7 @@
     phase: watch::Sender<Phase>,
     unanswered: Unanswered,
     lag: Lag,
+    losses: Losses,
 }
 
 impl<E: Env, D: Decisions> Gateway<E, D> {
@@ -123,11 +133,11 @@
         let counter_log = CounterLog::new(env.now(), quotas(&settings, &site.plans, site.units_top));
         let mut gateway = Gateway {
             module: D::start(settings.clone(), config.seed),
-            hosts: Hosts::new(env.clone(), site, inputs.clone(), most_conns),
+            hosts: Hosts::new(env.clone(), site.clone(), inputs.clone(), most_conns),
+            site,
             routing,
             operators: config.operators.clone(),
             counter: Counter::new(env.clone(), config.counter, inputs.clone(), patience),
-            env,
             settings,
             seed: config.seed,
             requests: FxHashMap::default(),
@@ -139,6 +149,8 @@
             phase,
             unanswered: Unanswered::default(),
             lag: Lag::default(),
+            losses: Losses::new(env.now()),
+            env,
         };
         if !config.known.instances.is_empty() {
             gateway.set_timer(gateway.env.now() + KNOWN_WILL_DO, Timer::Ready);
@@ -181,6 +193,7 @@
             }
             self.fire_timers();
             self.speak_of_counter();
+            self.speak_of_losses();
         }
     }
 
@@ -232,8 +245,14 @@
         request.route = self.routing.choose(&request);
         request.arrived = at;
         let route = request.route;
-        let call = InHand { call: Arc::new(call), reply: Some(reply), deadline, route, attempts: 0, out: 0 };
-        self.requests.insert(id, call);
+        let (class, plan) = (request.class, request.plan);
+        let worth = self.worth(&request);
+        self.losses.asked(worth);
+        let (call, reply) = (Arc::new(call), Some(reply));
+        let (attempts, out, tried) = (0, 0, Vec::new());
+        let held =
+            InHand { call, reply, deadline, route, attempts, out, class, plan, arrived: at, worth, tried };
+        self.requests.insert(id, held);
         self.unanswered.taken();
         self.set_timer(deadline + OVERDUE, Timer::Overdue(id));
         self.tell(Event::Request(request));
@@ -242,6 +261,7 @@
     /// The client has gone, or its time is over: nothing is owed any more.
     fn on_left(&mut self, id: RequestId) {
         if self.take_reply(id).is_some() {
+            self.lost(id, Cause::Left);
             self.tell(Event::Left { id });
             self.forget(id);
         }
@@ -301,11 +321,17 @@
     /// Tells the module of the attempts that have ended; the first value goes to the client on its own.
     fn report_finished(&mut self) {
         while let Some(finished) = self.hosts.finished() {
-            let Finished { mut ended, sent, until, value } = finished;
+            let Finished { mut ended, sent, stood, until, value } = finished;
             let id = ended.id;
             self.timers.cancel(until, Timer::Attempt((id, ended.attempt)));
-            ended.closed = self.served(id, value);
             ended.took = self.env.now().saturating_sub(sent);
+            if let Some(call) =
+                self.requests.get_mut(&id).filter(|call| call.reply.is_some() && value.is_none())
+            {
+                let Ended { host, outcome, took, .. } = ended;
+                call.tried.push(Tried { host, outcome, took, stood });
+            }
+            ended.closed = self.served(id, value);
             self.tell(Event::Ended(ended));
             self.forget(id);
         }
@@ -315,6 +341,11 @@
     fn served(&mut self, id: RequestId, value: Option<Bytes>) -> bool {
         if let Some((value, reply)) = value.and_then(|value| Some((value, self.take_reply(id)?))) {
             reply.answer(Answer::Served(value));
+            let aim = |call: &&InHand| self.settings.classes.get(call.class).map_or(0, |class| class.aim);
+            let is_late = |call: &&InHand| self.env.now() > call.arrived.saturating_add(aim(call));
+            if self.requests.get(&id).filter(is_late).is_some() {
+                self.lost(id, Cause::Slow);
+            }
         }
         let Some(call) = self.requests.get_mut(&id) else { return true };
         call.out -= 1;
@@ -343,6 +374,41 @@
         }
     }
 
+    /// What an answer within its aim is worth.
+    fn worth(&self, request: &Request) -> f64 {
+        let class = self.settings.classes.get(request.class).map_or(0.0, |class| class.worth);
+        let price = self.settings.plans.get(request.plan).map_or(0.0, |plan| plan.price);
+        let units = if request.units.is_finite() { request.units.max(0.0) } else { 1.0 };
+        class * price * units
+    }
+
+    /// A request has no answer within its aim, and will have none.
+    fn lost(&mut self, id: RequestId, cause: Cause) {
+        let Some(call) = self.requests.get(&id) else { return };
+        let now = self.env.now();
+        let Some(left_out) = self.losses.lost(now, cause, call.tried.last(), call.worth) else { return };
+        let name = |names: &'_ [String], at: usize| names.get(at).cloned().unwrap_or_default();
+        tracing::info!(
+            request = format_args!("{:016x}", call.call.client_id),
+            class = name(&self.site.classes, call.class),
+            plan = name(&self.site.plans, call.plan),
+            after_ms = now.saturating_sub(call.arrived) / MS,
+            reason = cause.words(),
+            attempts = losses::line(&call.tried, |host| self.hosts.name(host)),
+            left_out,
+            "lost"
+        );
+    }
+
+    fn speak_of_losses(&mut self) {
+        let now = self.env.now();
+        if self.losses.is_due(now) {
+            if let Some(summary) = self.losses.summary(now) {
+                tracing::info!("lost in the last minute: {summary}");
+            }
+        }
+    }
+
     fn speak_of_counter(&mut self) {
         let now = self.env.now();
         if !self.counter_log.is_due(now) {
@@ -388,7 +454,7 @@
         for id in ids {
             let attempts = self.requests.get(&id).map_or(0, |call| call.attempts);
             (0..attempts).for_each(|attempt| self.hosts.stop((id, attempt), true));
-            self.answer(id, Answer::Failed);
+            self.answer(id, Answer::Failed, None);
         }
         let entries = self.hosts.entries();
         self.news.push_back(Event::Hosts { kind: ListKind::Cached, entries });
@@ -398,8 +464,8 @@
         match action {
             Action::Send { id, host, until } => self.send(id, host, until),
             Action::Withdraw { id, attempt } => self.hosts.stop((id, attempt), true),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Busy(retry_after)),
-            Action::Fail { id } => self.answer(id, Answer::Failed),
+            Action::Refuse { id, retry_after, why } => self.answer(id, Answer::Busy(retry_after), Some(why)),
+            Action::Fail { id, why } => self.answer(id, Answer::Failed, Some(why)),
             Action::Timer { after, token } => self.set_timer(now.saturating_add(after), Timer::Module(token)),
             Action::Count { name, amount, keep } => match self.counter.call(name, amount, keep) {
                 Some((call, until)) => self.set_timer(until, Timer::Call(call)),
@@ -423,16 +489,20 @@
         let over = call.reply.is_none();
         call.attempts += 1;
         call.out += 1;
-        self.hosts.start(key, host, until, call.call.clone());
+        let effect = self.settings.classes.get(call.class).map_or(Effect::Unsafe, |class| class.effect);
+        self.hosts.start(key, host, until, call.call.clone(), effect != Effect::Safe);
         if over {
             return self.hosts.drop_unsent(key);
         }
         self.set_timer(until, Timer::Attempt(key));
     }
 
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    fn answer(&mut self, id: RequestId, answer: Answer, why: Option<Why>) {
         if let Some(reply) = self.take_reply(id) {
             reply.answer(answer);
+            if let Some(why) = why {
+                self.lost(id, Cause::GivenUp(why));
+            }
         }
         self.forget(id);
     }
@@ -461,6 +531,7 @@
     fn overdue(&mut self, id: RequestId) {
         if let Some(reply) = self.take_reply(id) {
             reply.answer(Answer::Failed);
+            self.lost(id, Cause::Overdue);
             self.tell(Event::Left { id });
             self.forget(id);
         }
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -3,6 +3,8 @@
 
 use crate::call::Call;
 use crate::host_line::{self, Limits, Line};
+use crate::keep::{Keep, Trust};
+use crate::losses::AT_ONCE;
 use crate::membership::{Lifecycle, Membership};
 use crate::messages::{AttemptKey, ConnId, HostEvent, Input};
 use crate::routing::Routing;
@@ -19,12 +21,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 const MS: Span = 1_000_000;
-/// A request that breaks this soon on a kept connection found it dead.
-const AT_ONCE: Span = 10 * MS;
-/// Connections are kept for this long at the least, and a little longer after each use near the limit: where
-/// use and growth balance, one in some twenty-five such uses finds a dead one.
-const KEEP_LEAST: Span = 10 * MS;
-const KEEP_GROWS: f64 = 1.04;
 /// No figure of a host is above this.
 const MAX_FIGURE: f64 = 1e5;
 
@@ -33,6 +29,8 @@
 pub(crate) struct Finished {
     pub ended: Ended,
     pub sent: Time,
+    /// How long its connection had stood idle; zero: a new one; `None`: it had none.
+    pub stood: Option<Span>,
     /// When it would have been given up.
     pub until: Time,
     /// What goes to the client.
@@ -44,7 +42,11 @@
     sent: Time,
     until: Time,
     call: Arc<Call>,
+    /// It may not run twice, so that a dead connection would lose it.
+    once: bool,
     conn: Option<ConnId>,
+    /// How long that had stood idle when it was written to.
+    stood: Option<Span>,
 }
 
 /// What pools are chosen by.
@@ -78,6 +80,7 @@
     conns: usize,
     /// When it last answered anything.
     heard: Time,
+    trust: Trust,
 }
 
 struct Conn<E: Env> {
@@ -107,8 +110,7 @@
     gateway: UnboundedSender<Input>,
     /// Connections that may be open at once.
     most: usize,
-    /// How long an idle connection is trusted: hosts, or what stands between, may drop one unseen.
-    keep: Span,
+    keep: Keep,
     /// In the order of their numbers, so that what is done to all of them is done alike each time.
     hosts: BTreeMap<HostId, Host>,
     conns: FxHashMap<ConnId, Conn<E>>,
@@ -121,7 +123,7 @@
     pub fn new(env: E, site: Arc<Site>, gateway: UnboundedSender<Input>, most: usize) -> Self {
         Hosts {
             env,
-            keep: longest_idle(&site),
+            keep: Keep::new(longest_idle(&site)),
             site,
             gateway,
             most,
@@ -218,6 +220,11 @@
         self.hosts.values().flat_map::<Vec<_>, _>(waiting).collect()
     }
 
+    /// What discovery calls a host.
+    pub fn name(&self, id: HostId) -> &str {
+        self.hosts.get(&id).map_or("a host that is gone", |host| &host.names.id)
+    }
+
     /// The hosts in service, as the module was told of them.
     pub fn entries(&self) -> Vec<HostEntry> {
         self.hosts.values().filter(|host| host.ready).map(|host| host.entry.clone()).collect()
@@ -231,9 +238,9 @@
     }
 
     /// Starts an attempt: on the newest idle connection, or on the first that comes free or up.
-    pub fn start(&mut self, key: AttemptKey, host_id: HostId, until: Time, call: Arc<Call>) {
+    pub fn start(&mut self, key: AttemptKey, host_id: HostId, until: Time, call: Arc<Call>, once: bool) {
         let sent = self.env.now();
-        self.attempts.insert(key, Attempt { host_id, sent, until, call, conn: None });
+        self.attempts.insert(key, Attempt { host_id, sent, until, call, once, conn: None, stood: None });
         let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) else {
             return self.finish(key, Outcome::Moot);
         };
@@ -245,23 +252,29 @@
         }
     }
 
-    /// Gives waiting attempts the idle connections that there are.
+    /// Gives waiting attempts the idle connections that there are, each to one that it is trusted with.
     fn serve_waiting(&mut self, host_id: HostId) {
-        while let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) {
-            let Some(key) = host.waiting.front().copied() else { return };
-            let Some(conn) = host.idle.pop() else { return };
-            let stood = |c: &Conn<E>| self.env.now().saturating_sub(c.idle_since);
-            if self.conns.get(&conn).is_some_and(|c| c.used && stood(c) >= self.keep) {
+        while let Some(host) =
+            self.hosts.get_mut(&host_id).filter(|host| host.ready && !host.waiting.is_empty())
+        {
+            let Some(conn) = host.idle.last().copied() else { return };
+            let stood = self.conns.get(&conn).filter(|c| c.used);
+            let stood = stood.map_or(0, |c| self.env.now().saturating_sub(c.idle_since));
+            let is_trusted = |once| stood == 0 || stood < self.keep.limit(host.trust, once);
+            if !is_trusted(false) {
                 // The others have stood for longer still.
-                let old: Vec<ConnId> = host.idle.drain(..).chain([conn]).collect();
+                let old: Vec<ConnId> = host.idle.drain(..).collect();
                 old.into_iter().for_each(|conn| drop(self.close(conn)));
                 return;
             }
+            let will_do = |key: &&AttemptKey| is_trusted(self.attempts.get(key).is_some_and(|a| a.once));
+            let Some(key) = host.waiting.iter().find(will_do).copied() else { return };
+            host.idle.pop();
             if self.write(conn, key) {
                 self.unqueue(host_id, key);
             } else if let Some(conn) = self.close(conn) {
                 // Nothing was sent, and that says nothing of the host: another connection takes it.
-                self.found_dead(conn.used, self.env.now().saturating_sub(conn.idle_since));
+                self.found_dead(host_id, conn.used, self.env.now().saturating_sub(conn.idle_since));
             }
         }
     }
@@ -277,6 +290,7 @@
         }
         conn.rested = now.saturating_sub(conn.idle_since);
         (conn.busy, attempt.conn) = (Some(key), Some(id));
+        attempt.stood = Some(if conn.used { conn.rested } else { 0 });
         true
     }
 
@@ -371,13 +385,17 @@
             }
             HostEvent::Answered { id, frame, clean } => {
                 let Some(conn) = self.conns.get_mut(&id) else { return };
-                if conn.used && conn.rested > self.keep / 2 {
-                    self.keep = ((self.keep as f64 * KEEP_GROWS) as Span).min(longest_idle(&self.site));
-                }
-                conn.used = true;
-                let (host_id, Some(key)) = (conn.host_id, conn.busy.take()) else { return };
+                let kept = std::mem::replace(&mut conn.used, true);
+                let (host_id, rested, Some(key)) = (conn.host_id, conn.rested, conn.busy.take()) else {
+                    return;
+                };
                 let now = self.env.now();
-                self.hosts.entry(host_id).and_modify(|host| host.heard = now);
+                if let Some(host) = self.hosts.get_mut(&host_id) {
+                    host.heard = now;
+                    if kept {
+                        self.keep.alive(&mut host.trust, rested);
+                    }
+                }
                 if self.answered(key, frame) && clean {
                     self.free(id);
                 } else {
@@ -397,7 +415,7 @@
             let sent = conn.line.is_sent();
             let soon = |a: &Attempt| self.env.now() < a.sent + AT_ONCE;
             if self.attempts.get(&key).is_some_and(soon) {
-                self.found_dead(conn.used, conn.rested);
+                self.found_dead(conn.host_id, conn.used, conn.rested);
             }
             if !sent && conn.used {
                 return self.again(conn.host_id, key);
@@ -407,6 +425,9 @@
         let Some(host) = self.hosts.get_mut(&conn.host_id) else { return };
         host.idle.retain(|idle| *idle != id);
         if conn.up {
+            if conn.used && host.ready && host.era == conn.era {
+                self.keep.ended(&mut host.trust, self.env.now().saturating_sub(conn.idle_since));
+            }
             return;
         }
         host.dialing -= 1;
@@ -419,9 +440,9 @@
     }
 
     /// A connection that had stood idle for so long was of no use any more: others are trusted for less.
-    fn found_dead(&mut self, used: bool, rested: Span) {
-        if used && rested > KEEP_LEAST {
-            self.keep = self.keep.min(rested / 2).max(KEEP_LEAST);
+    fn found_dead(&mut self, host_id: HostId, used: bool, rested: Span) {
+        if let Some(host) = self.hosts.get_mut(&host_id).filter(|_| used) {
+            self.keep.dead(&mut host.trust, rested);
         }
     }
 
@@ -432,7 +453,7 @@
             return self.finish(key, Outcome::Moot);
         };
         if let Some(attempt) = self.attempts.get_mut(&key) {
-            attempt.conn = None;
+            (attempt.conn, attempt.stood) = (None, None);
             host.waiting.push_front(key);
             self.serve_waiting(host_id);
             self.redial(host_id);
@@ -495,7 +516,7 @@
             true_units: None,
             report: None,
         };
-        Finished { ended, sent: attempt.sent, until: attempt.until, value: None }
+        Finished { ended, sent: attempt.sent, stood: attempt.stood, until: attempt.until, value: None }
     }
 
     fn served(&mut self, site: &Site, parts: Vec<Frame>) -> bool {
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -240,6 +240,31 @@
     Moot,
 }
 
+/// Why a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Its class or its plan is not known.
+    Unknown,
+    /// It came with too little time.
+    Short,
+    /// No host that may take it takes work.
+    NoHost,
+    /// More customers have requests in hand than there is room for.
+    Crowd,
+    /// It is beyond its customer's quota, or too many of the customer's requests are open.
+    Quota,
+    /// More wait before it than can be sent in its time.
+    Hopeless,
+    /// It waited for a slot or for a host until it was too late.
+    Waited,
+    /// An attempt may have run, and it may not run again, or nowhere that takes work.
+    Once,
+    /// A further attempt would come too late.
+    Late,
+    /// It had all attempts that it may have, or the budget for further ones is used up.
+    Budget,
+}
+
 /// A host's load report; what it does not carry is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
@@ -384,11 +409,15 @@
         id: RequestId,
         /// Advice how long to stay away.
         retry_after: Option<Span>,
+        /// Why.
+        why: Why,
     },
     /// Final answer: failed; nothing is promised.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        why: Why,
     },
     /// Wake the module later.
     Timer {
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -24,14 +24,17 @@
             self.waited(now, class, queued);
         }
         self.unqueue(class, queued);
-        self.dues.put(self.hangs_at(class, host, now), Due::Watch(id, attempt));
+        let Some(r) = self.requests.get(&id) else { return };
+        self.dues.put(self.hangs_at(r, host, now), Due::Watch(id, attempt));
         self.actions.push(Action::Send { id, host, until });
     }
 
-    /// Whether another attempt is worth it: in time, within the limit and the budget.
-    fn may_retry(&self, now: Time, r: &Pending) -> bool {
+    /// Why there is no other attempt: it may not run again, it would be late, the limit, or the budget.
+    fn against_retry(&self, now: Time, r: &Pending) -> Option<Why> {
         let more = (r.attempts.len() as u32) < self.s.max_attempts.max(1) && self.pace.retries >= 1.0;
-        more && now < r.start_by(self.classes[r.class].latency) && self.can_go_on(now, r)
+        let late = now >= r.start_by(self.classes[r.class].latency);
+        let against = [(!self.can_go_on(now, r), Why::Once), (late, Why::Late), (!more, Why::Budget)];
+        against.into_iter().find_map(|(is_so, why)| is_so.then_some(why))
     }
 
     /// The attempt hangs: it leaves its slot and moves, but not where its class fails all around: they drown.
@@ -44,7 +47,7 @@
         }
         self.classes[r.class].out -= usize::from(self.pools.free(&mut a.slot));
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Out) else { return };
-        match self.s.classes[r.class].effect == Effect::Safe && self.may_retry(now, r) {
+        match self.s.classes[r.class].effect == Effect::Safe && self.against_retry(now, r).is_none() {
             true if self.s.may_duplicate => self.requeue(now, id),
             true => self.withdraw(id, attempt),
             false => {}
@@ -79,7 +82,7 @@
     }
 
     /// Final answer without a success: refused where nothing can have run, else failed.
-    pub(crate) fn give_up(&mut self, id: RequestId) {
+    pub(crate) fn give_up(&mut self, id: RequestId, why: Why) {
         let Some(r) = self.requests.get(&id).filter(|r| r.stage != Stage::Closed) else { return };
         if r.out() {
             return self.turn(id, Stage::Out); // the attempt still out may answer
@@ -87,8 +90,8 @@
         let again = matches!(self.s.classes[r.class].effect, Effect::Safe | Effect::Keyed(Scope::All, _));
         let harmless = again || r.ran().is_none();
         // Soon after, a try meets the same quota and the same queue: the longest advice keeps it off.
-        let refused = Action::Refuse { id, retry_after: self.s.max_retry_after };
-        self.actions.push(if harmless { refused } else { Action::Fail { id } });
+        let refused = Action::Refuse { id, retry_after: self.s.max_retry_after, why };
+        self.actions.push(if harmless { refused } else { Action::Fail { id, why } });
         self.close(id);
     }
 
@@ -126,7 +129,7 @@
         (a.open, a.harmless) = (false, matches!(end.outcome, Full | NoConnection | Moot));
         a.reached = !matches!(end.outcome, NoConnection | Moot);
         let (class, unasked) = (r.class, end.outcome == Cancelled && !a.withdrawn);
-        let (sent, used) = (a.sent, a.used);
+        let (sent, used, hung) = (a.sent, a.used, a.hung);
         self.classes[class].out -= usize::from(self.pools.free(&mut a.slot));
         self.pools.end(&r.route);
         self.left(&end);
@@ -134,6 +137,9 @@
             let whole = matches!(end.outcome, NoConnection | Reset);
             self.remember(now, end.id, end.host, end.outcome != Ok, whole);
         }
+        if let Some(s) = self.fleet.get_mut(end.host) {
+            self.classes[class].resolved(s, &end, hung);
+        }
         if let Some(r) = self.requests.get(&end.id).filter(|_| end.outcome == Ok) {
             // What was guessed is settled: the store of the quota, not the ceiling's.
             let units = end.true_units.filter(|u| u.is_finite() && r.inside).unwrap_or(r.units);
@@ -146,9 +152,9 @@
         if end.closed || r.stage == Stage::Closed || end.outcome == Ok {
             self.close(end.id);
         } else if !r.out() && r.stage == Stage::Out {
-            match self.may_retry(now, r) && !unasked {
-                true => self.requeue(now, end.id),
-                false => self.give_up(end.id),
+            match self.against_retry(now, r).or(unasked.then_some(Why::Once)) {
+                None => self.requeue(now, end.id),
+                Some(why) => self.give_up(end.id, why),
             }
         }
     }
--- a/crates/policy/src/class.rs
+++ b/crates/policy/src/class.rs
@@ -1,7 +1,11 @@
 //! What is kept of one class: its slots and who waits for them, how long they waited, and how its attempts fare.
 
+use crate::api::{Ended, Outcome};
+use crate::host::Host;
+use crate::pace::SECOND;
 use crate::pools::Waiting;
 use crate::room::Usual;
+use fennelbeam_odds::{Silence, Times};
 
 #[derive(Default)]
 pub(crate) struct ClassState {
@@ -15,10 +19,49 @@
     pub error: f64,
     pub latency: f64, // usual latency in seconds: a geometric mean, which rare long answers hardly move
     pub usual: Usual,
-    pub failing: f64, // share of its latest attempts that failed
+    pub times: Times,     // what answers take, in seconds at a host of usual speed
+    pub silence: Silence, // the share of attempts that nobody answers
+    pub hung: Silence,    // the same of those that counted as hanging
+    pub failing: f64,     // share of its latest attempts that failed
 }
 
+/// Of all attempts so many get no answer, as far as nothing is known; and how many attempts that is worth, of a class
+/// and of a host.
+const UNHEARD: f64 = 0.005;
+const THIN: (f64, f64) = (50.0, 60.0);
+/// Of hanging attempts none is held for lost, as far as nothing is known; and how many attempts that is worth.
+const HUNG: (f64, f64) = (0.0, 6.0);
+
 impl ClassState {
+    /// How many times slower a host is than usual, at least once, and the share of attempts that it does not answer.
+    pub fn silence(&self, host: Option<&Host>) -> (f64, f64) {
+        let usual = self.silence.share(UNHEARD, THIN.0);
+        let known = host.map(|s| ((1.0 + s.slower).max(1.0), s.silence.share(usual, THIN.1)));
+        known.unwrap_or((1.0, usual))
+    }
+
+    /// An attempt has ended that had counted as hanging or not: what that says of answers that never come.
+    pub fn resolved(&mut self, host: &mut Host, end: &Ended, hung: bool) {
+        let seconds = end.took as f64 / SECOND / (1.0 + host.slower).max(1.0);
+        let never = match end.outcome {
+            Outcome::Ok => 0.0,
+            Outcome::Timeout | Outcome::Reset => 1.0,
+            // One that was given up for another's answer is taken for what others like it turned out to be.
+            Outcome::Cancelled if hung => self.hung.share(HUNG.0, HUNG.1),
+            _ => return,
+        };
+        match end.outcome {
+            Outcome::Ok => self.times.answered(seconds),
+            Outcome::Cancelled => self.times.given_up(seconds, never),
+            _ => {}
+        }
+        if hung && end.outcome != Outcome::Cancelled {
+            self.hung.over(never);
+        }
+        self.silence.over(never);
+        host.silence.over(never);
+    }
+
     /// A request begins to wait for a slot at this moment of the gateway's life.
     pub fn hold(&mut self, since: f64) {
         self.held += 1.0;
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Fleet;
 use crate::pace::{seconds, Pace, SECOND};
 use crate::room::Room;
+use fennelbeam_odds::Silence;
 use libm::exp;
 
 const COLD_OUT: f64 = 2.0; // attempts out at a cold host, from all gateways, before it has answered any
@@ -13,6 +14,7 @@
 const NOTHING: f64 = 1e-4; // a share of failures that is as good as none
 const COLD_PART: f64 = 0.8; // of a warm host's answers, times present capacity, for a cold one
 
+#[derive(Default)]
 pub(crate) struct Host {
     pub entry: HostEntry,
     pub out: u32,
@@ -20,7 +22,7 @@
     pub is_changing: bool, // answers have come by which its room may change
     pub is_leaving: bool,  // it takes no work, and it is due that it is forgotten
     pub slow: f64,         // logarithm of its latency against the class's, smoothed
-    pub times_slow: f64,   // the same as a multiple
+    pub slower: f64,       // by how much of the usual that is more, or less
     pub heard: Time,
     pub told: Option<(Time, f64)>, // the load it reported last
     pub cold: Option<Time>,        // when its ramp from cold began
@@ -28,6 +30,7 @@
     tokens: f64,                   // sends a cold host may get now, filled up to `fed`
     pub credit: f64, // more of them while the warm ones are too few: its answers bring them back
     pub fed: Time,
+    pub silence: Silence,      // the share of attempts that it does not answer
     pub did: Vec<(f64, Time)>, // from 1 (failed) to -1 (served), for each class, and as a whole last
 }
 
@@ -148,25 +151,3 @@
         }
     }
 }
-
-impl Default for Host {
-    fn default() -> Host {
-        Host {
-            entry: HostEntry::default(),
-            out: 0,
-            room: Room::default(),
-            is_changing: false,
-            is_leaving: false,
-            slow: 0.0,
-            times_slow: 1.0,
-            heard: 0,
-            told: None,
-            cold: None,
-            ramp: 0.0,
-            tokens: 0.0,
-            credit: 0.0,
-            fed: 0,
-            did: Vec::new(),
-        }
-    }
-}
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -11,6 +11,7 @@
 
 const MEAN_BY_GEOMETRIC: f64 = 1.78; // of exponential times: makes a geometric mean read as a mean
 const HANGS: f64 = 8.0; // mean latencies without an answer: e^-8 by chance
+const PRICE: (f64, f64) = (0.03, 0.3); // of a further attempt, in answers: at the least, and by load
 const RISK: f64 = 1.0; // requests in hand that a sure failure weighs; four where it cannot be repeated
 const FORGOTTEN: Span = crate::names::EPOCH; // of a host that takes no work and says nothing
 const FEW: usize = 16; // up to so many hosts a choice looks at all
@@ -31,7 +32,7 @@
             if entry.started > s.entry.started && cold_until > now {
                 // Freshly started: cold, and what was known of it is void.
                 s.chill(now, entry.started, self.rng.unit(), part);
-                (s.slow, s.times_slow, s.told, s.ramp) = (0.0, 1.0, None, self.s.cold_share);
+                (s.slow, s.slower, s.told, s.ramp) = (0.0, 0.0, None, self.s.cold_share);
                 s.room = Room::default();
                 s.did.clear();
                 self.dues.put(cold_until, Due::Warm(id));
@@ -158,7 +159,7 @@
             let told = s.told.map_or(0.0, |(at, load)| (load - self.pace.load) * exp(-seconds(at, now)));
             let load = 1.0 + s.room.load(s.out) + self.pace.load + told;
             // On credit it is the last resort: as slow as it may be at the worst.
-            let slow = if fed { s.times_slow } else { s.times_slow.max(1.0 / s.ramp.max(0.01)) };
+            let slow = (1.0 + s.slower).max(if fed { 0.0 } else { 1.0 / s.ramp.max(0.01) });
             let mut cost = slow * load + self.rng.unit() * 0.05;
             // Of a stranger to this class, what the class meets elsewhere is feared.
             cost += weight * s.feared(class, usual, now).max(s.failed(all, now));
@@ -190,12 +191,17 @@
         }
     }
 
-    /// When an attempt that was sent then counts as hanging.
-    pub(crate) fn hangs_at(&self, class: usize, host: HostId, sent: Time) -> Time {
-        let (latency, aim) = (self.classes[class].latency, self.s.classes[class].aim);
-        let slow = self.fleet.get(host).map_or(1.0, |s| s.times_slow.max(1.0));
-        let usual = if latency > 0.0 { (HANGS * latency * slow * SECOND) as Span } else { aim };
-        sent.saturating_add(usual.min(aim)).saturating_add(MS / 1000)
+    /// When an attempt that is sent now counts as hanging: where another may follow by the odds for either,
+    /// and another is the dearer the fewer slots are free.
+    pub(crate) fn hangs_at(&self, r: &Pending, host: HostId, now: Time) -> Time {
+        let (k, c) = (&self.classes[r.class], &self.s.classes[r.class]);
+        let (slow, lost) = k.silence(self.fleet.get(host));
+        let load = (self.out() + self.classes.iter().map(|k| k.held).sum::<f64>()) / self.pace.total.max(1.0);
+        let price = PRICE.0 + PRICE.1 * (load * load).min(1.0);
+        let odds = || k.times.patience(r.left(now, slow, c.late_worth), lost, price, self.s.may_duplicate);
+        let usual = if k.latency > 0.0 { HANGS * k.latency } else { c.aim as f64 / SECOND };
+        let wait = if c.effect == Effect::Safe { usual.min(odds()) } else { usual } * slow * SECOND;
+        now.saturating_add((wait as Span).min(c.aim)).saturating_add(MS / 1000)
     }
 
     /// An attempt long without an answer counts as failed; the host as a whole if it was silent to all.
@@ -203,7 +209,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let Some(a) = r.attempts.get(attempt as usize).filter(|a| a.open && !a.hung) else { return };
         let (host, sent) = (a.host, a.sent);
-        let at = self.hangs_at(r.class, host, sent);
+        let at = self.hangs_at(r, host, sent);
         if now < at {
             return self.dues.put(at, Due::Watch(id, attempt));
         }
@@ -221,7 +227,7 @@
         let (latency, longer) = (k.latency, k.usual.answered(took, used));
         let Some(s) = self.fleet.get_mut(sid) else { return };
         s.slow += 0.1 * (log((MEAN_BY_GEOMETRIC * t / latency).clamp(0.1, 10.0)) - s.slow);
-        s.times_slow = exp(s.slow);
+        s.slower = exp(s.slow) - 1.0;
         s.room.answered(sent, used, longer);
         s.may_change(sid, &mut self.changing);
     }
--- a/crates/policy/src/pending.rs
+++ b/crates/policy/src/pending.rs
@@ -3,6 +3,7 @@
 use crate::api::*;
 use crate::due::STEP;
 use crate::pace::SECOND;
+use fennelbeam_odds::Left;
 use smallvec::SmallVec;
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -48,11 +49,17 @@
 
 impl Pending {
     /// Later than this an answer is not to be expected within the aim; a first attempt keeps half of it.
+    /// A further one is made while it may well be in time.
     pub fn start_by(&self, latency: f64) -> Time {
         let aim = (self.aim_at - self.arrived) as f64;
-        let least = if self.attempts.is_empty() { 0.5 * aim } else { 0.0 };
-        self.aim_at
-            - ((1.3 * latency * SECOND).clamp(least, 0.6 * aim) as Time).max(2 * STEP).min(self.aim_at)
+        let (least, usual) = if self.attempts.is_empty() { (0.5 * aim, 1.3) } else { (0.0, 0.6) };
+        let takes = (usual * latency * SECOND).clamp(least, 0.6 * aim) as Time;
+        self.aim_at - takes.max(2 * STEP).min(self.aim_at)
+    }
+    /// What time its answer has, at a host so many times slower than usual.
+    pub fn left(&self, now: Time, slow: f64, late_worth: f64) -> Left {
+        let until = |at: Time| (at as f64 - now as f64) / SECOND / slow;
+        Left { aim: until(self.aim_at), deadline: until(self.deadline), late_worth }
     }
     /// The first attempt that may have run.
     pub fn ran(&self) -> Option<&Attempt> {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -189,7 +189,7 @@
         let Request { id, class, plan, customer, patience, units, spread, first, route, arrived, .. } =
             request;
         let (Some(c), Some(_)) = (self.s.classes.get(class), self.s.plans.get(plan)) else {
-            return self.actions.push(Action::Refuse { id, retry_after: None });
+            return self.actions.push(Action::Refuse { id, retry_after: None, why: Why::Unknown });
         };
         let units = if units.is_finite() { units.max(0.0) } else { 1.0 };
         // Its time runs from when it came, however late this module hears of it.
@@ -200,15 +200,18 @@
         self.requests.insert(id, held);
         self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
         // No time for an answer, nor for a later look at it; or no host for it.
-        if aim_at <= now + 2 * STEP || self.pools.lets_nothing_out(&route, !self.fleet.is_empty()) {
-            return self.give_up(id);
+        let is_short = aim_at <= now + 2 * STEP;
+        if is_short || self.pools.lets_nothing_out(&route, !self.fleet.is_empty()) {
+            return self.give_up(id, if is_short { Why::Short } else { Why::NoHost });
         }
         let set = Set { first, spread, me: self.s.me, gateways: self.s.gateways };
         let rng = &mut self.rng;
         let met = |house: &House| Customer::met(now, house, plan, set, || units * rng.unit());
         let met = self.customers.meet(now, customer, met);
         // More customers at once than there is room for.
-        let (Some(met), Some(r)) = (met, self.requests.get_mut(&id)) else { return self.give_up(id) };
+        let (Some(met), Some(r)) = (met, self.requests.get_mut(&id)) else {
+            return self.give_up(id, Why::Crowd);
+        };
         (met.in_hand, r.met) = (met.in_hand + 1, true);
         met.stores.iter_mut().for_each(|a| a.ask(units));
         met.waiting.push_back(id);
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -87,7 +87,7 @@
             c.open += 1;
             self.queue(now, id, false);
         } else {
-            self.give_up(id);
+            self.give_up(id, Why::Quota);
         }
         true
     }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -72,7 +72,7 @@
         if first {
             k.queue.push_front(route, id);
         } else if self.is_hopeless(id, late.saturating_sub(now)) {
-            return self.give_up(id);
+            return self.give_up(id, Why::Hopeless);
         } else {
             self.classes[class].queue.push_back(route, id);
         }
@@ -108,7 +108,7 @@
         let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Queued) else { return };
         let start_by = r.start_by(self.classes[r.class].latency);
         if now >= start_by {
-            return self.give_up(id);
+            return self.give_up(id, Why::Waited);
         }
         self.dues.put(start_by, Due::Late(id));
     }
@@ -123,7 +123,7 @@
             let Some(r) = self.requests.get(&id).filter(|r| r.stage == Stage::Queued) else { continue };
             let (start_by, route, tried) = (r.start_by(self.classes[c].latency), r.route, r.ran().is_some());
             match self.pick(now, id) {
-                _ if now >= start_by => self.give_up(id),
+                _ if now >= start_by => self.give_up(id, Why::Waited),
                 Some(host) => self.send(now, id, host),
                 None if tried => self.parked.push((c, route, id)),
                 None => {
