Take no spoilt answer for silence, and odds only where second copies are allowed

Change: a reset counts as silence where the attempt had counted as hanging before; where second copies are not allowed the longer wait stands as it was.

--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -138,6 +138,26 @@
     assert_eq!(hosts.others(), 0);
 }
 
+#[test]
+fn the_log_says_why_a_request_failed_and_how_its_attempts_went() {
+    let hosts = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &hosts);
+    let mut client = gateway.client();
+    client.post(7, "body");
+    hosts.command().serve("served");
+    assert_eq!(client.answer(), "served");
+    client.post(8, "body");
+    hosts.command().close();
+    assert_eq!(client.answer(), "-ERR failed");
+    gateway.until_logged(1, "lost request=");
+    let log = gateway.log();
+    let line = log.iter().find(|line| line.contains("lost request=")).unwrap();
+    for part in ["0000000000000008", "reason=\"may not run again\"", "s-0: connection idle for ", "after_ms="]
+    {
+        assert!(line.contains(part), "{part}: {line}");
+    }
+}
+
 #[test]
 fn nonsense_from_a_host_is_its_failure_and_ends_the_connection() {
     let hosts = Peers::start(2);
--- a/crates/policy/src/class.rs
+++ b/crates/policy/src/class.rs
@@ -45,7 +45,9 @@
         let seconds = end.took as f64 / SECOND / (1.0 + host.slower).max(1.0);
         let never = match end.outcome {
             Outcome::Ok => 0.0,
-            Outcome::Timeout | Outcome::Reset => 1.0,
+            Outcome::Timeout => 1.0,
+            // One that breaks after a long silence was one; a spoilt answer, or one torn off, came in its time.
+            Outcome::Reset => f64::from(u8::from(hung)),
             // One that was given up for another's answer is taken for what others like it turned out to be.
             Outcome::Cancelled if hung => self.hung.share(HUNG.0, HUNG.1),
             _ => return,
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -198,9 +198,11 @@
         let (slow, lost) = k.silence(self.fleet.get(host));
         let load = (self.out() + self.classes.iter().map(|k| k.held).sum::<f64>()) / self.pace.total.max(1.0);
         let price = PRICE.0 + PRICE.1 * (load * load).min(1.0);
-        let odds = || k.times.patience(r.left(now, slow, c.late_worth), lost, price, self.s.may_duplicate);
+        let odds = || k.times.patience(r.left(now, slow, c.late_worth), lost, price);
         let usual = if k.latency > 0.0 { HANGS * k.latency } else { c.aim as f64 / SECOND };
-        let wait = if c.effect == Effect::Safe { usual.min(odds()) } else { usual } * slow * SECOND;
+        // One in the place of another, not beside it, has to wait until that is surely out no more.
+        let by_odds = c.effect == Effect::Safe && self.s.may_duplicate;
+        let wait = if by_odds { usual.min(odds()) } else { usual } * slow * SECOND;
         now.saturating_add((wait as Span).min(c.aim)).saturating_add(MS / 1000)
     }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod counter;
 pub mod load;
 pub mod site;
+pub mod world;
 
 use fennelbeam_policy::api::*;
 use fennelbeam_policy::names;
--- /dev/null
+++ b/crates/policy/tests/common/world.rs
@@ -0,0 +1,171 @@
+//! Hosts whose cores each do one attempt at a time, that may be slow or swallow requests, in time of their own, and a
+//! gateway alone in front of them.
+use super::*;
+use fennelbeam_policy::policy::Policy;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// What a host is like.
+#[derive(Clone, Copy, Debug)]
+pub struct HostSpec {
+    pub cores: usize,
+    /// So many times the usual work.
+    pub slow: f64,
+    /// Share of the attempts that it takes in and never answers.
+    pub swallows: f64,
+}
+
+pub const USUAL: HostSpec = HostSpec { cores: 1, slow: 1.0, swallows: 0.0 };
+
+/// An attempt that is out.
+struct Out {
+    host: HostId,
+    sent: Time,
+    swallowed: bool,
+}
+
+pub struct World {
+    policy: Policy,
+    pub now: Time,
+    hosts: BTreeMap<HostId, HostSpec>,
+    /// When each core of a host is free.
+    cores: BTreeMap<HostId, Vec<Time>>,
+    /// What an attempt takes, drawn anew for each.
+    work: fn(&mut Dice) -> Span,
+    out: BTreeMap<(u64, u32), Out>,
+    ends: BinaryHeap<Reverse<(Time, u64, u32, bool)>>,
+    closed: std::collections::BTreeSet<u64>,
+    attempts: BTreeMap<u64, u32>,
+    dice: Dice,
+    next: u64,
+    pub sent: BTreeMap<HostId, u64>,
+    pub served: u64,
+    pub asked: u64,
+    /// How long after it was sent a swallowed attempt got another beside it.
+    pub told: Vec<Span>,
+    pub swallowed: u64,
+    /// Further attempts beside one that was to be answered.
+    pub false_alarms: u64,
+}
+
+impl World {
+    pub fn new(settings: Settings, hosts: &[HostSpec], work: fn(&mut Dice) -> Span) -> World {
+        let all = || (1..).map(HostId).zip(hosts);
+        let mut world = World {
+            policy: Policy::new(settings, 1),
+            now: 1_000_000 * MS,
+            hosts: all().map(|(id, spec)| (id, *spec)).collect(),
+            cores: all().map(|(id, spec)| (id, vec![0; spec.cores])).collect(),
+            work,
+            out: BTreeMap::new(),
+            ends: BinaryHeap::new(),
+            closed: Default::default(),
+            attempts: BTreeMap::new(),
+            dice: Dice(1),
+            next: 0,
+            sent: BTreeMap::new(),
+            served: 0,
+            asked: 0,
+            told: Vec::new(),
+            swallowed: 0,
+            false_alarms: 0,
+        };
+        let entries = all().map(|(id, spec)| HostEntry { size: spec.cores as f64, ..entry(id.0) }).collect();
+        world.tell(Event::Hosts { kind: ListKind::Full, entries });
+        world
+    }
+
+    /// Counts from here on.
+    pub fn count_anew(&mut self) {
+        (self.sent, self.told) = Default::default();
+        (self.served, self.asked, self.swallowed, self.false_alarms) = (0, 0, 0, 0);
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, host, until } => self.send(id.0, host, until),
+                Action::Withdraw { id, attempt } => self.ends.push(Reverse((self.now, id.0, attempt, false))),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, id: u64, host: HostId, until: Time) {
+        let number = self.attempts.entry(id).or_default();
+        let attempt = *number;
+        *number += 1;
+        for (_, out) in self.out.range((id, 0)..(id, attempt)) {
+            if out.swallowed {
+                self.told.push(self.now - out.sent);
+            } else {
+                self.false_alarms += 1;
+            }
+        }
+        *self.sent.entry(host).or_default() += 1;
+        let spec = self.hosts[&host];
+        let swallowed = self.dice.unit() < spec.swallows;
+        self.swallowed += u64::from(swallowed);
+        let work = ((self.work)(&mut self.dice) as f64 * spec.slow) as Span;
+        let free = self.cores.get_mut(&host).and_then(|cores| cores.iter_mut().min()).expect("a known host");
+        *free = (*free).max(self.now) + work;
+        let (end, answered) = if swallowed || *free > until { (until, false) } else { (*free, true) };
+        self.out.insert((id, attempt), Out { host, sent: self.now, swallowed });
+        self.ends.push(Reverse((end, id, attempt, answered)));
+    }
+
+    fn end(&mut self, id: u64, attempt: u32, answered: bool, at: Time) {
+        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        let closed = self.closed.contains(&id);
+        let outcome = match (answered, closed) {
+            (true, _) => Outcome::Ok,
+            (false, true) => Outcome::Cancelled,
+            (false, false) => Outcome::Timeout,
+        };
+        if answered && self.closed.insert(id) {
+            self.served += 1;
+        }
+        let end = Ended {
+            id: RequestId(id),
+            attempt,
+            host: out.host,
+            outcome,
+            took: at.saturating_sub(out.sent),
+            closed: answered || closed,
+            used: None,
+            true_units: None,
+            report: None,
+        };
+        self.tell(Event::Ended(end));
+    }
+
+    /// So many seconds with so many requests in each, of the first class and without quotas.
+    pub fn play(&mut self, seconds: u64, rate: u64, patience: Span) {
+        for n in 0..seconds * 1_000 {
+            self.now += MS;
+            while self.ends.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+                let Some(Reverse((at, id, attempt, answered))) = self.ends.pop() else { break };
+                self.end(id, attempt, answered, at);
+            }
+            if n % 20 == 0 {
+                self.tell(Event::Timer { token: 0 });
+            }
+            if n * rate / 1_000 != (n + 1) * rate / 1_000 {
+                (self.next, self.asked) = (self.next + 1, self.asked + 1);
+                let (id, customer) = (RequestId(self.next), CustomerId(self.next));
+                let request = Request { id, customer, patience, units: 1.0, spread: 1, ..Request::default() };
+                self.tell(Event::Request(request));
+            }
+        }
+    }
+}
+
+/// One gateway, no counter, no quotas.
+pub fn alone() -> Settings {
+    let mut settings = settings();
+    (settings.gateways, settings.counter) = (1, false);
+    (settings.plans[0].rate, settings.plans[0].burst) = (0.0, 0.0);
+    settings
+}
