--- a/crates/odds/src/lib.rs
+++ b/crates/odds/src/lib.rs
@@ -40,13 +40,21 @@
     }
 }
 
-fn bucket(seconds: f64) -> usize {
-    (libm::log(seconds.max(FROM) / FROM) / libm::log(RATIO)) as usize
-}
+/// The natural logarithm of [`RATIO`].
+const LN_RATIO: f64 = 0.139_761_942_375_158_68;
+/// Where each bucket ends, in seconds.
+const ENDS: [f64; BUCKETS] = {
+    let mut ends = [FROM * RATIO; BUCKETS];
+    let mut bucket = 1;
+    while bucket < BUCKETS {
+        ends[bucket] = ends[bucket - 1] * RATIO;
+        bucket += 1;
+    }
+    ends
+};
 
-/// Where a bucket ends, in seconds.
-fn end(bucket: usize) -> f64 {
-    FROM * libm::pow(RATIO, bucket as f64 + 1.0)
+fn bucket(seconds: f64) -> usize {
+    ((libm::log(seconds.max(FROM) / FROM) / LN_RATIO) as usize).min(BUCKETS - 1)
 }
 
 impl Times {
@@ -55,7 +63,7 @@
         if !seconds.is_finite() {
             return;
         }
-        self.add(bucket(seconds).min(BUCKETS - 1), 1.0);
+        self.add(bucket(seconds), 1.0);
     }
 
     fn add(&mut self, bucket: usize, count: f64) {
@@ -74,13 +82,27 @@
 
     /// The share of answers that take longer than so many seconds; half an answer is taken to be longer than all.
     pub fn longer(&self, seconds: f64) -> f64 {
-        let at = bucket(seconds).min(BUCKETS - 1);
-        let beyond: f64 = self.counts[at + 1..].iter().map(|count| f64::from(*count)).sum();
-        let from = end(at) / RATIO;
-        let rest = ((end(at) - seconds) / (end(at) - from)).clamp(0.0, 1.0);
+        let at = bucket(seconds);
+        self.share(at, seconds, self.counts[at + 1..].iter().map(|count| f64::from(*count)).sum())
+    }
+
+    /// The same, of seconds in this bucket and with so many answers beyond it.
+    fn share(&self, at: usize, seconds: f64, beyond: f64) -> f64 {
+        let from = ENDS[at] / RATIO;
+        let rest = ((ENDS[at] - seconds) / (ENDS[at] - from)).clamp(0.0, 1.0);
         (beyond + rest * f64::from(self.counts[at]) + 0.5) / (self.total + 0.5)
     }
 
+    /// Answers beyond each bucket.
+    fn tails(&self) -> [f64; BUCKETS] {
+        let (mut tails, mut sum) = ([0.0; BUCKETS], 0.0);
+        for (tail, count) in tails.iter_mut().zip(&self.counts).rev() {
+            *tail = sum;
+            sum += f64::from(*count);
+        }
+        tails
+    }
+
     /// The chance that an attempt is never answered, when it has not been for so many seconds; `lost`: of all.
     pub fn never(&self, seconds: f64, lost: f64) -> f64 {
         let late = (1.0 - lost) * self.longer(seconds);
@@ -118,18 +140,26 @@
         if !self.is_known() || lost <= 0.0 {
             return left.deadline;
         }
-        let by = |seconds: f64| if seconds > 0.0 { (1.0 - lost) * (1.0 - self.longer(seconds)) } else { 0.0 };
+        let tails = self.tails();
+        let by = |seconds: f64| {
+            let at = bucket(seconds);
+            let longer = if seconds > 0.0 { self.share(at, seconds, tails[at]) } else { 1.0 };
+            (1.0 - lost) * (1.0 - longer)
+        };
         let late = left.late_worth;
         let ends = [(1.0 - late, left.aim, by(left.aim)), (late, left.deadline, by(left.deadline))];
         let mut best = (ends.iter().map(|(worth, _, alone)| worth * alone).sum::<f64>(), left.deadline);
-        let (mut beyond, all) = (self.total + 0.5, self.total + 0.5);
-        for (bucket, count) in self.counts.iter().enumerate() {
-            beyond -= f64::from(*count);
-            let after = end(bucket);
+        for (beyond, after) in tails.into_iter().zip(ENDS) {
             if after >= left.deadline {
                 break;
             }
-            let silent = 1.0 - (1.0 - lost) * (1.0 - beyond / all);
+            let longer = (beyond + 0.5) / (self.total + 0.5);
+            let silent = 1.0 - (1.0 - lost) * (1.0 - longer);
+            // While most answers are still to come, or a further attempt costs more than it could ever bring, there is
+            // nothing to be weighed.
+            if longer > 0.5 || price * silent >= lost {
+                continue;
+            }
             let value = |(worth, end, alone): &(f64, f64, f64)| worth * (alone + lost * by(end - after));
             let value = ends.iter().map(value).sum::<f64>() - price * silent;
             if value > best.0 + 1e-9 {
