Put links that fail on request between two processes: a relay on loopback

Need: between real processes almost nothing can be broken. What only real sockets show needs a link that fails.

Change: the package fennelbeam-links.

Measured: nothing yet. So far only the example in the crate's head is run.

--- /dev/null
+++ b/crates/links/src/queue.rs
@@ -0,0 +1,82 @@
+//! Bytes on their way through a link, each piece with the time at which it may pass.
+
+use std::collections::VecDeque;
+
+use fennelbeam_model::Time;
+
+/// Pieces that are told apart; more share the time of the last, so that single bytes cost no more than this.
+const PIECES: usize = 4096;
+/// An empty queue gives its memory back beyond this.
+const KEEP: usize = 4096;
+
+/// A queue of bytes in order. It has no bound of its own: who fills it looks at [`Queue::len`] first.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue {
+    bytes: VecDeque<u8>,
+    /// Ends of pieces that are not due yet, as bytes since the beginning, and when they are.
+    pieces: VecDeque<(u64, Time)>,
+    taken: u64,
+    /// Bytes since the beginning that are due.
+    due: u64,
+    last: Time,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Adds bytes that may pass at a time, or with those before them if that is later.
+    pub fn push(&mut self, bytes: &[u8], due: Time) {
+        self.bytes.extend(bytes);
+        let end = self.taken + self.bytes.len() as u64;
+        let due = self.not_before(due);
+        let full = self.pieces.len() >= PIECES;
+        match self.pieces.back_mut() {
+            Some(last) if full || last.1 == due => *last = (end, due),
+            _ => self.pieces.push_back((end, due)),
+        }
+    }
+
+    /// The time, or that of the last piece, if it is later; later pieces come no earlier.
+    pub fn not_before(&mut self, due: Time) -> Time {
+        self.last = self.last.max(due);
+        self.last
+    }
+
+    /// How many bytes may pass now.
+    pub fn ready(&mut self, now: Time) -> usize {
+        while let Some((end, _)) = self.pieces.front().filter(|(_, due)| *due <= now) {
+            self.due = *end;
+            self.pieces.pop_front();
+        }
+        self.due.saturating_sub(self.taken) as usize
+    }
+
+    /// When the first piece that is not due will be.
+    pub fn next_due(&self) -> Option<Time> {
+        self.pieces.front().map(|(_, due)| *due)
+    }
+
+    /// The first bytes, up to so many, as far as they lie in one piece of memory.
+    pub fn front(&self, most: usize) -> &[u8] {
+        let (front, _) = self.bytes.as_slices();
+        &front[..front.len().min(most)]
+    }
+
+    /// Takes the first bytes away.
+    pub fn pop(&mut self, count: usize) {
+        self.bytes.drain(..count);
+        self.taken += count as u64;
+        if self.bytes.is_empty() && self.bytes.capacity() > KEEP {
+            self.bytes = VecDeque::new();
+        }
+    }
+
+    /// Loses all; how much it was.
+    pub fn clear(&mut self) -> usize {
+        let lost = self.bytes.len();
+        *self = Queue { taken: self.taken, due: self.taken, last: self.last, ..Queue::default() };
+        lost
+    }
+}
--- /dev/null
+++ b/crates/links/src/split.rs
@@ -0,0 +1,117 @@
+//! Where messages begin and end in a stream, for counting only: nothing is kept but a few numbers, whatever
+//! comes. Words that are no RESP2 count as lines.
+
+use crate::set::Messages;
+
+/// A border of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Edge {
+    /// The next byte is a message's first.
+    Start,
+    /// The last byte was a message's last.
+    End,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// Between two messages.
+    Between,
+    /// At the first byte of an element.
+    Element,
+    /// Within a line whose number matters: an array's or a string's length.
+    Length { array: bool, number: u64, negative: bool },
+    /// Within a line.
+    Line,
+    /// Within a string and the line end after it.
+    Text { left: u64 },
+}
+
+/// Counts the messages of one direction of a connection.
+#[derive(Clone, Debug)]
+pub struct Splitter {
+    messages: Messages,
+    state: State,
+    /// Elements that the message still wants, the one at hand included.
+    elements: u64,
+}
+
+impl Splitter {
+    /// At the beginning of a stream.
+    pub fn new(messages: Messages) -> Splitter {
+        Splitter { messages, state: State::Between, elements: 0 }
+    }
+
+    /// Takes bytes up to the next border: how many they are, and the border, if there is one among them.
+    pub fn next(&mut self, bytes: &[u8]) -> (usize, Option<Edge>) {
+        if self.messages == Messages::None || bytes.is_empty() {
+            return (bytes.len(), None);
+        }
+        if let State::Between = self.state {
+            self.elements = 1;
+            self.state = if self.messages == Messages::Lines { State::Line } else { State::Element };
+            return (0, Some(Edge::Start));
+        }
+        let mut at = 0;
+        while at < bytes.len() {
+            let (taken, whole) = self.element(&bytes[at..]);
+            at += taken;
+            if whole && self.elements == 0 {
+                self.state = State::Between;
+                return (at, Some(Edge::End));
+            }
+        }
+        (at, None)
+    }
+
+    /// Takes some bytes, at least one; whether an element has ended with them.
+    fn element(&mut self, bytes: &[u8]) -> (usize, bool) {
+        match self.state {
+            State::Between | State::Element => {
+                self.state = match bytes[0] {
+                    b'*' => State::Length { array: true, number: 0, negative: false },
+                    b'$' => State::Length { array: false, number: 0, negative: false },
+                    // An empty line has its end here.
+                    b'\n' => return (1, self.ended(0)),
+                    _ => State::Line,
+                };
+                (1, false)
+            }
+            State::Line => match memchr::memchr(b'\n', bytes) {
+                Some(end) => (end + 1, self.ended(0)),
+                None => (bytes.len(), false),
+            },
+            State::Length { .. } => self.length(bytes),
+            State::Text { left } => {
+                let taken = left.min(bytes.len() as u64);
+                self.state = State::Text { left: left - taken };
+                (taken as usize, left == taken && self.ended(0))
+            }
+        }
+    }
+
+    fn length(&mut self, bytes: &[u8]) -> (usize, bool) {
+        let State::Length { array, mut number, mut negative } = self.state else { return (0, false) };
+        for (at, byte) in bytes.iter().enumerate() {
+            match byte {
+                b'0'..=b'9' => number = number.saturating_mul(10).saturating_add(u64::from(byte - b'0')),
+                b'-' => negative = true,
+                b'\n' if negative => return (at + 1, self.ended(0)),
+                b'\n' if array => return (at + 1, self.ended(number)),
+                b'\n' => {
+                    self.state = State::Text { left: number.saturating_add(2) };
+                    return (at + 1, false);
+                }
+                _ => {}
+            }
+        }
+        self.state = State::Length { array, number, negative };
+        (bytes.len(), false)
+    }
+
+    /// An element is over that holds so many others, which are still to come.
+    fn ended(&mut self, holds: u64) -> bool {
+        self.elements = (self.elements - 1).saturating_add(holds);
+        self.state = State::Element;
+        true
+    }
+}
