--- a/crates/links/src/core.rs
+++ b/crates/links/src/core.rs
@@ -21,7 +21,7 @@
 use crate::moments::{Index, Moments};
 use crate::plan::{Direction, End, Entry, Fault, FaultId, LinkId, Moment, Who};
 use crate::set::Messages;
-use crate::trace::{Event, Place, What};
+use crate::trace::{Event, Last, Place, What};
 
 /// What whoever drives a link has to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,8 +89,7 @@
     faults: Faults,
     moments: Moments,
     timers: BTreeSet<(Time, Timer)>,
-    /// The last byte that passed.
-    last: Option<Place>,
+    last: Last,
     listening: Listening,
     deeds: VecDeque<Deed>,
     notes: Vec<Event>,
@@ -110,7 +109,7 @@
             faults: Faults::default(),
             moments: Moments::default(),
             timers: BTreeSet::new(),
-            last: None,
+            last: Last::Nothing,
             listening: Listening::Open,
             deeds: VecDeque::new(),
             notes: Vec::new(),
@@ -122,6 +121,7 @@
     pub fn accept(&mut self, now: Time) -> (u64, Opening) {
         self.count += 1;
         let number = self.count;
+        self.last = Last::Connecting(number);
         for index in self.moments.connection(number) {
             self.begin_entry(now, index, Some(number));
         }
@@ -136,6 +136,7 @@
         };
         let what = if opening == Opening::Join { What::Accepted } else { What::Waits };
         self.note(now, number, None, what, 0);
+        self.last = Last::Passed(Place { connection: number, way: Direction::Calls, bytes: 0 });
         let flows = Direction::BOTH.map(|direction| self.new_flow(number, direction));
         self.connections.insert(number, Connection { phase, flows, silenced: None });
         for direction in Direction::BOTH {
@@ -333,7 +334,7 @@
         if let Some(rate) = rate {
             flow.spend(now, rate, count);
         }
-        self.last = Some(Place { connection: number, way: direction, bytes: flow.passed });
+        self.last = Last::Passed(Place { connection: number, way: direction, bytes: flow.passed });
         self.reach(now, number, direction);
     }
 
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -52,4 +52,4 @@
 pub use error::LinkError;
 pub use plan::{Direction, End, Entry, Fault, FaultId, LinkId, Moment, Plan, Way, Who};
 pub use set::{Counts, LinkSet, LinkSpec, Messages, Settings};
-pub use trace::{Event, Lost, Place, Trace, What};
+pub use trace::{Event, Last, Lost, Place, Trace, What};
--- a/crates/links/src/trace.rs
+++ b/crates/links/src/trace.rs
@@ -17,6 +17,17 @@
     pub bytes: u64,
 }
 
+/// What a link had done last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Last {
+    /// Nothing.
+    Nothing,
+    /// It was about to accept its n-th connection, from 1.
+    Connecting(u64),
+    /// It had passed a byte, or accepted a connection that has passed none.
+    Passed(Place),
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum What {
@@ -44,7 +55,7 @@
     Silenced,
     /// The connection has ended in order.
     Closed,
-    /// A fault began. `after` is the byte of the link that had passed last.
+    /// A fault began.
     Began {
         /// Its number.
         id: FaultId,
@@ -52,8 +63,8 @@
         fault: Fault,
         /// The only connection that it concerns.
         only: Option<u64>,
-        /// The last byte before it.
-        after: Option<Place>,
+        /// What the link had done last.
+        after: Last,
     },
     /// A fault ended. The event's bytes are those that waited in the link.
     Ended {
@@ -153,9 +164,14 @@
         let mut plan = Plan::new();
         for (index, event) in self.events.iter().enumerate() {
             let What::Began { id, fault, only, after } = &event.what else { continue };
+            let when = match *after {
+                Last::Nothing => Moment::At(event.at),
+                Last::Connecting(number) => Moment::Connection(number),
+                Last::Passed(Place { connection, way, bytes }) => Moment::Bytes { connection, way, bytes },
+            };
             plan = plan.entry(Entry {
                 link: event.link,
-                when: self.when(index, event, *after),
+                when,
                 who: only.map_or(Who::Every, Who::Nth),
                 fault: Some(fault.clone()),
                 lasts: self.lasts(index, event, *id),
@@ -164,23 +180,6 @@
         Ok(plan)
     }
 
-    /// After the last byte that had passed; before any had, at the last connection; else at the time.
-    fn when(&self, index: usize, event: &Event, after: Option<Place>) -> Moment {
-        let accepted = self
-            .events
-            .range(..index)
-            .filter(|earlier| earlier.link == event.link)
-            .filter(|earlier| matches!(earlier.what, What::Accepted | What::Waits))
-            .map(|earlier| earlier.connection)
-            .next_back();
-        match (after, accepted) {
-            (Some(at), Some(newest)) if at.connection < newest => Moment::Connection(newest),
-            (Some(Place { connection, way, bytes }), _) => Moment::Bytes { connection, way, bytes },
-            (None, Some(newest)) => Moment::Connection(newest),
-            (None, None) => Moment::At(event.at),
-        }
-    }
-
     fn lasts(&self, index: usize, began: &Event, id: FaultId) -> Option<Duration> {
         let over = |later: &&Event| {
             later.link == began.link && matches!(later.what, What::Ended { id: ended } if ended == id)
