Pass on what a process sent that died before its link saw it connected

Cause: under load a host may take a connection, write and reset it before the link looks at the connection at all.

Change: only a refusal is one. A reset means that it was connected; what it sent is read first. A caller that dies while its connection is being made is passed on in the same way.

--- a/crates/links/src/core.rs
+++ b/crates/links/src/core.rs
@@ -225,8 +225,8 @@
     /// sent and then a reset pass to the other side; only the reset where the direction is cut just now.
     pub fn broke(&mut self, now: Time, number: u64, direction: Direction) {
         let Some(connection) = self.connections.get_mut(&number) else { return };
-        if connection.phase != Phase::Open {
-            // The target knows nothing of it yet.
+        if connection.phase == Phase::Waiting {
+            // The target knows nothing of it.
             return self.reset(now, number, What::Broke);
         }
         let cut = self.faults.cuts(now, number, direction);
--- a/crates/links/src/runner.rs
+++ b/crates/links/src/runner.rs
@@ -83,13 +83,23 @@
     /// The system has seen an end or an error, so that reading has to go on until it is met.
     ends: bool,
     broken: bool,
+    /// It was connected and broken before that was looked at: what it sent can be read, and then an end that is none.
+    was_reset: bool,
 }
 
 impl Side {
     fn new(stream: TcpStream, connected: bool) -> Side {
         // Without it small messages may wait for the peer; a link that cannot be told so only is slower.
         let _ = stream.set_nodelay(true);
-        Side { stream, connected, readable: connected, writable: connected, ends: false, broken: false }
+        Side {
+            stream,
+            connected,
+            readable: connected,
+            writable: connected,
+            ends: false,
+            broken: false,
+            was_reset: false,
+        }
     }
 }
 
@@ -240,11 +250,19 @@
         let (link, number) = (wire.link, wire.number);
         let Some(socket) = &mut wire.sides[1] else { return };
         let Some(post) = &mut self.posts[link] else { return };
-        let failed = !matches!(socket.stream.take_error(), Ok(None));
-        if failed {
+        let refused = match socket.stream.take_error() {
+            Ok(None) => false,
+            // Only who was connected can be reset; who is not is refused.
+            Ok(Some(error)) if matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe) => {
+                socket.was_reset = true;
+                false
+            }
+            _ => true,
+        };
+        if refused {
             post.link.not_joined(now, number);
             self.close(link, number, true);
-        } else if socket.stream.peer_addr().is_ok() {
+        } else if socket.was_reset || socket.stream.peer_addr().is_ok() {
             socket.connected = true;
             socket.writable = true;
             post.link.joined(now, number);
@@ -606,6 +624,10 @@
     let read = side.stream.read(&mut piece[..room]);
     let now = start.elapsed().as_nanos() as Time;
     match read {
+        Ok(0) if side.was_reset => {
+            side.broken = true;
+            link.broke(now, wire.number, direction);
+        }
         Ok(0) => {
             side.readable = false;
             link.ended(now, wire.number, direction);
