--- a/crates/links/src/queue.rs
+++ b/crates/links/src/queue.rs
@@ -80,3 +80,20 @@
         lost
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn single_bytes_that_are_late_cost_a_bounded_list() {
+        let mut queue = Queue::default();
+        for at in 0..10 * PIECES as Time {
+            queue.push(b"x", at);
+        }
+        assert_eq!((queue.len(), queue.pieces.len()), (10 * PIECES, PIECES));
+        assert_eq!(queue.ready(7), 8, "the first are as they were");
+        assert_eq!(queue.ready(10 * PIECES as Time - 2), PIECES - 1, "the others wait for the last");
+        assert_eq!(queue.ready(10 * PIECES as Time - 1), 10 * PIECES);
+    }
+}
