--- a/crates/links/examples/measure.rs
+++ b/crates/links/examples/measure.rs
@@ -22,46 +22,49 @@
     let host = echo()?;
     let links = LinkSet::start(Settings { descriptors: 8192, ..Settings::default() })?;
     let ways = [
-        ("direct", None),
-        ("link, no messages counted", Some(Messages::None)),
-        ("link, RESP2 counted", Some(Messages::Resp)),
+        "direct",
+        "two threads a connection",
+        "tokio, one thread",
+        "link, no messages counted",
+        "link, RESP2 counted",
     ];
     println!(
         "{MESSAGE} bytes there and back, {ROUND_TRIPS} times; {} MiB one way; medians of 5 turns\n",
         BULK >> 20
     );
-    println!("| way | round trips/s | median us | p99 us | CPU of the link, us a message | MB/s |");
+    println!("| way | round trips/s | median us | p99 us | CPU of the relay, us a message | MB/s |");
     println!("| --- | --- | --- | --- | --- | --- |");
     let mut turns: Vec<Vec<[f64; 5]>> = vec![Vec::new(); ways.len()];
-    let mut addresses = Vec::new();
-    for (name, messages) in ways {
-        addresses.push(match messages {
-            None => (host, sink()?),
-            Some(messages) => (
-                links.add(LinkSpec::to(name, host).messages(messages))?.1,
-                links.add(LinkSpec::to(name, sink()?).messages(messages))?.1,
-            ),
-        });
-    }
+    let link = |name: &str, messages, target| -> Outcome<SocketAddr> {
+        Ok(links.add(LinkSpec::to(name, target).messages(messages))?.1)
+    };
+    let end = sink()?;
+    let addresses = [
+        (host, end),
+        (by_threads(host)?, by_threads(end)?),
+        (by_tokio(host)?, by_tokio(end)?),
+        (link("none", Messages::None, host)?, link("none", Messages::None, end)?),
+        (link("resp", Messages::Resp, host)?, link("resp", Messages::Resp, end)?),
+    ];
     // In turns, so that what else the machine does meets all of them.
     for _ in 0..5 {
         for (way, (echo, sink)) in addresses.iter().enumerate() {
-            let cpu = link_cpu()?;
-            let (per_s, median, p99) = round_trips(*echo)?;
-            let cpu = (link_cpu()? - cpu).as_secs_f64() * 1e6 / (2 * ROUND_TRIPS) as f64;
+            let (per_s, median, p99, cpu) = round_trips(*echo)?;
             turns[way].push([per_s, median, p99, cpu, bulk(*sink)?]);
         }
     }
-    for ((name, _), turns) in ways.iter().zip(&turns) {
+    for (name, turns) in ways.iter().zip(&turns) {
         let of = |figure: usize| median(turns.iter().map(|turn| turn[figure]).collect());
         println!("| {name} | {:.0} | {:.1} | {:.1} | {:.2} | {:.0} |", of(0), of(1), of(2), of(3), of(4));
     }
     delays(&links, host)?;
+    many(&links, host)?;
     memory(&links, host)
 }
 
-/// Round trips a second, and the median and 99th percentile of one in microseconds.
-fn round_trips(address: SocketAddr) -> Outcome<(f64, f64, f64)> {
+/// Round trips a second, the median and 99th percentile of one, and what a relay's threads ran for a message, in
+/// microseconds.
+fn round_trips(address: SocketAddr) -> Outcome<(f64, f64, f64, f64)> {
     let mut stream = connect(address)?;
     // A RESP2 message of the size.
     let mut message = format!("*2\r\n$4\r\nECHO\r\n${}\r\n", MESSAGE - 22).into_bytes();
@@ -69,6 +72,10 @@
     message.extend(b"\r\n");
     let mut answer = [0; MESSAGE];
     let mut took = Vec::with_capacity(ROUND_TRIPS);
+    // Once, so that the relay's threads are there.
+    stream.write_all(&message)?;
+    stream.read_exact(&mut answer)?;
+    let cpu = relay_cpu()?;
     let begun = Instant::now();
     for _ in 0..ROUND_TRIPS {
         let sent = Instant::now();
@@ -77,8 +84,9 @@
         took.push(sent.elapsed().as_nanos() as f64 / 1e3);
     }
     let per_s = ROUND_TRIPS as f64 / begun.elapsed().as_secs_f64();
+    let cpu = (relay_cpu()? - cpu).as_secs_f64() * 1e6 / (2 * ROUND_TRIPS) as f64;
     took.sort_by(f64::total_cmp);
-    Ok((per_s, took[ROUND_TRIPS / 2], took[ROUND_TRIPS * 99 / 100]))
+    Ok((per_s, took[ROUND_TRIPS / 2], took[ROUND_TRIPS * 99 / 100], cpu))
 }
 
 /// Megabytes a second one way; the other side answers one byte at the end.
@@ -119,6 +127,37 @@
     Ok(())
 }
 
+/// 300 links with a connection each, a message on all of them, and then all answers.
+fn many(links: &LinkSet, host: SocketAddr) -> Outcome<()> {
+    const LINKS: usize = 300;
+    const TURNS: usize = 200;
+    println!(
+        "\n| 300 connections at once | round trips/s | CPU of the relay, us a message |\n| --- | --- | --- |"
+    );
+    for linked in [false, true] {
+        let mut streams = Vec::new();
+        for number in 0..LINKS {
+            let link = || links.add(LinkSpec::to(&number.to_string(), host));
+            streams.push(connect(if linked { link()?.1 } else { host })?);
+        }
+        let cpu = relay_cpu()?;
+        let begun = Instant::now();
+        for _ in 0..TURNS {
+            for stream in &mut streams {
+                stream.write_all(b"PING\r\n")?;
+            }
+            for stream in &mut streams {
+                stream.read_exact(&mut [0; 6])?;
+            }
+        }
+        let count = (LINKS * TURNS) as f64;
+        let cpu = (relay_cpu()? - cpu).as_secs_f64() * 1e6 / (2.0 * count);
+        let name = if linked { "300 links" } else { "direct" };
+        println!("| {name} | {:.0} | {cpu:.2} |", count / begun.elapsed().as_secs_f64());
+    }
+    Ok(())
+}
+
 /// What idle links and connections take of this process's memory; that of the system is not counted.
 fn memory(links: &LinkSet, host: SocketAddr) -> Outcome<()> {
     const LINKS: usize = 1000;
@@ -199,17 +238,71 @@
     Ok(address)
 }
 
-/// CPU time of the thread of links so far.
-fn link_cpu() -> Outcome<Duration> {
+/// A relay that copies with two threads a connection.
+fn by_threads(target: SocketAddr) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let copy = |mut from: TcpStream, mut to: TcpStream| {
+        let mut piece = vec![0; 64 * 1024];
+        while let Ok(count @ 1..) = from.read(&mut piece) {
+            if to.write_all(&piece[..count]).is_err() {
+                break;
+            }
+        }
+        // It fails where the peer is gone already.
+        let _ = to.shutdown(std::net::Shutdown::Write);
+    };
+    thread::spawn(move || -> io::Result<()> {
+        for client in listener.incoming() {
+            let (client, served) = (client?, connect(target)?);
+            client.set_nodelay(true)?;
+            let (client_too, served_too) = (client.try_clone()?, served.try_clone()?);
+            thread::Builder::new().name("relay".into()).spawn(move || copy(client, served))?;
+            thread::Builder::new().name("relay".into()).spawn(move || copy(served_too, client_too))?;
+        }
+        Ok(())
+    });
+    Ok(address)
+}
+
+/// A relay of tokio's on one thread.
+fn by_tokio(target: SocketAddr) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    listener.set_nonblocking(true)?;
+    let serve = async move {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        loop {
+            let (mut client, _) = listener.accept().await?;
+            tokio::spawn(async move {
+                let mut served = tokio::net::TcpStream::connect(target).await?;
+                client.set_nodelay(true)?;
+                served.set_nodelay(true)?;
+                let size = 64 * 1024;
+                tokio::io::copy_bidirectional_with_sizes(&mut client, &mut served, size, size).await
+            });
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    thread::Builder::new()
+        .name("relay".into())
+        .spawn(move || -> io::Result<()> { runtime.block_on(serve) })?;
+    Ok(address)
+}
+
+/// CPU time of all threads of relays so far.
+fn relay_cpu() -> Outcome<Duration> {
+    let mut nanos = 0;
     for task in fs::read_dir("/proc/self/task")? {
         let path = task?.path();
-        if fs::read_to_string(path.join("comm"))?.trim() == "links" {
-            let ran = fs::read_to_string(path.join("schedstat"))?;
-            let nanos = ran.split(' ').next().unwrap_or("0").parse()?;
-            return Ok(Duration::from_nanos(nanos));
+        // A thread may end meanwhile.
+        let Ok(name) = fs::read_to_string(path.join("comm")) else { continue };
+        if ["links", "relay"].contains(&name.trim()) {
+            let ran = fs::read_to_string(path.join("schedstat")).unwrap_or_default();
+            nanos += ran.split(' ').next().and_then(|ran| ran.parse().ok()).unwrap_or(0);
         }
     }
-    Err("no thread of links".into())
+    Ok(Duration::from_nanos(nanos))
 }
 
 /// Bytes of memory in use.
