State what a link costs beside a direct connection and two relays that only copy

Need: what a link adds has to be known before figures of a run through links are believed.

Change: the measurement takes many short turns and gives the best beside the median, since the machine is never calm; it knows each relay's threads by name.

--- a/crates/links/examples/measure.rs
+++ b/crates/links/examples/measure.rs
@@ -15,23 +15,26 @@
 type Outcome<T> = Result<T, Box<dyn std::error::Error>>;
 
 const MESSAGE: usize = 200;
-const ROUND_TRIPS: usize = 50_000;
-const BULK: usize = 1 << 30;
+const ROUND_TRIPS: usize = 10_000;
+const BULK: usize = 1 << 28;
+/// Turns of each way, in turns with the others, so that what else the machine does meets all of them.
+const TURNS: usize = 15;
 
 fn main() -> Outcome<()> {
     let host = echo()?;
     let links = LinkSet::start(Settings { descriptors: 8192, ..Settings::default() })?;
+    // First, while this process has given back nothing that could be used again.
+    memory(&links, host)?;
+    // With the names of the threads that do it.
     let ways = [
-        "direct",
-        "two threads a connection",
-        "tokio, one thread",
-        "link, no messages counted",
-        "link, RESP2 counted",
+        ("direct", "none"),
+        ("two threads a connection", "relay"),
+        ("tokio, one thread", "tokio"),
+        ("link, no messages counted", "links"),
+        ("link, RESP2 counted", "links"),
     ];
-    println!(
-        "{MESSAGE} bytes there and back, {ROUND_TRIPS} times; {} MiB one way; medians of 5 turns\n",
-        BULK >> 20
-    );
+    println!("{MESSAGE} bytes there and back, {ROUND_TRIPS} times; {} MiB one way", BULK >> 20);
+    println!("medians of {TURNS} turns, the best in parentheses\n");
     println!("| way | round trips/s | median us | p99 us | CPU of the relay, us a message | MB/s |");
     println!("| --- | --- | --- | --- | --- | --- |");
     let mut turns: Vec<Vec<[f64; 5]>> = vec![Vec::new(); ways.len()];
@@ -46,25 +49,29 @@
         (link("none", Messages::None, host)?, link("none", Messages::None, end)?),
         (link("resp", Messages::Resp, host)?, link("resp", Messages::Resp, end)?),
     ];
-    // In turns, so that what else the machine does meets all of them.
-    for _ in 0..5 {
+    for _ in 0..TURNS {
         for (way, (echo, sink)) in addresses.iter().enumerate() {
-            let (per_s, median, p99, cpu) = round_trips(*echo)?;
+            let (per_s, median, p99, cpu) = round_trips(*echo, ways[way].1)?;
             turns[way].push([per_s, median, p99, cpu, bulk(*sink)?]);
         }
     }
-    for (name, turns) in ways.iter().zip(&turns) {
-        let of = |figure: usize| median(turns.iter().map(|turn| turn[figure]).collect());
-        println!("| {name} | {:.0} | {:.1} | {:.1} | {:.2} | {:.0} |", of(0), of(1), of(2), of(3), of(4));
+    for ((name, _), turns) in ways.iter().zip(&turns) {
+        let of = |figure: usize, digits: usize, high: bool| {
+            let mut of: Vec<f64> = turns.iter().map(|turn| turn[figure]).collect();
+            of.sort_by(f64::total_cmp);
+            let best = if high { of[TURNS - 1] } else { of[0] };
+            format!("{:.digits$} ({best:.digits$})", of[TURNS / 2])
+        };
+        let (per_s, median, p99, cpu) = (of(0, 0, true), of(1, 1, false), of(2, 1, false), of(3, 2, false));
+        println!("| {name} | {per_s} | {median} | {p99} | {cpu} | {} |", of(4, 0, true));
     }
     delays(&links, host)?;
-    many(&links, host)?;
-    memory(&links, host)
+    many(&links, host)
 }
 
 /// Round trips a second, the median and 99th percentile of one, and what a relay's threads ran for a message, in
 /// microseconds.
-fn round_trips(address: SocketAddr) -> Outcome<(f64, f64, f64, f64)> {
+fn round_trips(address: SocketAddr, threads: &str) -> Outcome<(f64, f64, f64, f64)> {
     let mut stream = connect(address)?;
     // A RESP2 message of the size.
     let mut message = format!("*2\r\n$4\r\nECHO\r\n${}\r\n", MESSAGE - 22).into_bytes();
@@ -75,7 +82,7 @@
     // Once, so that the relay's threads are there.
     stream.write_all(&message)?;
     stream.read_exact(&mut answer)?;
-    let cpu = relay_cpu()?;
+    let cpu = cpu_of(threads)?;
     let begun = Instant::now();
     for _ in 0..ROUND_TRIPS {
         let sent = Instant::now();
@@ -84,7 +91,7 @@
         took.push(sent.elapsed().as_nanos() as f64 / 1e3);
     }
     let per_s = ROUND_TRIPS as f64 / begun.elapsed().as_secs_f64();
-    let cpu = (relay_cpu()? - cpu).as_secs_f64() * 1e6 / (2 * ROUND_TRIPS) as f64;
+    let cpu = (cpu_of(threads)? - cpu).as_secs_f64() * 1e6 / (2 * ROUND_TRIPS) as f64;
     took.sort_by(f64::total_cmp);
     Ok((per_s, took[ROUND_TRIPS / 2], took[ROUND_TRIPS * 99 / 100], cpu))
 }
@@ -130,7 +137,7 @@
 /// 300 links with a connection each, a message on all of them, and then all answers.
 fn many(links: &LinkSet, host: SocketAddr) -> Outcome<()> {
     const LINKS: usize = 300;
-    const TURNS: usize = 200;
+    const ROUNDS: usize = 200;
     println!(
         "\n| 300 connections at once | round trips/s | CPU of the relay, us a message |\n| --- | --- | --- |"
     );
@@ -140,9 +147,9 @@
             let link = || links.add(LinkSpec::to(&number.to_string(), host));
             streams.push(connect(if linked { link()?.1 } else { host })?);
         }
-        let cpu = relay_cpu()?;
+        let cpu = cpu_of("links")?;
         let begun = Instant::now();
-        for _ in 0..TURNS {
+        for _ in 0..ROUNDS {
             for stream in &mut streams {
                 stream.write_all(b"PING\r\n")?;
             }
@@ -150,8 +157,8 @@
                 stream.read_exact(&mut [0; 6])?;
             }
         }
-        let count = (LINKS * TURNS) as f64;
-        let cpu = (relay_cpu()? - cpu).as_secs_f64() * 1e6 / (2.0 * count);
+        let count = (LINKS * ROUNDS) as f64;
+        let cpu = (cpu_of("links")? - cpu).as_secs_f64() * 1e6 / (2.0 * count);
         let name = if linked { "300 links" } else { "direct" };
         println!("| {name} | {:.0} | {cpu:.2} |", count / begun.elapsed().as_secs_f64());
     }
@@ -184,7 +191,7 @@
     }
     let with_connections = resident()?;
     links.remove(link)?;
-    println!("\n| idle | bytes of memory each |\n| --- | --- |");
+    println!("| idle | bytes of memory each |\n| --- | --- |");
     println!("| link | {} |", (with_links - before) / LINKS as u64);
     println!(
         "| connection that has carried a message | {} |",
@@ -193,11 +200,6 @@
     Ok(())
 }
 
-fn median(mut of: Vec<f64>) -> f64 {
-    of.sort_by(f64::total_cmp);
-    of[of.len() / 2]
-}
-
 fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
@@ -285,19 +287,19 @@
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
     thread::Builder::new()
-        .name("relay".into())
+        .name("tokio".into())
         .spawn(move || -> io::Result<()> { runtime.block_on(serve) })?;
     Ok(address)
 }
 
-/// CPU time of all threads of relays so far.
-fn relay_cpu() -> Outcome<Duration> {
+/// CPU time so far of all threads of a name that are there.
+fn cpu_of(threads: &str) -> Outcome<Duration> {
     let mut nanos = 0;
     for task in fs::read_dir("/proc/self/task")? {
         let path = task?.path();
         // A thread may end meanwhile.
         let Ok(name) = fs::read_to_string(path.join("comm")) else { continue };
-        if ["links", "relay"].contains(&name.trim()) {
+        if name.trim() == threads {
             let ran = fs::read_to_string(path.join("schedstat")).unwrap_or_default();
             nanos += ran.split(' ').next().and_then(|ran| ran.parse().ok()).unwrap_or(0);
         }
