Notice the death of a sender whose bytes fill a link that is cut

Cause: a link whose queue was full read no more, so it saw the reset only after the cut, and delivered first what TCP would have lost with its sender.

Change: while a direction is cut, an error of its sender's socket counts at once.

Measured: the test of a death while cut sends more than the link takes; with the guard out it waits in vain.

--- a/crates/links/src/core.rs
+++ b/crates/links/src/core.rs
@@ -189,9 +189,11 @@
         self.flow(number, direction).map_or(0, |flow| flow.room(self.bound))
     }
 
-    /// Whether the sender of a direction may still send, as far as the link knows.
-    pub fn hears(&self, number: u64, direction: Direction) -> bool {
-        self.flow(number, direction).is_some_and(|flow| flow.tail == Tail::Open)
+    /// Whether an error of the sender's socket counts at once, and not only behind what can be read from it: what it
+    /// sends has ended already, or is lost, since nothing can pass.
+    pub fn breaks_at_once(&self, now: Time, number: u64, direction: Direction) -> bool {
+        let ended = self.flow(number, direction).is_some_and(|flow| flow.tail != Tail::Open);
+        ended || self.faults.cuts(now, number, direction)
     }
 
     /// Bytes came from the sender, no more than there was room for.
--- a/crates/links/src/runner.rs
+++ b/crates/links/src/runner.rs
@@ -232,12 +232,14 @@
         if !socket.connected {
             return self.connected(key);
         }
-        // Who has ended what he sends is read no more; that he broke shows only here.
+        // Who has ended what he sends, or fills a link that is cut, is read no more; that he broke shows only here.
         let direction = Direction::BOTH[side];
+        let now = self.start.elapsed().as_nanos() as Time;
+        let breaks = |post: &&mut Post| post.link.breaks_at_once(now, number, direction);
         if event.is_error() && !socket.broken {
-            if let Some(post) = self.posts[link].as_mut().filter(|post| !post.link.hears(number, direction)) {
+            if let Some(post) = self.posts[link].as_mut().filter(breaks) {
                 socket.broken = true;
-                post.link.broke(self.start.elapsed().as_nanos() as Time, number, direction);
+                post.link.broke(now, number, direction);
             }
         }
         self.queue(key);
--- a/crates/links/tests/sockets.rs
+++ b/crates/links/tests/sockets.rs
@@ -270,17 +270,17 @@
 
 #[test]
 fn who_dies_in_the_middle_of_an_answer_is_seen_to() {
-    let bed = Bed::new();
+    let bed = Bed::with(Settings { queue: 8, ..Settings::default() });
     let (client, served) = bed.pair();
     write(&served, b"half an ans");
     abort(served);
     assert_eq!(read_all(&client), reset_after(b"half an ans"));
-    // The same while it is cut: only the reset is left.
+    // The same while it is cut, and more was sent than a link takes: only the reset is left.
     let (client, served) = bed.pair();
     bed.until(|counts| counts.connections == 1);
     bed.begin(Fault::Cut { way: Way::Answers });
     write(&served, b"half an ans");
-    bed.until(|counts| counts.waiting == 11);
+    bed.until(|counts| counts.waiting == 8);
     abort(served);
     bed.until(|counts| counts.waiting == 0);
     assert!(is_silent(&client));
