Leave callers unanswered without a descriptor of our own for each link

Cause: each link that did not answer held one more descriptor than the bound counted; 300 links cut at once held 300.

Change: the connection that fills the listener's queue is closed at once, which leaves its place taken.

--- a/crates/links/src/runner.rs
+++ b/crates/links/src/runner.rs
@@ -26,7 +26,7 @@
 
 const WAKER: Token = Token(0);
 const ALARM: Token = Token(4);
-/// The poll, the waker, the alarm, and one for a connection that is accepted only to be reset.
+/// The poll, the waker, the alarm, and one that is closed at once: to reset a connection, or to fill a listener.
 const OWN: usize = 4;
 /// Bytes that are read at once.
 const PIECE: usize = 64 * 1024;
@@ -353,10 +353,7 @@
         // Who came before is taken; the fault concerns those after it.
         self.accept(id);
         let Some(post) = &mut self.posts[id] else { return };
-        self.descriptors -= post.listener.descriptors();
-        let done = post.listener.set(listening);
-        self.descriptors += post.listener.descriptors();
-        if let Err(error) = done {
+        if let Err(error) = post.listener.set(listening) {
             self.refused(id, &error);
         }
         self.accept(id);
@@ -370,7 +367,6 @@
             let stream = match post.listener.socket.accept() {
                 Ok((_, peer)) if post.listener.is_plug(peer) => {
                     post.listener.unplug();
-                    self.descriptors -= 1;
                     continue;
                 }
                 Ok((stream, _)) => stream,
@@ -523,7 +519,7 @@
             self.close(id, number, true);
         }
         if let Some(post) = self.posts[id].take() {
-            self.descriptors -= post.listener.descriptors();
+            self.descriptors -= 1;
             if let Some(wake) = post.wake {
                 self.wakes.remove(&(wake, id));
             }
--- a/crates/links/src/socket.rs
+++ b/crates/links/src/socket.rs
@@ -16,14 +16,16 @@
 
 /// Connections that the system may complete before a link has accepted them.
 const BACKLOG: i32 = 1024;
+/// A connection to ourselves is made within this, by the system alone, also on a loaded machine.
+const PLUG: Duration = Duration::from_millis(50);
 
 /// A listener whose port stays its own while it refuses.
 pub(crate) struct Listener {
     pub socket: TcpListener,
     pub address: SocketAddr,
     listening: Listening,
-    /// Fills the place that the system leaves where nobody is to be answered.
-    plug: Option<Socket>,
+    /// Whose connection fills the place that the system leaves where nobody is to be answered.
+    plug: Option<SocketAddr>,
 }
 
 impl Listener {
@@ -39,11 +41,6 @@
         Ok(Listener { socket, address, listening: Listening::Open, plug: None })
     }
 
-    /// Descriptors that it holds.
-    pub fn descriptors(&self) -> usize {
-        1 + usize::from(self.plug.is_some())
-    }
-
     /// Whether connections are to be accepted.
     pub fn is_open(&self) -> bool {
         self.listening == Listening::Open
@@ -51,7 +48,7 @@
 
     /// Whether this peer is our own plug.
     pub fn is_plug(&self, peer: SocketAddr) -> bool {
-        self.plug.as_ref().is_some_and(|plug| local(plug).is_ok_and(|address| address == peer))
+        self.plug == Some(peer)
     }
 
     /// Forgets the plug, once it was accepted.
@@ -70,17 +67,14 @@
                 SockRef::from(&self.socket).shutdown(std::net::Shutdown::Both)?;
             }
             Listening::Unanswering => {
-                // One connection may wait beyond a backlog of 0; ours does.
+                // One connection may wait beyond a backlog of 0. Ours does, also when its own end is closed, so it
+                // costs no descriptor. It cannot be made only where somebody else's waits there already.
                 SockRef::from(&self.socket).listen(0)?;
                 let plug = Socket::new(Domain::for_address(self.address), Type::STREAM, None)?;
-                plug.set_nonblocking(true)?;
-                match plug.connect(&self.address.into()) {
-                    Err(error)
-                        if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) =>
-                    {
-                        return Err(error)
-                    }
-                    _ => self.plug = Some(plug),
+                match plug.connect_timeout(&self.address.into(), PLUG) {
+                    Err(error) if error.kind() != io::ErrorKind::TimedOut => return Err(error),
+                    Err(_) => {}
+                    Ok(()) => self.plug = Some(local(&plug)?),
                 }
             }
         }
--- a/crates/links/tests/sockets.rs
+++ b/crates/links/tests/sockets.rs
@@ -202,6 +202,8 @@
         let id = bed.begin(Fault::Unanswered);
         let hangs = TcpStream::connect_timeout(&bed.address, Duration::from_millis(50));
         assert_eq!(hangs.err().map(|error| error.kind()), Some(ErrorKind::TimedOut), "round {round}");
+        let counts = bed.links.counts().expect("counts");
+        assert_eq!(counts.descriptors, 4 + 1 + 2 * counts.connections, "it costs none");
         bed.links.end(bed.link, id).expect("the fault");
         let (client, served) = bed.pair();
         write(&client, b"answered");
