Let a reset at the n-th connection hit that connection

Cause: what begins with a connection began before it was there, so a planned reset or half-close of it did nothing.

Change: faults that last begin before, deeds after; a connection that is over by then is never led to the target.

--- a/crates/links/src/core.rs
+++ b/crates/links/src/core.rs
@@ -122,29 +122,40 @@
         self.count += 1;
         let number = self.count;
         self.last = Last::Connecting(number);
-        for index in self.moments.connection(number) {
+        // What lasts comes before anything is done with it, what is done at once needs it to be there.
+        let planned = self.moments.connection(number);
+        let (deeds, lasting): (Vec<_>, Vec<_>) =
+            planned.into_iter().partition(|index| self.moments.entry(*index).is_deed());
+        for index in lasting {
             self.begin_entry(now, index, Some(number));
         }
         let opening = self.faults.opening(now, number);
-        let phase = match opening {
-            Opening::Join => Phase::Joining,
-            Opening::Wait => Phase::Waiting,
-            Opening::Reset => {
-                self.note(now, number, None, What::TurnedAway, 0);
-                return (number, opening);
-            }
-        };
-        let what = if opening == Opening::Join { What::Accepted } else { What::Waits };
-        self.note(now, number, None, what, 0);
-        self.last = Last::Passed(Place { connection: number, way: Direction::Calls, bytes: 0 });
-        let flows = Direction::BOTH.map(|direction| self.new_flow(number, direction));
-        self.connections.insert(number, Connection { phase, flows, silenced: None });
+        match opening {
+            Opening::Reset => self.note(now, number, None, What::TurnedAway, 0),
+            Opening::Join => self.insert(now, number, Phase::Joining, What::Accepted),
+            Opening::Wait => self.insert(now, number, Phase::Waiting, What::Waits),
+        }
+        for index in deeds {
+            self.begin_entry(now, index, Some(number));
+        }
         for direction in Direction::BOTH {
             self.reach(now, number, direction);
         }
+        if opening != Opening::Reset && !self.connections.contains_key(&number) {
+            // It is over already; the target need not hear of it.
+            self.deeds.retain(|deed| *deed != Deed::Reset(number));
+            return (number, Opening::Reset);
+        }
         (number, opening)
     }
 
+    fn insert(&mut self, now: Time, number: u64, phase: Phase, what: What) {
+        self.note(now, number, None, what, 0);
+        self.last = Last::Passed(Place { connection: number, way: Direction::Calls, bytes: 0 });
+        let flows = Direction::BOTH.map(|direction| self.new_flow(number, direction));
+        self.connections.insert(number, Connection { phase, flows, silenced: None });
+    }
+
     fn new_flow(&mut self, number: u64, direction: Direction) -> Flow {
         // A stream of chance for each direction of each connection of each link.
         let part = (u64::from(self.id.0) << 40) ^ (number << 1) ^ direction as u64;
--- a/crates/links/src/plan.rs
+++ b/crates/links/src/plan.rs
@@ -175,7 +175,8 @@
 pub enum Moment {
     /// So long after the set's start; at once where that is over.
     At(Duration),
-    /// When the link accepts its n-th connection, from 1, before anything is done with it.
+    /// When the link accepts its n-th connection, from 1: before anything is done with it, or, of `Reset` and
+    /// `HalfClose`, at once after that.
     Connection(u64),
     /// When `after` bytes of the n-th message, from 1, that the link sees in a direction have passed, or all
     /// of it where it is shorter. Messages of all its connections count, by their first bytes.
@@ -239,6 +240,13 @@
     pub lasts: Option<Duration>,
 }
 
+impl Entry {
+    /// Whether it is done at once, and does not last.
+    pub(crate) fn is_deed(&self) -> bool {
+        matches!(self.fault, Some(Fault::Reset | Fault::HalfClose { .. }))
+    }
+}
+
 /// Faults and their moments. Of those that come at the same instant the ends come first, then the beginnings,
 /// each in the order in which they were planned; all of them come before any byte that is due just then.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/links/tests/core.rs
+++ b/crates/links/tests/core.rs
@@ -419,6 +419,12 @@
             &["0 open", "0 open", "1 >1 a\n", "2 >2 b\n", "3 >1 c\n"],
             &["1 >1 a\n", "2 >2 b\n", "2 2 reset", "3 >1 c\n"],
         ),
+        (
+            "a reset of the n-th connection",
+            Plan::new().here(LINK, Moment::Connection(2), Fault::Reset),
+            &["0 open", "1 open", "2 >1 a"],
+            &["1 2 turned away", "2 >1 a"],
+        ),
         (
             "occurrences may overlap",
             at(Moment::Pattern { way: Calls, bytes: b"aba".to_vec(), n: 2 }, cut()),
