--- a/crates/model/src/file/events.rs
+++ b/crates/model/src/file/events.rs
@@ -3,18 +3,19 @@
 use super::errors::{Parsed, Place, Reason};
 use super::figure::{number_text, share_text, span_text};
 use super::line::{Bounds, Line};
-use super::{MOST_GATEWAYS, MOST_HOSTS, MOST_LENGTH, MOST_NUMBERS};
+use super::{MOST_BUILDINGS, MOST_GATEWAYS, MOST_HOSTS, MOST_LENGTH, MOST_NUMBERS};
 use crate::scenario::{CounterFault, DiscoveryFault, Event, Mishap, Side, Which};
 use crate::{Span, MS};
 use std::fmt;
 
 /// The words that events begin with. The one without a verb begins with its share: `10 % of the clients leave
 /// early for 10 s`.
-pub const VERBS: [&str; 17] = [
+pub const VERBS: [&str; 18] = [
     "kill",
     "restart",
     "reload",
     "traffic",
+    "lean",
     "slow",
     "pause",
     "drain",
@@ -36,6 +37,8 @@
 const WITHIN: Bounds<Span> = (0, MOST_LENGTH);
 /// A share that hits something.
 const SHARE: Bounds<f64> = (0.0001, 1.0);
+/// How many times its part a building gets.
+const LEANING: Bounds<f64> = (0.01, 100.0);
 /// How many times slower or costlier.
 const WORSE: Bounds<f64> = (1.0, 1000.0);
 
@@ -99,11 +102,12 @@
         match self.line.one_of("event", &VERBS)? {
             "kill" => self.kill(),
             "restart" => Ok(match self.machines()? {
-                (Machines::Gateways, which) => Event::RestartGateways(which),
+                (Machines::Gateways, which) => Event::RestartGateways(which, self.over()?),
                 (Machines::Hosts, which) => Event::RestartHosts(which),
             }),
             "reload" => Ok(Event::ReloadGateways(self.only(Machines::Gateways)?)),
             "traffic" => self.traffic(),
+            "lean" => self.lean(),
             "slow" => {
                 let which = self.only(Machines::Hosts)?;
                 Ok(Event::SlowHosts(which, self.line.times("x", WORSE)?, self.lasting()?))
@@ -152,9 +156,24 @@
         Ok(Event::Traffic(times, lasting, rise))
     }
 
+    /// `to building 2 x 3 for 15 s`.
+    fn lean(&mut self) -> Parsed<Event> {
+        self.line.require("to")?;
+        let building = self.building()?;
+        Ok(Event::Lean(building, self.line.times("x", LEANING)?, self.lasting()?))
+    }
+
+    /// `over 10 s`, or nothing.
+    fn over(&mut self) -> Parsed<Span> {
+        if self.line.accept("over") {
+            return self.line.span("over", WITHIN);
+        }
+        Ok(0)
+    }
+
     fn drain(&mut self) -> Parsed<Event> {
         let which = self.only(Machines::Hosts)?;
-        let over = if self.line.accept("over") { self.line.span("over", WITHIN)? } else { 0 };
+        let over = self.over()?;
         self.line.require_mark(',')?;
         self.line.require("gone")?;
         self.line.require("after")?;
@@ -232,7 +251,7 @@
     fn side(&mut self) -> Parsed<Side> {
         self.line.accept("the");
         Ok(match self.line.one_of("side", &["building", "gateway", "host", "counter", "clients"])? {
-            "building" => Side::Building(self.numbered("building", 100)?),
+            "building" => Side::Building(self.numbered("building", MOST_BUILDINGS)?),
             "gateway" => Side::Gateway(self.numbered("gateway", MOST_GATEWAYS)?),
             "host" => Side::Host(self.numbered("host", MOST_HOSTS)?),
             "counter" => Side::Counter,
@@ -322,10 +341,12 @@
         self.which(&[Machines::Gateways, Machines::Hosts])
     }
 
-    /// `all hosts`, `20 % of the hosts`, `2 hosts` or `hosts 2, 5`, of one of these kinds.
+    /// `all hosts`, `all hosts of building 2`, `20 % of the hosts`, `2 hosts` or `hosts 2, 5`, of one of these kinds.
     fn which(&mut self, kinds: &[Machines]) -> Parsed<(Machines, Which)> {
         if self.line.accept("all") {
-            return Ok((self.kind(kinds)?, Which::All));
+            let kind = self.kind(kinds)?;
+            let which = if self.line.accept("of") { Which::Building(self.building()?) } else { Which::All };
+            return Ok((kind, which));
         }
         if self.line.is_at_share() {
             let share = self.line.share("share", SHARE)?;
@@ -368,6 +389,12 @@
         Ok(numbers)
     }
 
+    /// `building 2`.
+    fn building(&mut self) -> Parsed<u32> {
+        self.line.require("building")?;
+        self.numbered("building", MOST_BUILDINGS)
+    }
+
     /// The number of a machine or building.
     fn numbered(&mut self, kind: &'static str, most: u32) -> Parsed<u32> {
         self.mark();
@@ -382,7 +409,7 @@
 /// What an event names, as its marks stand.
 pub(super) fn named(event: &Event) -> Vec<Named<'_>> {
     match event {
-        Event::KillGateways(which, _) | Event::RestartGateways(which) | Event::ReloadGateways(which) => {
+        Event::KillGateways(which, _) | Event::RestartGateways(which, _) | Event::ReloadGateways(which) => {
             named_machines(which, Named::Gateway, Named::Gateways)
         }
         Event::SlowHosts(which, _, _)
@@ -394,6 +421,7 @@
         Event::Mishaps(_, _, which, _) | Event::Stale(_, which, _) => {
             named_machines(which, Named::Host, Named::Hosts)
         }
+        Event::Lean(building, ..) => vec![Named::Building(*building)],
         Event::Heavy(class, ..) => vec![Named::Class(class)],
         Event::Cut(one, other, ..) => [one, other].into_iter().filter_map(named_side).collect(),
         Event::Counter(CounterFault::Split(groups), _) => {
@@ -418,6 +446,7 @@
         Which::All | Which::Share(_) => Vec::new(),
         Which::Count(count) => vec![many(*count)],
         Which::These(these) => these.iter().copied().map(one).collect(),
+        Which::Building(number) => vec![Named::Building(*number)],
     }
 }
 
@@ -437,12 +466,19 @@
         let hosts = |which| machines_text(Machines::Hosts, which);
         match self {
             Event::KillGateways(which, back) => write!(f, "kill {} {}", gateways(which), back_text(*back)),
-            Event::RestartGateways(which) => write!(f, "restart {}", gateways(which)),
+            Event::RestartGateways(which, over) => {
+                write!(f, "restart {}", gateways(which))?;
+                write_if(f, *over > 0, format_args!(" over {}", span_text(*over)))
+            }
             Event::ReloadGateways(which) => write!(f, "reload {}", gateways(which)),
             Event::Traffic(times, span, rise) => {
                 write!(f, "traffic x {} for {}", number_text(*times), span_text(*span))?;
                 write_if(f, *rise > 0, format_args!(", rising in {}", span_text(*rise)))
             }
+            Event::Lean(building, times, span) => {
+                let (times, span) = (number_text(*times), span_text(*span));
+                write!(f, "lean to building {building} x {times} for {span}")
+            }
             Event::SlowHosts(which, times, span) => {
                 write!(f, "slow {} x {} for {}", hosts(which), number_text(*times), span_text(*span))
             }
@@ -511,6 +547,7 @@
     match which {
         Which::All => format!("all {}", kind.plural()),
         Which::Share(share) => format!("{} of the {}", share_text(*share), kind.plural()),
+        Which::Building(number) => format!("all {} of building {number}", kind.plural()),
         Which::Count(1) => format!("1 {}", kind.singular()),
         Which::Count(count) => format!("{count} {}", kind.plural()),
         Which::These(these) if these.len() == 1 => format!("{} {}", kind.singular(), numbers(these)),
--- a/crates/model/src/file/fields.rs
+++ b/crates/model/src/file/fields.rs
@@ -3,7 +3,7 @@
 use super::errors::Parsed;
 use super::figure::{number_text, share_text, size_text, span_text};
 use super::line::{Bounds, Line};
-use super::{MOST_GATEWAYS, MOST_HOSTS};
+use super::{MOST_BUILDINGS, MOST_GATEWAYS, MOST_HOSTS};
 use crate::scenario::*;
 use crate::{Span, MS, SECOND};
 
@@ -168,7 +168,7 @@
 fields!(SITE: Site {
     "gateways" => |s| Slot::Count(&mut s.gateways, (1, MOST_GATEWAYS), "");
     "hosts" => |s| Slot::Count(&mut s.hosts, (1, MOST_HOSTS), "");
-    "buildings" => |s| Slot::Count(&mut s.buildings, (1, 100), "");
+    "buildings" => |s| Slot::Count(&mut s.buildings, (1, MOST_BUILDINGS), "");
     "sockets" => |s| Slot::Count(&mut s.sockets, (64, 1_000_000), "");
     "memory" => |s| Slot::Count(&mut s.memory_mb, (16, 1_000_000), "MB");
     "retry-after" => |s| Slot::MaybeSpan(&mut s.retry_after, (MS, MINUTE));
@@ -260,6 +260,7 @@
         Slot::Share(&mut t.greedy.0, ANY_SHARE), "", Slot::Times(&mut t.greedy.1, (1.0, 100.0)));
     "most-excess" => |t| Slot::Share(&mut t.most_excess, (0.0, 10.0));
     "skew" => |t| Slot::Number(&mut t.skew, (0.0, 10.0), "");
+    "uneven" => |t| Slot::Number(&mut t.uneven, (0.0, 10.0), "");
     "shift" => |t| Slot::Span(&mut t.shift, (100 * MS, HOUR));
     "retries" => |t| Slot::Count(&mut t.retries, (0, 10), "");
     "backoff" => |t| Slot::Span(&mut t.backoff, (0, MINUTE));
--- a/crates/model/src/file/mod.rs
+++ b/crates/model/src/file/mod.rs
@@ -31,13 +31,15 @@
 /// Bytes of a line.
 pub const MOST_LINE_BYTES: usize = 1000;
 /// Gateways of a site.
-pub const MOST_GATEWAYS: u32 = 100;
+pub const MOST_GATEWAYS: u32 = 1000;
 /// Hosts that a site has in the course of a rehearsal.
 pub const MOST_HOSTS: u32 = 1000;
 /// Customers of a plan.
 pub const MOST_CUSTOMERS: u64 = 100_000;
 /// Classes or plans of a site.
 pub const MOST_NAMES: usize = 20;
+/// Buildings of a site.
+pub const MOST_BUILDINGS: u32 = 100;
 /// Machines that one event names by number.
 pub const MOST_NUMBERS: usize = 100;
 /// Letters of a title.
--- a/crates/model/src/file/shipped.rs
+++ b/crates/model/src/file/shipped.rs
@@ -14,6 +14,12 @@
     ("deaf-hosts", include_str!("../../../../scenarios/deaf-hosts.scenario")),
     ("discovery-cut", include_str!("../../../../scenarios/discovery-cut.scenario")),
     ("planned-restarts", include_str!("../../../../scenarios/planned-restarts.scenario")),
+    ("calm-fleet", include_str!("../../../../scenarios/calm-fleet.scenario")),
+    ("roll-fleet", include_str!("../../../../scenarios/roll-fleet.scenario")),
+    ("herd-fleet", include_str!("../../../../scenarios/herd-fleet.scenario")),
+    ("zone-fleet", include_str!("../../../../scenarios/zone-fleet.scenario")),
+    ("split-fleet", include_str!("../../../../scenarios/split-fleet.scenario")),
+    ("join-fleet", include_str!("../../../../scenarios/join-fleet.scenario")),
 ];
 
 /// The names and texts of the shipped scenarios; each is a file for [`super::parse`].
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod draw;
 pub mod file;
 pub mod host;
+mod resize;
 pub mod rng;
 pub mod scenario;
 pub mod seen;
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -238,6 +238,9 @@
     pub most_excess: f64,
     /// How unevenly a customer's requests come in over its gateways: 0 evenly.
     pub skew: f64,
+    /// How unevenly all requests come in over the gateways, whoever asks: 0 evenly; at `u` the busiest get up to
+    /// 1 + `u` times the mean, as far as customers' sets allow.
+    pub uneven: f64,
     /// The gateways that get most change this often.
     pub shift: Span,
     /// Times that a client tries again by itself.
@@ -265,6 +268,8 @@
     Count(u32),
     /// These, numbered from 1.
     These(Vec<u32>),
+    /// All of this building, numbered from 1.
+    Building(u32),
 }
 
 /// A side of a cut.
@@ -333,12 +338,14 @@
 pub enum Event {
     /// Gateways die, and come back after a while with nothing but their last list of hosts.
     KillGateways(Which, Option<Span>),
-    /// Planned restarts: SIGTERM, SIGKILL when it may come, a fresh start.
-    RestartGateways(Which),
+    /// Planned restarts, one after another within the span: SIGTERM, SIGKILL when it may come, a fresh start.
+    RestartGateways(Which, Span),
     /// SIGHUP with a new configuration file.
     ReloadGateways(Which),
     /// Traffic is this many times the usual for a while; it rises and falls over the last span.
     Traffic(f64, Span, Span),
+    /// Gateways of this building (numbered from 1) get this many times their part of the traffic for a while.
+    Lean(u32, f64, Span),
     /// Hosts work this many times slower for a while.
     SlowHosts(Which, f64, Span),
     /// Hosts do nothing for a while, connections stay open.
@@ -375,12 +382,12 @@
 }
 
 impl Which {
-    /// How many of `all` machines are meant. A share is rounded to the nearest whole number, since that is the
+    /// How many of `all` machines are meant, at the most for those of a building. A share is rounded to the nearest whole number, since that is the
     /// closest that a small site comes to it; one at the least, since an event that hits nothing rehearses
     /// nothing: 41 % of 3 gateways is 1, of 10 it is 4.
     pub fn count(&self, all: u32) -> u32 {
         match self {
-            Which::All => all,
+            Which::All | Which::Building(_) => all,
             Which::Share(share) => (libm::round(share * f64::from(all)) as u32).clamp(1, all.max(1)).min(all),
             Which::Count(count) => (*count).min(all),
             Which::These(these) => these.iter().filter(|n| (1..=all).contains(*n)).count() as u32,
@@ -513,6 +520,7 @@
             greedy: (0.0, 5.0),
             most_excess: 0.9,
             skew: 0.8,
+            uneven: 0.0,
             shift: 12 * SECOND,
             retries: 1,
             backoff: 100 * MS,
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -15,5 +15,5 @@
 pub use arrivals::{Arrival, Arrivals, LANE_BITS};
 pub use behaviour::{Again, Behaviour, Ended};
 pub use customers::PlanRates;
-pub use deal::Deal;
+pub use deal::{Deal, Lean};
 pub use scale::Scale;
--- a/crates/model/src/traffic/arrivals.rs
+++ b/crates/model/src/traffic/arrivals.rs
@@ -3,7 +3,7 @@
 use super::customers::{self, Customer, PlanRates};
 use super::scale::{self, Scale};
 use super::spells::Spells;
-use super::Deal;
+use super::{Deal, Lean};
 use crate::draw::Draws;
 use crate::rng::Rng;
 use crate::scenario::{Site, Traffic};
@@ -135,6 +135,11 @@
         self
     }
 
+    /// The same, leaning to a building now and then.
+    pub fn leaning(self, leans: &[Lean]) -> Arrivals {
+        Arrivals { deal: self.deal.leaning(leans), ..self }
+    }
+
     /// Starts a stream of each customer, for the usual traffic or for the newest window.
     fn open_lane(&mut self, from: Span) {
         let lane = self.counts.len() as u32;
--- a/crates/model/tests/file.rs
+++ b/crates/model/tests/file.rs
@@ -58,7 +58,8 @@
           only plans gold
         traffic
           rate 55.5 requests/s, most-units 1 unit, guess-cv 0, calm-use 10 % to 20 %, full 30 %
-          heavy 5 % x 2, spiky 6 % x 3.5, greedy 1 % x 4, most-excess 120 %, skew 0.5, shift 9 s, retries 2, backoff 50 ms
+          heavy 5 % x 2, spiky 6 % x 3.5, greedy 1 % x 4, most-excess 120 %, skew 0.5, uneven 3, shift 9 s
+          retries 2, backoff 50 ms
           honour 60 %, try-share 40 % to 90 %, impatient 1 %, front-notice 1 s
     "#;
     let site = Site {
@@ -141,6 +142,7 @@
         greedy: (0.01, 4.0),
         most_excess: 1.2,
         skew: 0.5,
+        uneven: 3.0,
         shift: 9 * SECOND,
         retries: 2,
         backoff: 50 * MS,
@@ -169,6 +171,9 @@
         at 1 s: kill hosts 2, 5, 7 for 10 s\n\
         at 1 s: kill 2 hosts for 1 min\n\
         at 1 s: restart gateway 2\n\
+        at 1 s: restart all gateways over 40 s\n\
+        at 1 s: kill all gateways of building 2 for 5 s\n\
+        at 1 s: lean to building 3 x 1.8 for 15 s\n\
         at 1 s: restart all hosts\n\
         at 1 s: reload 1 gateway\n\
         at 1 s: traffic x 1.8 for 8 s, rising in 0.5 s\n\
@@ -210,7 +215,10 @@
         KillGateways(Which::These(vec![1, 3]), None),
         KillHosts(Which::These(vec![2, 5, 7]), Some(10 * SECOND)),
         KillHosts(Which::Count(2), Some(60 * SECOND)),
-        RestartGateways(Which::These(vec![2])),
+        RestartGateways(Which::These(vec![2]), 0),
+        RestartGateways(Which::All, 40 * SECOND),
+        KillGateways(Which::Building(2), Some(5 * SECOND)),
+        Lean(3, 1.8, 15 * SECOND),
         RestartHosts(Which::All),
         ReloadGateways(Which::Count(1)),
         Traffic(1.8, 8 * SECOND, 500 * MS),
@@ -340,8 +348,8 @@
             top(&format!("length {} s", "9".repeat(60))),
             "2:8: `length` is 9999999999999999999999999999999999999999..., and has to be from 1 ms to 2 h",
         ),
-        (site("gateways 0"), "3:10: `gateways` is 0, and has to be from 1 to 100"),
-        (site("gateways 101"), "3:10: `gateways` is 101, and has to be from 1 to 100"),
+        (site("gateways 0"), "3:10: `gateways` is 0, and has to be from 1 to 1000"),
+        (site("gateways 1001"), "3:10: `gateways` is 1001, and has to be from 1 to 1000"),
         (site("gateways 2.5"), "3:10: `gateways` is 2.5, and has to be a whole number"),
         (site("gateways 1e2"), "3:11: expected a comma or the end of the line, found `e2`"),
         (site("hosts 0"), "3:7: `hosts` is 0, and has to be from 1 to 1000"),
@@ -524,9 +532,25 @@
         "deaf-hosts",
         "discovery-cut",
         "planned-restarts",
+        "calm-fleet",
+        "roll-fleet",
+        "herd-fleet",
+        "zone-fleet",
+        "split-fleet",
+        "join-fleet",
     ];
     assert_eq!(names, wanted);
-    for (name, text) in shipped() {
+    let (sites, fleets) = shipped().split_at(12);
+    for (name, text) in fleets {
+        let scenario = parse(name, text).unwrap();
+        assert_eq!((scenario.site.gateways, scenario.site.hosts), (300, 150), "{name}");
+        for gateways in [3, 30, 60, 150, 1000] {
+            // A site of a few hosts still has one of what an event names.
+            let resized = to_text(&scenario.clone().with_gateways(gateways));
+            parse(name, &resized).unwrap_or_else(|error| panic!("{gateways}: {error}"));
+        }
+    }
+    for (name, text) in sites {
         let scenario = parse(&format!("scenarios/{name}.scenario"), text).unwrap();
         assert_eq!((scenario.name.as_str(), find(name)), (*name, Some(*text)));
         assert_eq!(scenario.site, Site::default(), "{name}");
@@ -743,6 +767,7 @@
         greedy: (rng.between(0.0, 0.1), number(rng, 1.0, 100.0)),
         most_excess: number(rng, 0.0, 10.0),
         skew: number(rng, 0.0, 10.0),
+        uneven: number(rng, 0.0, 10.0),
         shift: span(rng, 100 * MS, 3600 * SECOND),
         retries: count(rng, 0, 10),
         backoff: span(rng, 0, 60 * SECOND),
@@ -787,9 +812,9 @@
     let (gateways, hosts) = (which(rng, site.gateways), which(rng, site.hosts));
     let (lasts, times, part) = (lasting(rng), number(rng, 1.0, 1000.0), some_share(rng));
     let back = rng.chance(0.5).then_some(lasts);
-    match rng.below(21) {
+    match rng.below(22) {
         0 => Event::KillGateways(gateways, back),
-        1 => Event::RestartGateways(gateways),
+        1 => Event::RestartGateways(gateways, if rng.chance(0.5) { 0 } else { lasts }),
         2 => Event::ReloadGateways(gateways),
         3 => Event::Traffic(number(rng, 0.0, 1000.0), lasts, if rng.chance(0.5) { 0 } else { lasts / 2 }),
         4 => Event::SlowHosts(hosts, times, lasts),
@@ -807,6 +832,7 @@
         15 => random_counter_fault(rng, site.gateways),
         17 => Event::Mishaps(Mishap::Swallowed, part, hosts, lasts),
         18 => Event::Mishaps(Mishap::Reset, part, hosts, lasts),
+        20 => Event::Lean(count(rng, 1, site.buildings), number(rng, 0.01, 100.0), lasts),
         19 => Event::Stale(lasts, hosts, lasting(rng)),
         16 => {
             let late = DiscoveryFault::Late(lasting(rng));
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -37,6 +37,8 @@
     /// A reason for which a host was slow is over.
     Slow(u32),
     Drain(u32),
+    /// A gateway's planned restart.
+    Restart(u32),
     Gone(u32),
     HostBack(u32),
     /// A new host comes at the addresses of this one.
@@ -109,6 +111,7 @@
             }
             Step::Slow(host) => self.slow(now, host),
             Step::Drain(host) => self.drain(host),
+            Step::Restart(gateway) => self.restart_gateway(now, gateway),
             Step::Gone(host) => self.stop_host(host, Notice::Given),
             Step::HostBack(host) => {
                 if self.site.hosts[host as usize].running.is_none() {
@@ -141,9 +144,14 @@
                     }
                 }
             }
-            Event::RestartGateways(which) => {
-                for gateway in self.gateways(&which, &mut rng) {
-                    self.restart_gateway(now, gateway);
+            Event::RestartGateways(which, over) => {
+                let gateways = self.gateways(&which, &mut rng);
+                let each = over / gateways.len().max(1) as u64;
+                for (n, gateway) in (0..).zip(gateways) {
+                    match n * each {
+                        0 => self.restart_gateway(now, gateway),
+                        later => self.plan(now + later, Step::Restart(gateway)),
+                    }
                 }
             }
             Event::ReloadGateways(which) => {
@@ -152,7 +160,7 @@
                 }
             }
             // Clients know of it from the start.
-            Event::Traffic(..) => {}
+            Event::Traffic(..) | Event::Lean(..) => {}
             Event::SlowHosts(which, times, span) => {
                 for host in self.hosts(&which, &mut rng) {
                     self.site.hosts[host as usize].slow.push((times, now + span));
@@ -227,13 +235,18 @@
         Ok(())
     }
 
+    /// The building, numbered from 1, that a gateway stands in, or a host by its place.
+    fn building(&self, place: u32) -> u32 {
+        place % self.site.scenario.site.buildings.max(1) + 1
+    }
+
     // ---- Gateways
 
     /// The gateways that are meant, of those that are up.
     fn gateways(&self, which: &Which, rng: &mut Rng) -> Vec<u32> {
         let up = |post: &u32| self.site.gateways[*post as usize].up.is_some();
         let all = self.site.gateways.len() as u32;
-        choose(which, all, (0..all).filter(up).collect(), rng)
+        choose(which, all, (0..all).filter(up).collect(), |gateway| self.building(gateway), rng)
     }
 
     fn start_gateway(&mut self, now: Time, gateway: u32) -> Result<()> {
@@ -306,7 +319,8 @@
     /// The hosts that are meant: a share is of those in service.
     fn hosts(&self, which: &Which, rng: &mut Rng) -> Vec<u32> {
         let in_service = self.site.in_service();
-        choose(which, in_service.len() as u32, in_service, rng)
+        let place = |host: u32| self.site.hosts[host as usize].place;
+        choose(which, in_service.len() as u32, in_service, |host| self.building(place(host)), rng)
     }
 
     fn on_host(&self, host: u32, act: impl Fn(&HostOf<S>)) {
@@ -395,7 +409,7 @@
         let places = self.site.hosts.iter().map(|host| host.place);
         match side {
             Side::Building(number) => {
-                let here = |n: &u32| n % site.buildings.max(1) + 1 == *number;
+                let here = |place: &u32| self.building(*place) == *number;
                 let mut posts: Vec<Post> = (0..site.gateways).filter(here).map(Post::Gateway).collect();
                 let mut places: Vec<u32> = places.filter(here).collect();
                 places.sort_unstable();
@@ -418,11 +432,19 @@
 
 type HostOf<S> = fennelbeam_standins::host::HostStandIn<<S as Stage>::Env>;
 
-/// Who is meant: a share is of `all`; whoever is drawn is drawn of the `present` ones, numbered from 0.
-fn choose(which: &Which, all: u32, mut present: Vec<u32>, rng: &mut Rng) -> Vec<u32> {
+/// Who is meant: a share is of `all`; whoever is drawn is drawn of the `present` ones, numbered from 0. Buildings
+/// are numbered from 1.
+fn choose(
+    which: &Which,
+    all: u32,
+    mut present: Vec<u32>,
+    building: impl Fn(u32) -> u32,
+    rng: &mut Rng,
+) -> Vec<u32> {
     match which {
         Which::All => present,
         Which::These(these) => present.into_iter().filter(|number| these.contains(&(number + 1))).collect(),
+        Which::Building(here) => present.into_iter().filter(|number| building(*number) == *here).collect(),
         Which::Share(_) | Which::Count(_) => {
             rng.shuffle(&mut present);
             present.truncate(which.count(all) as usize);
@@ -440,7 +462,7 @@
     fn forty_one_percent_of_three_is_one_and_drawn_by_the_seed() {
         let draw = |seed| {
             let mut rng = Rng::stream(seed, "event", 0);
-            choose(&Which::Share(0.41), 3, vec![0, 1, 2], &mut rng)
+            choose(&Which::Share(0.41), 3, vec![0, 1, 2], |_| 1, &mut rng)
         };
         assert!((0..20).all(|seed| draw(seed).len() == 1));
         assert_eq!(draw(7), draw(7));
@@ -450,8 +472,9 @@
     #[test]
     fn those_that_are_named_are_meant_if_they_are_there() {
         let mut rng = Rng::stream(1, "event", 0);
-        assert_eq!(choose(&Which::These(vec![3, 1, 9]), 3, vec![0, 2], &mut rng), [0, 2]);
-        assert_eq!(choose(&Which::Count(5), 3, vec![0, 2], &mut rng), [0, 2]);
-        assert_eq!(choose(&Which::All, 3, vec![], &mut rng), [0_u32; 0]);
+        assert_eq!(choose(&Which::These(vec![3, 1, 9]), 3, vec![0, 2], |_| 1, &mut rng), [0, 2]);
+        assert_eq!(choose(&Which::Building(2), 4, vec![0, 1, 3], |n| n % 2 + 1, &mut rng), [1, 3]);
+        assert_eq!(choose(&Which::Count(5), 3, vec![0, 2], |_| 1, &mut rng), [0, 2]);
+        assert_eq!(choose(&Which::All, 3, vec![], |_| 1, &mut rng), [0_u32; 0]);
     }
 }
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -31,6 +31,9 @@
     /// All chance comes from it
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Play the scenario with so many gateways; hosts, requests, the counter's calls and customers' sets go with them
+    #[arg(long, value_name = "COUNT", value_parser = clap::value_parser!(u32).range(1..=1000))]
+    gateways: Option<u32>,
     /// Play on real sockets and in real time, with the release program once per gateway
     #[arg(long, conflicts_with_all = ["digest", "trace", "swarm", "swarm_site"])]
     real: bool,
@@ -56,7 +59,7 @@
     #[arg(long, value_name = "FILE")]
     report: Option<PathBuf>,
     /// Play so many short random sites with random faults, until a rule breaks
-    #[arg(long, value_name = "COUNT", conflicts_with_all = ["scenario", "digest", "trace", "json", "report", "show"])]
+    #[arg(long, value_name = "COUNT", conflicts_with_all = ["scenario", "digest", "trace", "json", "report", "show", "gateways"])]
     swarm: Option<u64>,
     /// Sites of a swarm that are played at once
     #[arg(long, value_name = "COUNT", requires = "swarm")]
@@ -112,7 +115,7 @@
     if let Some(count) = line.swarm {
         return Ok(swarm(line, count));
     }
-    let (scenario, seed) = scenario(line)?;
+    let (scenario, seed) = sized(line)?;
     if line.show {
         print!("{}", file::to_text(&scenario));
         return Ok(true);
@@ -133,6 +136,17 @@
     Ok(played.verdict.breaches.is_empty() && played.troubles.is_empty())
 }
 
+/// The scenario, at the size that was asked for.
+fn sized(line: &CommandLine) -> Result<(Scenario, u64)> {
+    let (scenario, seed) = scenario(line)?;
+    let Some(gateways) = line.gateways else { return Ok((scenario, seed)) };
+    let name = scenario.name.clone();
+    // A machine that an event names may not be there any more.
+    let resized = file::to_text(&scenario.with_gateways(gateways));
+    let resized = file::parse(&format!("{name}.scenario"), &resized);
+    Ok((resized.with_context(|| format!("{name} cannot be played with {gateways} gateways"))?, seed))
+}
+
 fn scenario(line: &CommandLine) -> Result<(Scenario, u64)> {
     if let Some(number) = line.swarm_site {
         let scenario = random_scenario(number);
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -9,7 +9,7 @@
 use fennelbeam_model::scenario::Scenario;
 use fennelbeam_model::seen::{Told, What};
 use fennelbeam_model::settings::{building, document, machine_type, Start};
-use fennelbeam_model::traffic::Scale;
+use fennelbeam_model::traffic::{Lean, Scale};
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_standins::agent::{AgentConfig, AgentStandIn, SharedRegistry};
 use fennelbeam_standins::client::{ClientConfig, Clients};
@@ -148,6 +148,7 @@
                 seed,
                 gateways: (0..site.gateways).map(|gateway| stage.gateway_address(gateway)).collect(),
                 scales: Scale::of(&scenario.events),
+                leans: Lean::of(&scenario.events),
                 start,
                 length: scenario.length,
                 recorder: recorder.clone(),
--- a/crates/rehearse/src/swarm.rs
+++ b/crates/rehearse/src/swarm.rs
@@ -238,7 +238,7 @@
     let site = &scenario.site;
     match rng.below(25) {
         0 | 1 => Event::KillGateways(some(rng), Some(span(rng, 1.0, 8.0))),
-        2 => Event::RestartGateways(some(rng)),
+        2 => Event::RestartGateways(some(rng), 0),
         3 => Event::ReloadGateways(Which::All),
         4 | 5 => Event::Traffic(times(rng, 13, 25), span(rng, 3.0, 10.0), 200 * MS),
         6 => Event::SlowHosts(some(rng), times(rng, 20, 100), span(rng, 3.0, 15.0)),
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -24,7 +24,7 @@
 use fennelbeam_env::{Env, Span, Time};
 use fennelbeam_model::draw::Draws;
 use fennelbeam_model::scenario::{Site, Traffic};
-use fennelbeam_model::traffic::{Arrivals, Behaviour, Deal, Scale};
+use fennelbeam_model::traffic::{Arrivals, Behaviour, Deal, Lean, Scale};
 use front::Front;
 use open::{Hold, Open};
 use rude::Rude;
@@ -48,6 +48,8 @@
     pub gateways: Vec<SocketAddr>,
     /// Windows of more or less traffic.
     pub scales: Vec<Scale>,
+    /// Whiles in which a building gets another part of the traffic.
+    pub leans: Vec<Lean>,
     /// The first moment of the traffic.
     pub start: Time,
     /// For how long they ask.
@@ -119,7 +121,7 @@
             front,
             caller: Caller::new(&site, draws),
             behaviour: Behaviour::new(&site, &traffic, seed),
-            deal: Deal::new(&site, &traffic, seed),
+            deal: Deal::new(&site, &traffic, seed).leaning(&config.leans),
             start,
             slack: site.rules.answer_slack,
             impatient: traffic.impatient,
@@ -128,7 +130,7 @@
             recorder,
         });
         let open = Open::default();
-        let arrivals = Arrivals::new(&site, &traffic, seed).scaled(&config.scales);
+        let arrivals = Arrivals::new(&site, &traffic, seed).leaning(&config.leans).scaled(&config.scales);
         env.spawn(drive(crowd.clone(), arrivals, length, open.hold()));
         Clients { rude: Rude::new(seed), crowd, open }
     }
--- a/crates/standins/tests/client/main.rs
+++ b/crates/standins/tests/client/main.rs
@@ -37,6 +37,7 @@
         seed: SEED,
         gateways: gateways.iter().map(|gateway| gateway.address).collect(),
         scales: Vec::new(),
+        leans: Vec::new(),
         start: 0,
         length: SECOND,
         recorder: Recorder::default(),
