Price the counter, connections, lists and quotas over the whole fleet

It now says which were turned away, unanswered within the gateways' time-out or only reading, how many connections to hosts were opened and open at once, what handshakes cost, what was asked of discovery, units beyond quotas, tries refused with room, and the time to the first attempt; the table, the page and the JSON have a section of them. The stand-ins write down what that takes; it is a few additions an event.

Gateways that start at one instant beat at one instant for ever: 300 of them called the counter in bursts that it turned away, and all of them took it for gone. start-within spreads the starts, as processes really start; without it nothing changes.

--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -7,6 +7,7 @@
 use crate::drains::Drains;
 use crate::effects::{self, Attempts, Effects};
 use crate::figures::{End, Figures};
+use crate::fleet::{Call, Fleet, News};
 use crate::gateways::Gateways;
 use crate::quota::Quotas;
 use crate::tries::Try;
@@ -39,6 +40,7 @@
     quotas: Quotas,
     worth: Worth,
     figures: Figures,
+    fleet: Fleet,
     tries: BTreeMap<u64, Try>,
     /// Seen of requests that nobody has asked yet, or of attempts that no host has received yet.
     early: BTreeMap<u64, Vec<Seen>>,
@@ -63,6 +65,7 @@
             quotas: Quotas::new(site, start),
             worth: Worth::new(site, start),
             figures: Figures::new(start, site.classes.len(), site.plans.len(), site.gateways),
+            fleet: Fleet::new(site, start),
             tries: BTreeMap::new(),
             early: BTreeMap::new(),
         }
@@ -113,7 +116,18 @@
             | What::GatewayDown { .. }
             | What::GatewaySignalled { .. }
             | What::ClientsCut { .. } => self.gateway(seen.at, &seen.what),
-            What::Counted { .. } => self.figures.counted(seen.at),
+            What::Counted { amount, answered, turned_away, took, .. } => {
+                self.figures.counted(seen.at);
+                let call =
+                    Call { amount: *amount, answered: *answered, turned_away: *turned_away, took: *took };
+                self.fleet.counted(seen.at, call);
+            }
+            What::Probed { .. } => self.fleet.probed(seen.at),
+            What::Disconnected { .. } => self.fleet.disconnected(),
+            What::ListAsked { watch, .. } => {
+                self.fleet.news(seen.at, if *watch { News::Watch } else { News::List });
+            }
+            What::ListLine { .. } => self.fleet.news(seen.at, News::Line),
             What::Event { text } => self.figures.event(seen.at, text),
             What::Connected { .. }
             | What::Started { .. }
@@ -146,7 +160,10 @@
 
     fn host(&mut self, at: Time, what: &What) {
         match *what {
-            What::Connected { host, .. } => self.figures.connected(host),
+            What::Connected { host, .. } => {
+                self.figures.connected(host);
+                self.fleet.connected(at);
+            }
             What::Started { host, full, share, cold } => {
                 self.cold.started(at, host, full, (share, cold), &mut self.log);
                 self.figures.started(host);
@@ -200,6 +217,7 @@
         };
         let running = self.gateways.is_running(gateway);
         self.figures.asked(seen.at, running);
+        self.fleet.asked(seen.at);
         self.answers.asked(&mut request, running);
         request.thing = self.thing(&request, first_try);
         self.tries.insert(id, request);
@@ -347,6 +365,7 @@
         self.worth.received(request.thing);
         if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
             self.ceilings.sent(now, request.customer, request.plan, request.units, &mut self.log);
+            self.fleet.first_attempt(request.asked, first_byte);
             let sent = self.quotas.sent(now, request);
             if !sent.inside {
                 self.worth.sent_beyond(request.thing);
@@ -432,6 +451,7 @@
             causes: self.worth.causes(),
             classes: self.classes(classes),
             plans: self.plans(plans, &shares.plans),
+            fleet: self.fleet.finish(self.quotas.units(), self.quotas.tries()),
             hosts: self.figures.hosts(),
             attempts_per_request: self.figures.attempts_per_request(),
             counter_calls_per_request: self.figures.counter_calls_per_request(),
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -29,6 +29,7 @@
 mod drains;
 mod effects;
 mod figures;
+mod fleet;
 mod gateways;
 mod judge;
 mod news;
--- a/crates/judge/src/quota.rs
+++ b/crates/judge/src/quota.rs
@@ -191,6 +191,22 @@
         plans
     }
 
+    /// Units passed on, and those of them beyond quotas, over all customers.
+    pub(crate) fn units(&self) -> (f64, f64) {
+        let add = |(passed, beyond), customer: &Customer| {
+            (passed + customer.figures.passed_units, beyond + customer.figures.beyond_units)
+        };
+        self.customers.values().fold((0.0, 0.0), add)
+    }
+
+    /// Tries, and those of them refused with room, over all customers.
+    pub(crate) fn tries(&self) -> (u64, u64) {
+        let add = |(asked, refused), customer: &Customer| {
+            (asked + customer.figures.asked, refused + customer.refused_with_room)
+        };
+        self.customers.values().fold((0, 0), add)
+    }
+
     /// Customers, those most beyond their quotas first: `most` of those, and `most` of those refused longest.
     pub(crate) fn customers(self, end: Time, most: usize) -> Vec<CustomerFigures> {
         let span = end.saturating_sub(self.start) as f64 / 1e9;
--- a/crates/judge/src/verdict.rs
+++ b/crates/judge/src/verdict.rs
@@ -196,6 +196,44 @@
     pub counter_calls: u32,
 }
 
+/// What all gateways together cost the counter, hosts and discovery, and what it was good for. Rates are means
+/// from the first request to the last try.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct FleetFigures {
+    /// Gateways of the site.
+    pub gateways: u32,
+    /// Calls to the counter a second.
+    pub counter_calls_per_s: f64,
+    /// Share of them that it turned away.
+    pub counter_turned_away: f64,
+    /// Share of them that it neither turned away nor answered within the gateways' time-out.
+    pub counter_unanswered: f64,
+    /// Share of them that added nothing.
+    pub counter_only_read: f64,
+    /// Probes of hosts a second.
+    pub probes_per_s: f64,
+    /// Connections opened to hosts, a second.
+    pub connections_per_s: f64,
+    /// Connections to hosts that were open at once, at the most.
+    pub connections_open_most: u64,
+    /// What opening them took of the hosts, in cores at speed 1.
+    pub handshake_cores: f64,
+    /// Whole lists asked of discovery a second.
+    pub list_calls_per_s: f64,
+    /// Watches opened a second.
+    pub watches_per_s: f64,
+    /// Lines written to watches and answers with whole lists, a second.
+    pub list_lines_per_s: f64,
+    /// Units passed on beyond quotas, as a share of all passed on.
+    pub beyond_quota: f64,
+    /// Share of the tries refused although half of the customer's store was there.
+    pub refused_with_room: f64,
+    /// Median time from a try's last byte to the first of its first attempt, in milliseconds.
+    pub first_attempt_p50_ms: f64,
+    /// 99 of 100 were sent on sooner.
+    pub first_attempt_p99_ms: f64,
+}
+
 /// All that the judge found.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Verdict {
@@ -227,6 +265,8 @@
     pub attempts_per_request: f64,
     /// Counter calls for each try that came to a gateway.
     pub counter_calls_per_request: f64,
+    /// What all gateways together cost.
+    pub fleet: FleetFigures,
     /// By second.
     pub timeline: Vec<SecondFigures>,
     /// Events of the scenario: seconds from the first request, and words.
--- a/crates/judge/tests/judge/figures.rs
+++ b/crates/judge/tests/judge/figures.rs
@@ -1,10 +1,10 @@
 //! Latencies, hosts and the run second by second.
 
 use crate::day::{first, read, Ask, Day, PREMIUM, READ, SERVED, STANDARD, START};
-use fennelbeam_judge::Judge;
+use fennelbeam_judge::{FleetFigures, Judge};
 use fennelbeam_model::draw;
 use fennelbeam_model::scenario::{Site, Traffic};
-use fennelbeam_model::seen::{Dealt, Got, What};
+use fennelbeam_model::seen::{Dealt, Got, Seen, What};
 use fennelbeam_model::{MS, SECOND};
 
 #[test]
@@ -79,7 +79,10 @@
     day.see(1_000, What::Load { host: 2, held: 1, busy: 0.25 });
     day.see(1_500, What::GatewayDown { gateway: 2, meant: true });
     day.see(2_500, What::GatewayUp { gateway: 2 });
-    day.see(2_500, What::Counted { gateway: 0, amount: 1.0, added: true, answered: true });
+    day.see(
+        2_500,
+        What::Counted { gateway: 0, amount: 1.0, added: true, answered: true, turned_away: false, took: 0 },
+    );
     let verdict = day.verdict(&Site::default());
     let timeline = &verdict.timeline;
     // Settled in the second in which they were passed on.
@@ -109,13 +112,74 @@
     assert_eq!(verdict.attempts_per_request, 1.0);
 }
 
+#[test]
+fn the_fleet_is_summed_from_the_first_request_to_the_last_try() {
+    let mut day = Day::default();
+    let id = first(1);
+    let counted = |amount, answered, turned_away, ms| What::Counted {
+        gateway: 0,
+        amount,
+        added: answered,
+        answered,
+        turned_away,
+        took: ms * MS,
+    };
+    let connected = |host| What::Connected { host, gateway: 1 };
+    day.ask(0, Ask { units: 3.0, ..read(id) });
+    day.receive_sent(30, 31, id, 0).done(60, id, 0, Dealt::Served).answer(61, id, SERVED);
+    day.see(100, counted(1.0, true, false, 2)).see(110, counted(0.0, true, false, 51));
+    day.see(120, counted(1.0, false, true, 0)).see(130, counted(0.0, false, false, 9));
+    day.see(200, connected(0)).see(210, connected(1));
+    day.see(220, What::Disconnected { host: 0, gateway: 1 }).see(230, connected(2));
+    day.see(240, connected(3)).see(300, What::Probed { host: 1, gateway: 2 });
+    day.see(310, What::ListAsked { gateway: 2, watch: false });
+    for (count, what) in
+        [(2, What::ListAsked { gateway: 2, watch: true }), (3, What::ListLine { gateway: 2 })]
+    {
+        (0..count).for_each(|_| {
+            day.see(320, what.clone());
+        });
+    }
+    // One of 100 units is beyond the store of 65, and one is refused with all of it there.
+    day.ask(1_000, Ask { units: 100.0, ..read(first(2)) });
+    day.receive_sent(1_050, 1_051, first(2), 0).done(1_090, first(2), 0, Dealt::Served);
+    day.answer(1_091, first(2), SERVED).refuse(2_000, read(first(3)));
+    let wanted = FleetFigures {
+        gateways: 3,
+        counter_calls_per_s: 2.0,
+        counter_turned_away: 0.25,
+        counter_unanswered: 0.5,
+        counter_only_read: 0.5,
+        probes_per_s: 0.5,
+        connections_per_s: 2.0,
+        connections_open_most: 3,
+        handshake_cores: 2.0 * 0.0009,
+        list_calls_per_s: 0.5,
+        watches_per_s: 1.0,
+        list_lines_per_s: 1.5,
+        beyond_quota: 100.0 / 103.0,
+        refused_with_room: 1.0 / 3.0,
+        first_attempt_p50_ms: 30.0,
+        first_attempt_p99_ms: 50.0,
+    };
+    assert_eq!(day.verdict(&Site::default()).fleet, wanted);
+    // What was before the first request is none of the day, but what is open is open.
+    let mut judge = Judge::new(&Site::default(), &Traffic::default(), START);
+    for what in [counted(1.0, false, true, 0), What::ListLine { gateway: 2 }, connected(0)] {
+        judge.see(&Seen { at: START - 1, what });
+    }
+    day.sightings().iter().for_each(|seen| judge.see(seen));
+    let fleet = judge.finish(START + 3 * SECOND).fleet;
+    assert_eq!(fleet, FleetFigures { connections_open_most: 4, ..wanted });
+}
+
 #[test]
 fn events_keep_their_words_and_times() {
     let mut judge = Judge::new(&Site::default(), &Traffic::default(), START);
     for (at, text) in
         [(START - SECOND, "the hosts are up"), (START + 1_500 * MS, "kill 41 % of the gateways")]
     {
-        judge.see(&fennelbeam_model::seen::Seen { at, what: What::Event { text: text.into() } });
+        judge.see(&Seen { at, what: What::Event { text: text.into() } });
     }
     let verdict = judge.finish(START + 2 * SECOND);
     assert_eq!(
--- a/crates/model/src/file/fields.rs
+++ b/crates/model/src/file/fields.rs
@@ -173,6 +173,7 @@
     "memory" => |s| Slot::Count(&mut s.memory_mb, (16, 1_000_000), "MB");
     "retry-after" => |s| Slot::MaybeSpan(&mut s.retry_after, (MS, MINUTE));
     "max-attempts" => |s| Slot::Count(&mut s.max_attempts, (1, 16), "");
+    "start-within" => |s| Slot::Span(&mut s.start_within, (0, 1500 * MS));
     "second-copies" => |s| Slot::YesNo(&mut s.second_copies);
 });
 
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -63,6 +63,8 @@
     pub retry_after: Option<Span>,
     /// Attempts that a request may have.
     pub max_attempts: u32,
+    /// Gateways that start at the same time do so within this, each at its own moment; 0: at one instant.
+    pub start_within: Span,
     /// Two attempts of one request may be out together.
     pub second_copies: bool,
 }
@@ -502,6 +504,7 @@
             memory_mb: 192,
             retry_after: None,
             max_attempts: 4,
+            start_within: 0,
             second_copies: true,
         }
     }
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -136,6 +136,20 @@
         /// From where.
         gateway: u32,
     },
+    /// A connection to a host is open no more.
+    Disconnected {
+        /// The host.
+        host: u32,
+        /// From where it came.
+        gateway: u32,
+    },
+    /// A host was asked whether it is there.
+    Probed {
+        /// The host.
+        host: u32,
+        /// From where.
+        gateway: u32,
+    },
     /// A host started. It can do `full` nanoseconds of work a second when warm; it starts at `share` of that
     /// and rises evenly to it over `cold`.
     Started {
@@ -187,6 +201,18 @@
         /// When the host had started by what was told; 0: long ago.
         started: Time,
     },
+    /// A gateway asked discovery for the whole list, or opened a watch.
+    ListAsked {
+        /// The gateway.
+        gateway: u32,
+        /// It is a watch.
+        watch: bool,
+    },
+    /// Discovery wrote a whole list to a gateway, or a line of a watch, be it an empty one.
+    ListLine {
+        /// The gateway.
+        gateway: u32,
+    },
     /// A gateway took a counter call to the counter.
     Counted {
         /// From where.
@@ -197,6 +223,10 @@
         added: bool,
         /// An answer with the total was written.
         answered: bool,
+        /// It was turned away.
+        turned_away: bool,
+        /// From its coming until its answer was written, or it was known that there would be none.
+        took: Span,
     },
     /// A gateway's process was started.
     GatewayUp {
--- a/crates/model/tests/file.rs
+++ b/crates/model/tests/file.rs
@@ -40,7 +40,7 @@
           memory 100 MB
           retry-after 800 ms
           max-attempts 3
-          second-copies no
+          start-within 700 ms, second-copies no
           host cores 4, speed 1.25, speed-spread 10 %, slots 6, queue 30, thrash-at 5.5 requests/core
           host thrash 4%, cold 30 % for 12 s, connections 900, handshake 1.2 ms, error-rate 0.2 %, idle 9 s
           counter off, parts 3, rate 740 calls/s, call 0.5 ms, queue 41, timeout 60 ms
@@ -129,6 +129,7 @@
         memory_mb: 100,
         retry_after: Some(800 * MS),
         max_attempts: 3,
+        start_within: 700 * MS,
         second_copies: false,
     };
     let traffic = Traffic {
@@ -665,6 +666,7 @@
         memory_mb: count(rng, 16, 1_000_000),
         retry_after: rng.chance(0.5).then(|| span(rng, MS, 60 * SECOND)),
         max_attempts: count(rng, 1, 16),
+        start_within: span(rng, 0, 1500 * MS),
         second_copies: rng.chance(0.5),
     };
     if rng.chance(0.3) {
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -66,6 +66,11 @@
         for (place, at) in ats.into_iter().enumerate() {
             director.plan(at, Step::Event(place));
         }
+        let waiting = (0..).zip(&director.site.gateways).filter(|(_, post)| post.up.is_none());
+        let waiting: Vec<u32> = waiting.map(|(gateway, _)| gateway).collect();
+        for gateway in waiting {
+            director.plan_start(director.site.stage.now(), gateway);
+        }
         director.plan(start + SAMPLE, Step::Sample);
         director.plan(start, Step::Look);
         director
@@ -140,7 +145,7 @@
                     self.site.gateways[gateway as usize].again = false;
                     self.signal(now, gateway, Signal::Kill);
                     if let Some(outage) = outage {
-                        self.plan(now + outage, Step::StartGateway(gateway));
+                        self.plan_start(now + outage, gateway);
                     }
                 }
             }
@@ -260,6 +265,11 @@
         Ok(())
     }
 
+    /// A gateway starts then, or a little later, as the site has it.
+    fn plan_start(&mut self, at: Time, gateway: u32) {
+        self.plan(at + self.site.start_delay(gateway), Step::StartGateway(gateway));
+    }
+
     fn signal(&mut self, now: Time, gateway: u32, signal: Signal) {
         if signal != Signal::Reload {
             self.site.see(What::GatewaySignalled { gateway, kill: signal == Signal::Kill });
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -102,7 +102,7 @@
 
 impl<S: Stage> SiteOf<S> {
     /// Puts up a site whose clients begin at `start`. Its gateways are started, and given until then to get
-    /// ready.
+    /// ready; those that do not start at one instant are left for the director to start.
     pub fn put_up(
         scenario: Scenario,
         seed: u64,
@@ -172,7 +172,9 @@
             draws,
             settled,
         };
-        (0..site.gateways).try_for_each(|gateway| put_up.start_gateway(gateway))?;
+        if site.start_within == 0 {
+            (0..site.gateways).try_for_each(|gateway| put_up.start_gateway(gateway))?;
+        }
         Ok(put_up)
     }
 
@@ -200,6 +202,13 @@
         Ok(())
     }
 
+    /// How much later than the others of its kind a gateway starts.
+    pub fn start_delay(&self, gateway: u32) -> Span {
+        let starts = u64::from(self.gateways[gateway as usize].starts);
+        let mut rng = Rng::stream(self.seed, "start", u64::from(gateway) << 32 | starts);
+        rng.below(self.scenario.site.start_within.max(1))
+    }
+
     /// The list of hosts that a gateway's agent has, if it is not silent.
     pub fn known(&self, gateway: u32) -> Option<Line> {
         self.registry.list(self.stage.now(), gateway)
--- a/crates/report/src/facts.rs
+++ b/crates/report/src/facts.rs
@@ -85,6 +85,7 @@
         worth(verdict),
         causes(verdict),
         calls(verdict),
+        fleet(verdict),
         quotas(verdict),
         beyond(verdict),
         refused_longest(verdict),
@@ -343,6 +344,35 @@
     section
 }
 
+/// What all gateways together cost.
+fn fleet(verdict: &Verdict) -> Section {
+    let mut section = Section::new("The whole fleet", &["<", "figure", "<of"]);
+    section.fixed_rows = true;
+    let fleet = &verdict.fleet;
+    let of_all = |share: f64| fixed(100.0 * share, 1);
+    let rows = [
+        ("counter calls of all gateways", fixed(fleet.counter_calls_per_s, 1), "a second"),
+        ("turned away by the counter", of_all(fleet.counter_turned_away), "% of calls"),
+        ("unanswered in time", of_all(fleet.counter_unanswered), "% of calls"),
+        ("only reading", of_all(fleet.counter_only_read), "% of calls"),
+        ("probes of hosts", fixed(fleet.probes_per_s, 1), "a second"),
+        ("new connections to hosts", fixed(fleet.connections_per_s, 1), "a second"),
+        ("open connections to hosts", count(fleet.connections_open_most), "at the most"),
+        ("handshakes at hosts", fixed(fleet.handshake_cores, 2), "cores"),
+        ("calls for lists", fixed(fleet.list_calls_per_s, 2), "a second"),
+        ("watches opened", fixed(fleet.watches_per_s, 2), "a second"),
+        ("lines of lists", fixed(fleet.list_lines_per_s, 1), "a second"),
+        ("beyond quotas", of_all(fleet.beyond_quota), "% of units"),
+        ("refused with room", of_all(fleet.refused_with_room), "% of tries"),
+        ("first attempt, p50", fixed(fleet.first_attempt_p50_ms, 1), "ms"),
+        ("first attempt, p99", fixed(fleet.first_attempt_p99_ms, 1), "ms"),
+    ];
+    for (name, figure, of) in rows {
+        section.row([name.into(), figure, of.into()]);
+    }
+    section
+}
+
 /// What the judge itself doubts.
 fn notes(verdict: &Verdict) -> Section {
     let mut section = Section::new("Notes of the judge", &[]);
--- a/crates/report/tests/common/mod.rs
+++ b/crates/report/tests/common/mod.rs
@@ -41,6 +41,16 @@
         hosts: hosts(&mut rng),
         attempts_per_request: 1.0371,
         counter_calls_per_request: 0.4127,
+        fleet: FleetFigures {
+            gateways: 3,
+            counter_calls_per_s: 71.26,
+            counter_turned_away: 0.0124,
+            connections_per_s: 12.5,
+            connections_open_most: 1_234,
+            beyond_quota: 0.0431,
+            first_attempt_p50_ms: 1.25,
+            ..FleetFigures::default()
+        },
         timeline,
         events: events(),
         notes: vec!["host 6 fell, but was not cold".into()],
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// A gateway asked for the list, or opened a watch.
+    fn asked(&self, now: Time, gateway: u32, watch: bool) {
+        self.0.recorder.see(now, What::ListAsked { gateway, watch });
+    }
+
+    /// This was written to a gateway that had asked.
+    fn wrote(&self, now: Time, gateway: u32, line: &Line) {
+        self.0.recorder.see(now, What::ListLine { gateway });
+        self.told(now, gateway, line);
+    }
+
     /// The registry, once a gateway's agent has heard of what is due. That it has is taken down before anyone
     /// can be told of it.
     fn hear(&self, now: Time, gateway: u32) -> MutexGuard<'_, Registry> {
@@ -256,9 +267,10 @@
             };
             match request {
                 Request::List => {
+                    self.registry.asked(self.env.now(), self.gateway, false);
                     let list = self.when_it_speaks(|registry, now| registry.list(now, self.gateway)).await;
                     writer.write_all(&http::whole(&list.text)).await?;
-                    self.registry.told(self.env.now(), self.gateway, &list);
+                    self.registry.wrote(self.env.now(), self.gateway, &list);
                 }
                 Request::Watch(after) => return self.watch(reader, writer, &mut input, after).await,
                 Request::Unknown => writer.write_all(http::NOT_FOUND).await?,
@@ -302,6 +314,7 @@
         R: AsyncRead + Unpin,
         W: AsyncWrite + Unpin,
     {
+        self.registry.asked(self.env.now(), self.gateway, true);
         let open = |registry: &mut Registry, now| Watch::open(registry, now, self.gateway, after);
         let (mut watch, first) = self.when_it_speaks(open).await;
         writer.write_all(http::CHUNKED).await?;
@@ -334,7 +347,7 @@
 
     async fn tell<W: AsyncWrite + Unpin>(&self, writer: &mut W, line: &Line) -> io::Result<()> {
         writer.write_all(&http::chunk(&line.text)).await?;
-        self.registry.told(self.env.now(), self.gateway, line);
+        self.registry.wrote(self.env.now(), self.gateway, line);
         Ok(())
     }
 }
--- a/crates/standins/src/counter/desk.rs
+++ b/crates/standins/src/counter/desk.rs
@@ -25,6 +25,8 @@
     gateway: u32,
     pipe: PipeId,
     number: u64,
+    /// When it came.
+    came: Time,
 }
 
 /// What is on its way.
@@ -201,14 +203,13 @@
         let gateway = pipe.gateway;
         match pipe.owe(now) {
             Some(number) => {
-                let origin = Origin { gateway, pipe: id, number };
+                let origin = Origin { gateway, pipe: id, number, came: now };
                 self.pass(now, Passing::Command(origin, command));
                 self.run(now);
             }
             None => {
                 if let Command::Add(_, amount, _) = command {
-                    let lost = Settled { amount: amount.as_f64(), added: false, total: false };
-                    self.record(now, gateway, lost, false);
+                    self.record(now, gateway, Settled::unsaid(amount.as_f64(), false, now), false);
                 }
             }
         }
@@ -302,14 +303,18 @@
             true => self.counter.call(at, origin.gateway, &name, amount, keep),
             false => Taken::Refused,
         };
-        let call = Settled { amount: amount.as_f64(), added: false, total: false };
+        let call = Settled::unsaid(amount.as_f64(), false, origin.came);
         match taken {
             Taken::Waiting(ticket) => {
                 self.calls.insert(ticket, (origin, amount));
             }
             Taken::Refused => {
                 let text = Bytes::from_static(b"-BUSY\r\n");
-                self.answer(at, origin, Answer { text, call: Some(call), spoils: false });
+                self.answer(
+                    at,
+                    origin,
+                    Answer { text, call: Some(Settled { refused: true, ..call }), spoils: false },
+                );
             }
             Taken::Lost => self.never(now, origin, call),
         }
@@ -318,11 +323,11 @@
     fn settled(&mut self, now: Time, at: Time, origin: Origin, amount: Amount, end: End) {
         let amount = amount.as_f64();
         match end {
-            End::Dropped => self.never(now, origin, Settled { amount, added: false, total: false }),
-            End::Unsaid => self.never(now, origin, Settled { amount, added: true, total: false }),
+            End::Dropped => self.never(now, origin, Settled::unsaid(amount, false, origin.came)),
+            End::Unsaid => self.never(now, origin, Settled::unsaid(amount, true, origin.came)),
             End::Total(total) => {
                 let (text, spoils) = self.word(at, total);
-                let call = Settled { amount, added: true, total: !spoils };
+                let call = Settled { total: !spoils, ..Settled::unsaid(amount, true, origin.came) };
                 self.answer(at, origin, Answer { text, call: Some(call), spoils });
             }
         }
@@ -387,9 +392,9 @@
     }
 
     fn record(&self, now: Time, gateway: u32, call: Settled, written: bool) {
-        let Settled { amount, added, total } = call;
-        let answered = written && total;
-        self.recorder.see(now, What::Counted { gateway, amount, added, answered });
+        let Settled { amount, added, total, refused: turned_away, came } = call;
+        let (answered, took) = (written && total, now.saturating_sub(came));
+        self.recorder.see(now, What::Counted { gateway, amount, added, answered, turned_away, took });
     }
 
     fn doom(&mut self, which: impl Fn(&Pipe) -> bool) {
--- a/crates/standins/src/counter/pipe.rs
+++ b/crates/standins/src/counter/pipe.rs
@@ -18,6 +18,17 @@
     pub added: bool,
     /// The answer has the total.
     pub total: bool,
+    /// It was turned away.
+    pub refused: bool,
+    /// When it came.
+    pub came: Time,
+}
+
+impl Settled {
+    /// A call that came then, as long as nothing is said of it.
+    pub fn unsaid(amount: f64, added: bool, came: Time) -> Settled {
+        Settled { amount, added, total: false, refused: false, came }
+    }
 }
 
 /// An answer.
--- a/crates/standins/src/host/state.rs
+++ b/crates/standins/src/host/state.rs
@@ -236,6 +236,7 @@
     pub(super) fn close(&mut self, now: Time, id: ConnId) {
         let Some(conn) = self.conns.remove(&id) else { return };
         self.model.disconnect();
+        self.see(now, What::Disconnected { host: self.number, gateway: conn.gateway });
         conn.signals.cut.notify_one();
         // From the back: those that wait do not come into work by the end of those before them.
         for entry in conn.entries.iter().rev() {
@@ -296,7 +297,12 @@
     pub(super) fn on_command(&mut self, now: Time, id: ConnId, frame: &Frame, first_byte: Time) {
         match Command::read(frame, &self.classes) {
             Command::Call(call) => self.on_call(now, id, call, first_byte),
-            Command::Line(line) => self.enter(now, id, None, Progress::Ready(Reply::Line(line))),
+            Command::Line(line) => {
+                if let Some(gateway) = self.conns.get(&id).map(|conn| conn.gateway) {
+                    self.see(now, What::Probed { host: self.number, gateway });
+                }
+                self.enter(now, id, None, Progress::Ready(Reply::Line(line)));
+            }
             Command::Malformed => {
                 self.malformed += 1;
                 self.enter(now, id, None, Progress::Ready(Reply::Line("-SYNTAX")));
--- a/crates/standins/tests/agent.rs
+++ b/crates/standins/tests/agent.rs
@@ -73,6 +73,7 @@
         seen.filter_map(|what| match what {
             What::Told { gateway: 1, host, state, started } if started == 7 * MS => Some((host, state)),
             What::Heard { gateway: 1, .. } => None,
+            What::ListAsked { gateway: 1, .. } | What::ListLine { gateway: 1 } => None,
             other => panic!("{other:?}"),
         })
         .collect()
@@ -306,7 +307,9 @@
     let seen: Vec<What> = site.recorder.take().into_iter().map(|seen| seen.what).collect();
     let (heard, told) =
         (What::Heard { gateway, host, state, started }, What::Told { gateway, host, state, started });
-    assert_eq!(seen, [heard, told]);
+    // The watch's first line is empty: the generation that it asked after is the newest.
+    let (asked, line) = (What::ListAsked { gateway, watch: true }, What::ListLine { gateway });
+    assert_eq!(seen, [asked, line.clone(), heard, line, told]);
     // Also by whoever writes the list into a configuration.
     site.change(0, Told::Gone);
     site.registry.list(site.env.now(), 1).expect("it speaks");
--- a/crates/standins/tests/counter.rs
+++ b/crates/standins/tests/counter.rs
@@ -2,7 +2,7 @@
 
 use fennelbeam_env::Real;
 use fennelbeam_model::scenario::{CounterFault, CounterSpec};
-use fennelbeam_model::seen::What;
+use fennelbeam_model::seen::{Seen, What};
 use fennelbeam_model::SECOND;
 use fennelbeam_standins::counter::{CounterConfig, CounterStandIn};
 use fennelbeam_standins::Recorder;
@@ -124,8 +124,10 @@
     assert_eq!(site.counter.names(), 2);
     let seen = site.recorder.take();
     assert_eq!(seen.len(), 3, "what is no call is not counted");
-    let first = What::Counted { gateway: 0, amount: 2.5, added: true, answered: true };
-    assert_eq!(seen[0].what, first);
+    assert!(matches!(
+        seen[0].what,
+        What::Counted { gateway: 0, amount: 2.5, added: true, answered: true, turned_away: false, .. }
+    ));
 }
 
 #[tokio::test]
@@ -179,9 +181,14 @@
     assert!(ask(&mut stream, &["ADDGET", "name", "x", "4000"]).await.starts_with("-ERR"));
     counter.open();
     assert_eq!(ask(&mut stream, &["ADDGET", "name", "1", "4000"]).await, "$1\r\n1\r\n");
-    let counted = |added| What::Counted { gateway: 0, amount: 1.0, added, answered: added };
-    let seen: Vec<What> = recorder.take().into_iter().map(|seen| seen.what).collect();
-    assert_eq!(seen, [counted(false), counted(true)]);
+    let call = |seen: Seen| match seen.what {
+        What::Counted { amount, added, answered, turned_away, .. } => {
+            (amount, [added, answered, turned_away])
+        }
+        other => panic!("{other:?}"),
+    };
+    let calls: Vec<(f64, [bool; 3])> = recorder.take().into_iter().map(call).collect();
+    assert_eq!(calls, [(1.0, [false, false, true]), (1.0, [true, true, false])]);
 }
 
 #[tokio::test]
