--- a/crates/model/src/resize.rs
+++ b/crates/model/src/resize.rs
@@ -1,15 +1,19 @@
 //! The same day at a site of another size.
 
-use crate::scenario::{Event, Scenario, Which};
+use crate::scenario::{CounterSpec, Event, Scenario, Which};
 
 /// A customer's set is not scaled below this: fewer gateways would be another kind of customer.
 const LEAST_SPREAD: u32 = 3;
+/// Calls a second of a part of the counter are not scaled below this: one that takes more than 10 ms for a call
+/// turns nobody away, it lets all calls time out.
+const LEAST_CALLS: f64 = 100.0;
 
 impl Scenario {
     /// The same day with so many gateways, at least 1: hosts, requests, the counter's calls and customers' sets
     /// go with them, and events that count hosts or gateways too. Shares stay as they are, and so does what one
-    /// gateway, host, customer or part of the counter is like. Sets stay at three gateways or what they were
-    /// below that, and as many as there are at the most.
+    /// gateway, host or customer is like. Sets stay at three gateways or what they were below that, and as many as
+    /// there are at the most. The counter has as many parts as go with it, one at the least; each takes 100 calls a
+    /// second or what it took below that, and a full line of calls takes as long as it did.
     ///
     /// Machines that events name by number keep their numbers; the reader of files tells where there is no such
     /// machine any more.
@@ -20,7 +24,7 @@
         let site = &mut self.site;
         site.gateways = gateways;
         site.hosts = scaled(site.hosts);
-        site.counter.calls_per_s = (site.counter.calls_per_s * times).max(1.0);
+        resize_counter(&mut site.counter, times);
         for plan in &mut site.plans {
             let least = plan.spread.min(LEAST_SPREAD);
             plan.spread = scaled(plan.spread).max(least).min(gateways);
@@ -40,6 +44,16 @@
     }
 }
 
+fn resize_counter(counter: &mut CounterSpec, times: f64) {
+    let before = counter.calls_per_s / f64::from(counter.parts.max(1));
+    let parts = libm::round(f64::from(counter.parts) * times).max(1.0);
+    let each = (counter.calls_per_s * times / parts).max(before.min(LEAST_CALLS));
+    counter.parts = parts as u32;
+    counter.calls_per_s = each * parts;
+    let queue = libm::round(f64::from(counter.queue) * each / before);
+    counter.queue = (queue as u32).max(counter.queue.min(1));
+}
+
 /// The machines that an event hits, where it hits some.
 fn which_mut(event: &mut Event) -> Option<&mut Which> {
     match event {
@@ -66,7 +80,7 @@
     #[test]
     fn what_counts_goes_with_the_gateways_and_the_rest_stays() {
         let mut site = Site { gateways: 300, hosts: 150, ..Site::default() };
-        site.counter.calls_per_s = 3000.0;
+        site.counter = CounterSpec { parts: 3, calls_per_s: 3000.0, queue: 20, ..CounterSpec::default() };
         (site.plans[0].spread, site.plans[1].spread) = (3, 100);
         let timed = |event| Timed { at: 0, event, line: 1 };
         let events = vec![
@@ -76,8 +90,14 @@
         ];
         let scenario = Scenario { site, events, ..Scenario::default() };
         let small = scenario.clone().with_gateways(60);
-        let sizes = (small.site.hosts, small.site.counter.calls_per_s, small.traffic.rate);
-        assert_eq!((small.site.gateways, sizes), (60, (30, 600.0, 26.0)));
+        assert_eq!((small.site.gateways, small.site.hosts, small.traffic.rate), (60, 30, 26.0));
+        let counter = |day: &Scenario| {
+            let CounterSpec { parts, calls_per_s, queue, .. } = day.site.counter;
+            (parts, calls_per_s, queue)
+        };
+        assert_eq!(counter(&small), (1, 600.0, 12));
+        assert_eq!(counter(&scenario.clone().with_gateways(300)), (3, 3000.0, 20));
+        assert_eq!(counter(&scenario.clone().with_gateways(3)), (1, 100.0, 2));
         assert_eq!(small.site.plans.iter().map(|plan| plan.spread).collect::<Vec<_>>(), [3, 20]);
         assert_eq!(small.events[0].event, Event::AddHosts(3));
         assert_eq!(small.events[1].event, Event::PauseHosts(Which::Count(2), 1));
--- a/crates/model/tests/traffic.rs
+++ b/crates/model/tests/traffic.rs
@@ -3,7 +3,7 @@
 use fennelbeam_model::draw::{self, Draws};
 use fennelbeam_model::scenario::{ClassSpec, Effect, Event, Site, Timed, Traffic};
 use fennelbeam_model::seen::Got;
-use fennelbeam_model::traffic::{Again, Arrival, Arrivals, Behaviour, Deal, Ended, Scale};
+use fennelbeam_model::traffic::{Again, Arrival, Arrivals, Behaviour, Deal, Ended, Lean, Scale};
 use fennelbeam_model::{Span, MS, SECOND};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -214,6 +214,35 @@
     assert_eq!(deal.pick(&arrival(1), 0, 0, |_| false), None);
 }
 
+#[test]
+fn gateways_may_get_several_times_the_mean_and_buildings_their_times_the_usual() {
+    let traffic = |uneven| Traffic { skew: 0.0, uneven, ..Traffic::default() };
+    let counts = |uneven, leans: &[Lean], at: Span| {
+        let site = Site { gateways: 60, buildings: 3, ..Site::default() };
+        let deal = Deal::new(&site, &traffic(uneven), SEED).leaning(leans);
+        let (spread, first) = (60, 0);
+        let mut counts = [0_u32; 60];
+        for thing in 1..6000 {
+            let arrival = Arrival { at, thing, customer: 5, plan: 0, class: 0, spread, first, gateway: 0 };
+            counts[deal.pick(&arrival, 0, at, |_| true).unwrap() as usize] += 1;
+        }
+        counts
+    };
+    let most = |uneven| counts(uneven, &[], 0).into_iter().max().unwrap();
+    assert!((100..150).contains(&most(0.0)), "{}", most(0.0));
+    assert!((300..450).contains(&most(3.0)), "{}", most(3.0));
+    let building = |counts: [u32; 60], number: usize| counts.iter().skip(number).step_by(3).sum::<u32>();
+    let event = Event::Lean(2, 3.0, SECOND);
+    let leans = Lean::of(&[Timed { at: SECOND, line: 1, event }]);
+    assert_eq!(counts(0.0, &leans, SECOND - 1), counts(0.0, &[], 0));
+    assert_eq!(counts(0.0, &leans, 2 * SECOND), counts(0.0, &[], 0));
+    // Three parts of five, and one each for the others.
+    let shares = [0, 1, 2].map(|number| f64::from(building(counts(0.0, &leans, SECOND), number)) / 5999.0);
+    for (share, wanted) in shares.into_iter().zip([0.2, 0.6, 0.2]) {
+        assert!((share - wanted).abs() < 0.02, "{shares:?}");
+    }
+}
+
 #[test]
 fn many_customers_of_many_gateways_are_told_apart() {
     let site = Site { gateways: 50, ..Site::default() };
--- /dev/null
+++ b/crates/rehearse/examples/fleet_curve.rs
@@ -0,0 +1,79 @@
+//! What a day costs as the fleet grows: one line for each number of gateways.
+//!
+//!     cargo run --release -p fennelbeam-rehearse --example fleet_curve
+//!     cargo run --release -p fennelbeam-rehearse --example fleet_curve -- herd-fleet 60 300
+//!
+//! The first word is a shipped scenario, `calm-fleet` if there is none; numbers are of gateways, by default 3, 30,
+//! 60, 150 and 300. Seed 1. Each size is played on a thread of its own.
+
+use anyhow::{bail, Context, Result};
+use fennelbeam_model::file;
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_rehearse::{play_virtual, Played, VirtualOptions};
+use std::time::Instant;
+
+const SEED: u64 = 1;
+const SIZES: [u32; 5] = [3, 30, 60, 150, 300];
+
+fn main() -> Result<()> {
+    let mut words: Vec<String> = std::env::args().skip(1).collect();
+    let named = words.first().is_some_and(|word| word.parse::<u32>().is_err());
+    let name = if named { words.remove(0) } else { "calm-fleet".into() };
+    let sizes = words.iter().map(|word| word.parse::<u32>().with_context(|| format!("not a number: {word}")));
+    let sizes = sizes.collect::<Result<Vec<u32>>>()?;
+    let sizes = if sizes.is_empty() { SIZES.to_vec() } else { sizes };
+    let Some(text) = file::find(&name) else { bail!("no shipped scenario is called {name}") };
+    let scenario = file::parse(&name, text)?;
+    println!("{name}, seed {SEED}");
+    println!();
+    println!(
+        "| gateways | tries/s | counter calls/s | a gateway | turned away | unanswered | only reading | beyond \
+         quotas | refused with room | first attempt p50, p99 | connections/s | open at most | worth | rules broken \
+         | wall |"
+    );
+    println!("|{}", " ---: |".repeat(15));
+    for (gateways, (played, wall_s)) in sizes.iter().zip(play_all(&scenario, &sizes)) {
+        println!("{}", row(*gateways, &played?, wall_s));
+    }
+    Ok(())
+}
+
+fn play_all(scenario: &Scenario, sizes: &[u32]) -> Vec<(Result<Played>, f64)> {
+    let play = |gateways: u32| {
+        let begun = Instant::now();
+        let sized = scenario.clone().with_gateways(gateways);
+        let played = play_virtual(&sized, SEED, VirtualOptions::default());
+        (played, begun.elapsed().as_secs_f64())
+    };
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = sizes.iter().map(|gateways| scope.spawn(move || play(*gateways))).collect();
+        let joined = |thread: std::thread::ScopedJoinHandle<'_, _>| match thread.join() {
+            Ok(played) => played,
+            Err(panic) => std::panic::resume_unwind(panic),
+        };
+        threads.into_iter().map(joined).collect()
+    })
+}
+
+fn row(gateways: u32, played: &Played, wall_s: f64) -> String {
+    let (verdict, fleet) = (&played.verdict, &played.verdict.fleet);
+    let seconds = verdict.timeline.iter().rposition(|second| second.offered > 0).map_or(1, |last| last + 1);
+    format!(
+        "| {gateways} | {:.0} | {:.0} | {:.2} | {:.1} % | {:.1} % | {:.1} % | {:.1} % | {:.1} % | {:.1}, {:.0} ms | \
+         {:.0} | {} | {:.3} | {} | {wall_s:.1} s |",
+        played.tries as f64 / seconds as f64,
+        fleet.counter_calls_per_s,
+        fleet.counter_calls_per_s / f64::from(gateways),
+        100.0 * fleet.counter_turned_away,
+        100.0 * fleet.counter_unanswered,
+        100.0 * fleet.counter_only_read,
+        100.0 * fleet.beyond_quota,
+        100.0 * fleet.refused_with_room,
+        fleet.first_attempt_p50_ms,
+        fleet.first_attempt_p99_ms,
+        fleet.connections_per_s,
+        fleet.connections_open_most,
+        verdict.worth,
+        verdict.breaches.len() + played.troubles.len(),
+    )
+}
