Let all agents share the addresses of a host

Each gateway's agent held each host with its address at each gateway: memory grew with the square of the gateways times the hosts, and a rehearsal of 1,000 gateways was killed for want of it.

--- a/crates/model/src/agent.rs
+++ b/crates/model/src/agent.rs
@@ -16,6 +16,7 @@
 use crate::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Generation of the list that all agents have at the start.
 pub const FIRST: u64 = 1;
@@ -27,8 +28,9 @@
     pub id: String,
     /// Its number, in the order of the hosts' coming. Lists are in this order.
     pub host: u32,
-    /// Where each gateway reaches it; one without an address here is not told of it.
-    pub addrs: Vec<SocketAddr>,
+    /// Where each gateway reaches it; one without an address here is not told of it. Shared: each agent holds
+    /// each host, and a copy for each would grow with the square of the fleet.
+    pub addrs: Arc<[SocketAddr]>,
     /// Its building.
     pub zone: String,
     /// What kind of machine it is.
--- a/crates/model/tests/agent.rs
+++ b/crates/model/tests/agent.rs
@@ -299,7 +299,7 @@
 #[test]
 fn a_gateway_hears_of_no_host_that_it_cannot_reach() {
     let mut registry = registry();
-    let elsewhere = Member { addrs: member(2).addrs[..1].to_vec(), ..member(2) };
+    let elsewhere = Member { addrs: member(2).addrs[..1].into(), ..member(2) };
     registry.change(START, elsewhere, Notice::Given);
     assert_eq!(news(&mut registry, END, 0), [(2, Told::InService)]);
     assert_eq!(news(&mut registry, END, 1), []);
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -19,6 +19,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Connections that the front has to a gateway at the most: the platform's clients hold a third of the
 /// descriptors for requests.
@@ -31,7 +32,7 @@
     /// The machine that it stands on: the number of the host that first stood there.
     pub place: u32,
     /// Where each gateway reaches it.
-    pub addrs: Vec<SocketAddr>,
+    pub addrs: Arc<[SocketAddr]>,
     /// The running stand-in; `None`: it is gone.
     pub running: Option<HostStandIn<E>>,
     /// It has been told to drain.
@@ -240,7 +241,8 @@
     /// A new host comes, cold; at a place where another was, or at one of its own.
     pub fn add_host(&mut self, place: Option<u32>) -> Result<u32> {
         let number = self.hosts.len() as u32;
-        let addrs = place.map_or(Vec::new(), |old| self.hosts[old as usize].addrs.clone());
+        let addrs: Arc<[SocketAddr]> =
+            place.map_or_else(|| [].into(), |old| self.hosts[old as usize].addrs.clone());
         let place = place.map_or(number, |old| self.hosts[old as usize].place);
         let host = self.maker().host(&self.stage, number, place, &addrs, true)?;
         self.hosts.push(host);
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -68,7 +68,7 @@
 struct Shared<E: Env> {
     env: E,
     lag: Span,
-    addrs: Vec<SocketAddr>,
+    addrs: Arc<[SocketAddr]>,
     state: Mutex<State>,
     /// The driver has to look anew.
     changed: Notify,
@@ -82,7 +82,7 @@
     pub fn start(env: E, config: HostConfig) -> io::Result<HostStandIn<E>> {
         let listen = |on: &SocketAddr| env.listen(*on, BACKLOG);
         let listeners = config.listen.iter().map(listen).collect::<io::Result<Vec<_>>>()?;
-        let addrs = listeners.iter().map(Listener::local_addr).collect::<io::Result<Vec<_>>>()?;
+        let addrs = listeners.iter().map(Listener::local_addr).collect::<io::Result<Arc<[_]>>>()?;
         let state = State::new(&config, env.now());
         let shared = Arc::new(Shared {
             env: env.clone(),
@@ -101,7 +101,7 @@
     }
 
     /// Where it listens, by gateway.
-    pub fn addrs(&self) -> Vec<SocketAddr> {
+    pub fn addrs(&self) -> Arc<[SocketAddr]> {
         self.0.addrs.clone()
     }
 
--- a/crates/standins/tests/agent.rs
+++ b/crates/standins/tests/agent.rs
@@ -32,7 +32,7 @@
     Member {
         id: format!("s-{host}"),
         host,
-        addrs: vec![SocketAddr::from(HERE), SocketAddr::from(([10, 1, 0, host as u8], 6379))],
+        addrs: [SocketAddr::from(HERE), SocketAddr::from(([10, 1, 0, host as u8], 6379))].into(),
         zone: "a".into(),
         machine_type: "m2".into(),
         cell: 3,
