--- a/crates/rehearse/examples/fleet_curve.rs
+++ b/crates/rehearse/examples/fleet_curve.rs
@@ -4,11 +4,12 @@
 //!     cargo run --release -p fennelbeam-rehearse --example fleet_curve -- herd-fleet 60 300
 //!
 //! The first word is a shipped scenario, `calm-fleet` if there is none; numbers are of gateways, by default 3, 30,
-//! 60, 150 and 300. Seed 1. Each size is played on a thread of its own.
+//! 60, 150 and 300. Seed 1. Each size is played on a thread of its own. With the word `ample` the counter takes all
+//! calls there could be: what the gateways would ask of it.
 
 use anyhow::{bail, Context, Result};
 use fennelbeam_model::file;
-use fennelbeam_model::scenario::Scenario;
+use fennelbeam_model::scenario::{CounterSpec, Scenario};
 use fennelbeam_rehearse::{play_virtual, Played, VirtualOptions};
 use std::time::Instant;
 
@@ -17,14 +18,18 @@
 
 fn main() -> Result<()> {
     let mut words: Vec<String> = std::env::args().skip(1).collect();
+    let ample = words.iter().position(|word| word == "ample").map(|at| words.remove(at)).is_some();
     let named = words.first().is_some_and(|word| word.parse::<u32>().is_err());
     let name = if named { words.remove(0) } else { "calm-fleet".into() };
     let sizes = words.iter().map(|word| word.parse::<u32>().with_context(|| format!("not a number: {word}")));
     let sizes = sizes.collect::<Result<Vec<u32>>>()?;
     let sizes = if sizes.is_empty() { SIZES.to_vec() } else { sizes };
     let Some(text) = file::find(&name) else { bail!("no shipped scenario is called {name}") };
-    let scenario = file::parse(&name, text)?;
-    println!("{name}, seed {SEED}");
+    let mut scenario = file::parse(&name, text)?;
+    if ample {
+        scenario.site.counter = CounterSpec { parts: 100, calls_per_s: 1e6, ..CounterSpec::default() };
+    }
+    println!("{name}, seed {SEED}{}", if ample { ", an ample counter" } else { "" });
     println!();
     println!(
         "| gateways | tries/s | counter calls/s | a gateway | turned away | unanswered | only reading | beyond \
