--- a/crates/judge/src/fleet.rs
+++ b/crates/judge/src/fleet.rs
@@ -117,8 +117,8 @@
         self.first_attempts.push(first_byte.saturating_sub(asked));
     }
 
-    /// `passed` and `beyond`: units sent on, and beyond quotas; `tries` and `refused`: all, and those refused with
-    /// room in the quota.
+    /// `passed` and `beyond`: units sent on, and beyond quotas; `tries` and `refused`: all, and those refused
+    /// with room in the quota.
     pub(crate) fn finish(
         mut self,
         (passed, beyond): (f64, f64),
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -167,7 +167,7 @@
         let member = |(number, addr): (u32, &SocketAddr)| Member {
             id: format!("s-{number:08x}"),
             host: number,
-            addrs: vec![*addr],
+            addrs: [*addr].into(),
             zone: building(0),
             machine_type: machine_type(&scenario),
             cell: number / 3,
--- a/crates/model/src/resize.rs
+++ b/crates/model/src/resize.rs
@@ -4,19 +4,20 @@
 
 /// A customer's set is not scaled below this: fewer gateways would be another kind of customer.
 const LEAST_SPREAD: u32 = 3;
-/// Calls a second of a part of the counter are not scaled below this: one that takes more than 10 ms for a call
-/// turns nobody away, it lets all calls time out.
+/// Calls a second of a part of the counter are not scaled below this: one that takes more than 10 ms for a
+/// call turns nobody away, it lets all calls time out.
 const LEAST_CALLS: f64 = 100.0;
 
 impl Scenario {
-    /// The same day with so many gateways, at least 1: hosts, requests, the counter's calls and customers' sets
-    /// go with them, and events that count hosts or gateways too. Shares stay as they are, and so does what one
-    /// gateway, host or customer is like. Sets stay at three gateways or what they were below that, and as many as
-    /// there are at the most. The counter has as many parts as go with it, one at the least; each takes 100 calls a
-    /// second or what it took below that, and a full line of calls takes as long as it did.
+    /// The same day with so many gateways, at least 1: hosts, requests, the counter's calls and customers'
+    /// sets go with them, and events that count hosts or gateways too. Shares stay as they are, and so does
+    /// what one gateway, host or customer is like. Sets stay at three gateways or what they were below that,
+    /// and as many as there are at the most. The counter has as many parts as go with it, one at the least;
+    /// each takes 100 calls a second or what it took below that, and a full line of calls takes as long as it
+    /// did.
     ///
-    /// Machines that events name by number keep their numbers; the reader of files tells where there is no such
-    /// machine any more.
+    /// Machines that events name by number keep their numbers; the reader of files tells where there is no
+    /// such machine any more.
     pub fn with_gateways(mut self, gateways: u32) -> Scenario {
         let gateways = gateways.max(1);
         let times = f64::from(gateways) / f64::from(self.site.gateways.max(1));
--- a/crates/rehearse/examples/fleet_curve.rs
+++ b/crates/rehearse/examples/fleet_curve.rs
@@ -3,9 +3,9 @@
 //!     cargo run --release -p fennelbeam-rehearse --example fleet_curve
 //!     cargo run --release -p fennelbeam-rehearse --example fleet_curve -- herd-fleet 60 300
 //!
-//! The first word is a shipped scenario, `calm-fleet` if there is none; numbers are of gateways, by default 3, 30,
-//! 60, 150 and 300. Seed 1. Each size is played on a thread of its own. With the word `ample` the counter takes all
-//! calls there could be: what the gateways would ask of it.
+//! The first word is a shipped scenario, `calm-fleet` if there is none; numbers are of gateways, by default
+//! 3, 30, 60, 150 and 300. Seed 1. Each size is played on a thread of its own. With the word `ample` the
+//! counter takes all calls there could be: what the gateways would ask of it.
 
 use anyhow::{bail, Context, Result};
 use fennelbeam_model::file;
@@ -15,6 +15,23 @@
 
 const SEED: u64 = 1;
 const SIZES: [u32; 5] = [3, 30, 60, 150, 300];
+const HEADS: [&str; 15] = [
+    "gateways",
+    "tries/s",
+    "counter calls/s",
+    "a gateway",
+    "turned away",
+    "unanswered",
+    "only reading",
+    "beyond quotas",
+    "refused with room",
+    "first attempt p50, p99",
+    "connections/s",
+    "open at most",
+    "worth",
+    "rules broken",
+    "wall",
+];
 
 fn main() -> Result<()> {
     let mut words: Vec<String> = std::env::args().skip(1).collect();
@@ -31,12 +48,8 @@
     }
     println!("{name}, seed {SEED}{}", if ample { ", an ample counter" } else { "" });
     println!();
-    println!(
-        "| gateways | tries/s | counter calls/s | a gateway | turned away | unanswered | only reading | beyond \
-         quotas | refused with room | first attempt p50, p99 | connections/s | open at most | worth | rules broken \
-         | wall |"
-    );
-    println!("|{}", " ---: |".repeat(15));
+    println!("| {} |", HEADS.join(" | "));
+    println!("|{}", " ---: |".repeat(HEADS.len()));
     for (gateways, (played, wall_s)) in sizes.iter().zip(play_all(&scenario, &sizes)) {
         println!("{}", row(*gateways, &played?, wall_s));
     }
@@ -63,22 +76,23 @@
 fn row(gateways: u32, played: &Played, wall_s: f64) -> String {
     let (verdict, fleet) = (&played.verdict, &played.verdict.fleet);
     let seconds = verdict.timeline.iter().rposition(|second| second.offered > 0).map_or(1, |last| last + 1);
-    format!(
-        "| {gateways} | {:.0} | {:.0} | {:.2} | {:.1} % | {:.1} % | {:.1} % | {:.1} % | {:.1} % | {:.1}, {:.0} ms | \
-         {:.0} | {} | {:.3} | {} | {wall_s:.1} s |",
-        played.tries as f64 / seconds as f64,
-        fleet.counter_calls_per_s,
-        fleet.counter_calls_per_s / f64::from(gateways),
-        100.0 * fleet.counter_turned_away,
-        100.0 * fleet.counter_unanswered,
-        100.0 * fleet.counter_only_read,
-        100.0 * fleet.beyond_quota,
-        100.0 * fleet.refused_with_room,
-        fleet.first_attempt_p50_ms,
-        fleet.first_attempt_p99_ms,
-        fleet.connections_per_s,
-        fleet.connections_open_most,
-        verdict.worth,
-        verdict.breaches.len() + played.troubles.len(),
-    )
+    let percent = |share: f64| format!("{:.1} %", 100.0 * share);
+    let cells = [
+        gateways.to_string(),
+        format!("{:.0}", played.tries as f64 / seconds as f64),
+        format!("{:.0}", fleet.counter_calls_per_s),
+        format!("{:.2}", fleet.counter_calls_per_s / f64::from(gateways)),
+        percent(fleet.counter_turned_away),
+        percent(fleet.counter_unanswered),
+        percent(fleet.counter_only_read),
+        percent(fleet.beyond_quota),
+        percent(fleet.refused_with_room),
+        format!("{:.1}, {:.0} ms", fleet.first_attempt_p50_ms, fleet.first_attempt_p99_ms),
+        format!("{:.1}", fleet.connections_per_s),
+        fleet.connections_open_most.to_string(),
+        format!("{:.3}", verdict.worth),
+        (verdict.breaches.len() + played.troubles.len()).to_string(),
+        format!("{wall_s:.1} s"),
+    ];
+    format!("| {} |", cells.join(" | "))
 }
