--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -9,7 +9,7 @@
 use fennelbeam_model::scenario::Scenario;
 use fennelbeam_model::seen::{Told, What};
 use fennelbeam_model::settings::{building, document, machine_type, Start};
-use fennelbeam_model::traffic::Scale;
+use fennelbeam_model::traffic::{Lean, Scale};
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_standins::agent::{AgentConfig, AgentStandIn, SharedRegistry};
 use fennelbeam_standins::client::{ClientConfig, Clients};
@@ -19,6 +19,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Connections that the front has to a gateway at the most: the platform's clients hold a third of the
 /// descriptors for requests.
@@ -31,7 +32,7 @@
     /// The machine that it stands on: the number of the host that first stood there.
     pub place: u32,
     /// Where each gateway reaches it.
-    pub addrs: Vec<SocketAddr>,
+    pub addrs: Arc<[SocketAddr]>,
     /// The running stand-in; `None`: it is gone.
     pub running: Option<HostStandIn<E>>,
     /// It has been told to drain.
@@ -102,7 +103,7 @@
 
 impl<S: Stage> SiteOf<S> {
     /// Puts up a site whose clients begin at `start`. Its gateways are started, and given until then to get
-    /// ready.
+    /// ready; those that do not start at one instant are left for the director to start.
     pub fn put_up(
         scenario: Scenario,
         seed: u64,
@@ -148,6 +149,7 @@
                 seed,
                 gateways: (0..site.gateways).map(|gateway| stage.gateway_address(gateway)).collect(),
                 scales: Scale::of(&scenario.events),
+                leans: Lean::of(&scenario.events),
                 start,
                 length: scenario.length,
                 recorder: recorder.clone(),
@@ -171,7 +173,9 @@
             draws,
             settled,
         };
-        (0..site.gateways).try_for_each(|gateway| put_up.start_gateway(gateway))?;
+        if site.start_within == 0 {
+            (0..site.gateways).try_for_each(|gateway| put_up.start_gateway(gateway))?;
+        }
         Ok(put_up)
     }
 
@@ -199,6 +203,13 @@
         Ok(())
     }
 
+    /// How much later than the others of its kind a gateway starts.
+    pub fn start_delay(&self, gateway: u32) -> Span {
+        let starts = u64::from(self.gateways[gateway as usize].starts);
+        let mut rng = Rng::stream(self.seed, "start", u64::from(gateway) << 32 | starts);
+        rng.below(self.scenario.site.start_within.max(1))
+    }
+
     /// The list of hosts that a gateway's agent has, if it is not silent.
     pub fn known(&self, gateway: u32) -> Option<Line> {
         self.registry.list(self.stage.now(), gateway)
@@ -230,7 +241,8 @@
     /// A new host comes, cold; at a place where another was, or at one of its own.
     pub fn add_host(&mut self, place: Option<u32>) -> Result<u32> {
         let number = self.hosts.len() as u32;
-        let addrs = place.map_or(Vec::new(), |old| self.hosts[old as usize].addrs.clone());
+        let addrs: Arc<[SocketAddr]> =
+            place.map_or_else(|| [].into(), |old| self.hosts[old as usize].addrs.clone());
         let place = place.map_or(number, |old| self.hosts[old as usize].place);
         let host = self.maker().host(&self.stage, number, place, &addrs, true)?;
         self.hosts.push(host);
