--- a/crates/quota/src/contact.rs
+++ b/crates/quota/src/contact.rs
@@ -126,6 +126,11 @@
         self.hearing.beat_span()
     }
 
+    /// Until the first beat, which is at once where beats are quick, and else drawn: `lot` is from 0 to 1.
+    pub fn first_beat(&self, lot: f64) -> Span {
+        ((self.beat_span() - crate::BEAT) as f64 * lot) as Span
+    }
+
     /// A customer of this set is leased for.
     pub fn leased(&mut self, now: Time, set: &Set) {
         self.hearing.listen(now, set);
--- a/crates/quota/src/hearing.rs
+++ b/crates/quota/src/hearing.rs
@@ -24,7 +24,7 @@
 /// A fleet of no more groups than this hears itself whole.
 const FEW: usize = 4;
 /// Gateways beyond which each beats more slowly, and the slowest beat: an epoch of pulses still holds four.
-const QUICK: u32 = 40;
+const QUICK: u32 = 16;
 const SLOWEST: Span = 6_000_000_000;
 /// A group is listened to for so long after a customer was last leased for with one of its gateways.
 const LISTENS: Span = 60_000_000_000;
@@ -68,6 +68,24 @@
     beat: Span,
 }
 
+/// Between two beats of one of so many gateways.
+fn beat(gateways: u32) -> Span {
+    let slower = (f64::from(gateways) / f64::from(QUICK)).max(1.0);
+    ((BEAT as f64 * slower) as Span).min(SLOWEST)
+}
+
+/// Whoever was heard this lately is heard, where so many other groups are read in turn.
+fn within(beat: Span, groups: Span) -> Span {
+    (WITHIN as f64 / BEAT as f64 * beat as f64) as Span + 2 * beat * groups
+}
+
+/// After so long one of so many gateways is missed at the latest by one that shares a leased customer's set of
+/// `spread` with it, once it is dead or on the other side of a split.
+pub fn missed(gateways: u32, spread: u32) -> Span {
+    let groups = gateways.div_ceil(MEMBERS).min(spread.div_ceil(MEMBERS) + 1);
+    within(beat(gateways), Span::from(groups - 1)) + beat(gateways)
+}
+
 impl Hearing {
     /// Of a gateway with this number, counted from 0, among so many.
     pub fn new(me: u32, gateways: u32) -> Hearing {
@@ -75,7 +93,6 @@
         let groups = gateways.div_ceil(MEMBERS);
         let is_small = groups as usize <= FEW;
         let others = (0..groups).filter(|group| is_small && *group != me / MEMBERS);
-        let slower = f64::from(gateways) / f64::from(QUICK);
         Hearing {
             me,
             heard: vec![0; gateways as usize],
@@ -86,7 +103,7 @@
             listened: others.map(|group| (group, Time::MAX)).collect(),
             turn: 0,
             beats_until: if is_small { Time::MAX } else { 0 },
-            beat: ((BEAT as f64 * slower.max(1.0)) as Span).min(SLOWEST),
+            beat: beat(gateways),
         }
     }
 
@@ -199,10 +216,8 @@
         self.heard.get(gateway as usize).copied().unwrap_or(0)
     }
 
-    /// Whoever was heard this lately is heard: the other groups are read in turn.
     fn within(&self) -> Span {
-        let turns = self.listened.len().saturating_sub(1) as Span + Span::from(!self.listened.is_empty());
-        WITHIN / BEAT * self.beat + WITHIN % BEAT * self.beat / BEAT + 2 * self.beat * turns
+        within(self.beat, self.listened.len() as Span)
     }
 }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use adder::{Adder, Told};
 pub use contact::{Contact, RETRY};
-pub use hearing::{Hearing, Pulse, BEAT, EPOCH as PULSE_EPOCH, WITHIN};
+pub use hearing::{missed, Hearing, Pulse, BEAT, EPOCH as PULSE_EPOCH, WITHIN};
 pub use late::Late;
 pub use marks::{Digits, Mark, Marks, Reading};
 pub use ration::Ration;
