Check a run's history after the fact, and explain a breach by its events

The judge rules while a run goes on and keeps sums: it says that a rule broke, not by which events, and keeps no rule on units but the hard ceilings. What several gateways together let through is to be held to a stated bound in every window, and later subsystems will act on verdicts that others made.

A package of its own takes the judge's sightings in any order and goes over them at the end: one final answer, nothing twice (keyed requests only within group and window), units in every window (one pass with a running minimum of spent less granted), drains counted from when the gateway was told, and verdicts no older than stated, fed today with the news of hosts' starts. A breach prints as a line and the shortest chain of events with times.

Taken out once and seen to fail: the running minimum (least of the first event only), the grace, the group, the excuse of a kill.

--- /dev/null
+++ b/crates/history/src/terms.rs
@@ -0,0 +1,54 @@
+//! What a history is held to, in figures.
+
+use crate::ALLOWANCE;
+use fennelbeam_model::scenario::{Effect, Site};
+use fennelbeam_model::Span;
+use std::collections::BTreeMap;
+
+/// How many units a customer may be sent on in any window: `rate * seconds + burst + allowance`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Units a second.
+    pub rate: f64,
+    /// Units of the store.
+    pub burst: f64,
+    /// Units beyond those two that are stated in advance for what may fail.
+    pub allowance: f64,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// What may run again, by class.
+    pub effects: Vec<Effect>,
+    /// The group of a host, within which repeats of a keyed request are dropped. Hosts that are not named are all of
+    /// one group.
+    pub groups: BTreeMap<u32, u32>,
+    /// By plan; `None`: its customers have no quota, or nothing is stated.
+    pub bounds: Vec<Option<Bound>>,
+    /// Nothing new to a host later than this after the news that it drains or is gone.
+    pub drain_grace: Span,
+    /// An answer counts until this long after the client's time.
+    pub answer_slack: Span,
+    /// The longest time that a client gives a request; a planned restart kills no sooner.
+    pub longest: Span,
+}
+
+impl Terms {
+    /// Those of a site. Nothing is allowed beyond the quotas: whoever knows what may fail adds that.
+    pub fn of(site: &Site) -> Terms {
+        let bound = |rate: f64, burst: f64| (rate > 0.0).then_some(Bound { rate, burst, allowance: 0.0 });
+        Terms {
+            effects: site.classes.iter().map(|class| class.effect).collect(),
+            groups: BTreeMap::new(),
+            bounds: site.plans.iter().map(|plan| bound(plan.rate, plan.burst)).collect(),
+            drain_grace: site.rules.drain_grace + ALLOWANCE,
+            answer_slack: site.rules.answer_slack,
+            longest: site.classes.iter().map(|class| class.deadline).max().unwrap_or(0),
+        }
+    }
+
+    pub(crate) fn group(&self, host: u32) -> Option<u32> {
+        self.groups.get(&host).copied()
+    }
+}
--- /dev/null
+++ b/crates/history/tests/history/chains.rs
@@ -0,0 +1,57 @@
+//! A breach is explained by the shortest chain of events that makes it.
+
+use crate::day::{first, order, read, Ask, Day, SERVED};
+use crate::found;
+use fennelbeam_model::seen::{Dealt, Told};
+
+const ID: u64 = 16;
+
+/// The chain of the only breach.
+fn chain(day: &Day) -> Vec<String> {
+    let found = found(day);
+    assert_eq!(found.len(), 1, "{found:?}");
+    let text = found[0].to_string();
+    text.lines().skip(1).map(|line| line.trim().to_owned()).collect()
+}
+
+#[test]
+fn an_order_that_ran_twice_is_three_events() {
+    let mut day = Day::default();
+    day.ask(0, order(ID)).receive(1, ID, 3).done(2, ID, 3, Dealt::TurnedAway);
+    day.receive(5, ID, 0).done(100, ID, 0, Dealt::Unheard).receive(102, ID, 1);
+    day.receive(104, ID, 2).done(150, ID, 1, Dealt::Served).answer(151, ID, SERVED);
+    let wanted = [
+        "0.005000 s  attempt A had come whole to host 1 from gateway 1",
+        "0.100000 s  host 1 ran attempt A, the answer was lost",
+        "0.102000 s  attempt B had come whole to host 2 from gateway 1",
+    ];
+    assert_eq!(chain(&day), wanted);
+}
+
+#[test]
+fn too_many_units_are_the_window_with_its_earliest_and_latest_sends() {
+    let mut day = Day::default();
+    // Long before, and no part of it.
+    day.serve(0, Ask { units: 9.0, ..read(first(1)) });
+    (0..20).for_each(|n| {
+        day.serve(60_000 + n, Ask { units: 1.0, ..read(first(10 + n)) });
+    });
+    let lines = chain(&day);
+    assert_eq!(lines.len(), 7, "{lines:?}");
+    assert!(lines[0].starts_with("60.002000 s  request"), "{lines:?}");
+    assert!(lines[3].ends_with("... and 14 more, 14.0 units"), "{lines:?}");
+    assert!(lines[6].starts_with("60.021000 s  request"), "{lines:?}");
+    let text = &found(&day)[0].text;
+    assert!(text.contains("20.0 units within 0.019 s, 7.9 more than 4.0 x 0.019 + 10.0 + 2.0"), "{text}");
+}
+
+#[test]
+fn a_send_to_a_host_that_left_names_who_was_told_when() {
+    let mut day = Day::default();
+    day.hear(500, 0, 0, Told::Draining).serve(8_000, read(ID));
+    let lines = chain(&day);
+    assert!(lines[0].starts_with("0.500000 s  the agent of gateway 1 heard that host 1 drains"), "{lines:?}");
+    assert!(lines[1].starts_with("6.500000 s  gateway 1 counts as told"), "{lines:?}");
+    assert!(lines[2].ends_with("the grace was over"), "{lines:?}");
+    assert!(lines[3].ends_with("request 0000000000000010 was sent to host 1"), "{lines:?}");
+}
--- /dev/null
+++ b/crates/history/tests/history/edges.rs
@@ -0,0 +1,156 @@
+//! Where each rule begins and ends.
+
+use crate::day::{first, read, Ask, Day, SERVED};
+use crate::{rules, terms};
+use fennelbeam_history::{Claim, History, Rule};
+use fennelbeam_model::seen::{Dealt, Got, Told, What};
+use fennelbeam_model::{MS, SECOND};
+
+const ID: u64 = 16;
+
+fn down() -> What {
+    What::GatewayDown { gateway: 0, meant: true }
+}
+
+fn signal(kill: bool) -> What {
+    What::GatewaySignalled { gateway: 0, kill }
+}
+
+#[test]
+fn what_a_gateway_took_with_it_is_the_clients_to_repeat_unless_it_was_asked_to_stop() {
+    let lost = |before: &[(u64, What)]| {
+        let mut day = Day::default();
+        day.ask(5_000, read(ID)).answer(5_050, ID, Got::Broken);
+        before.iter().for_each(|(ms, what)| {
+            day.see(*ms, what.clone());
+        });
+        rules(&day)
+    };
+    assert_eq!(lost(&[]), [Rule::OneAnswer]);
+    assert_eq!(lost(&[(5_049, down())]), [], "killed");
+    assert_eq!(lost(&[(5_090, down())]), [], "and seen a little later");
+    assert_eq!(lost(&[(5_101, down())]), [Rule::OneAnswer], "killed after that");
+    assert_eq!(lost(&[(4_900, signal(false)), (5_049, down())]), [Rule::OneAnswer], "it ended by itself");
+    let (early, late) = (signal(false), signal(true));
+    assert_eq!(lost(&[(2_400, early.clone()), (5_100, late.clone()), (5_100, down())]), [Rule::OneAnswer]);
+    assert_eq!(lost(&[(2_401, early), (5_100, late), (5_100, down())]), [], "sooner than a restart kills");
+    assert_eq!(lost(&[(10, down())]), [], "no gateway ran");
+    let up = What::GatewayUp { gateway: 0 };
+    assert_eq!(lost(&[(10, down()), (400, up)]), [Rule::OneAnswer], "it ran again");
+    let cut = |cut: bool| What::ClientsCut { gateway: 0, cut };
+    assert_eq!(lost(&[(5_010, cut(true)), (9_000, cut(false))]), []);
+    assert_eq!(lost(&[(4_000, cut(true)), (4_999, cut(false))]), [Rule::OneAnswer]);
+}
+
+#[test]
+fn a_request_that_is_due_after_the_end_of_the_run_may_still_be_answered() {
+    let mut history = History::new(terms(), 0);
+    let mut day = Day::default();
+    day.ask(0, read(ID));
+    let asked = &day.sightings()[0];
+    history.see(asked);
+    assert_eq!(history.check(asked.at + 1_000 * MS), []);
+}
+
+#[test]
+fn a_request_that_crossed_the_end_of_its_connection_is_written_again() {
+    let mut day = Day::default();
+    day.ask(0, read(ID)).ask(900, read(ID)).answer(1_500, ID, SERVED);
+    assert_eq!(rules(&day), []);
+}
+
+#[test]
+fn nobody_minds_what_comes_after_a_client_has_left() {
+    let mut day = Day::default();
+    day.ask(0, read(ID)).see(30, What::Left { request: ID }).answer(40, ID, SERVED).answer(50, ID, SERVED);
+    assert_eq!(rules(&day), []);
+}
+
+#[test]
+fn units_count_once_a_try_and_are_put_right_when_the_truth_is_told() {
+    let broken = |units: f64, truth: f64| {
+        let (mut day, id) = (Day::default(), first(1));
+        day.ask(0, Ask { units, ..read(id) }).receive(2, id, 0).done(9, id, 0, Dealt::TurnedAway);
+        day.receive(12, id, 1).done_for(13, id, 1, truth).answer(14, id, SERVED);
+        rules(&day)
+    };
+    // 10 at once, 2 more are stated, and 0.044 come in the 11 ms.
+    assert_eq!(broken(12.0, 12.0), []);
+    assert_eq!(broken(12.1, 12.1), [Rule::Units]);
+    assert_eq!(broken(3.0, 12.04), []);
+    assert_eq!(broken(3.0, 12.1), [Rule::Units]);
+}
+
+#[test]
+fn a_drain_counts_from_when_the_gateway_was_told_or_six_seconds_after_its_agent_heard() {
+    // 300 ms of grace at the default site, and 50 ms on sockets.
+    let grace = terms().drain_grace / MS;
+    let sent = |ms: u64, tell: &dyn Fn(&mut Day)| {
+        let mut day = Day::default();
+        tell(&mut day);
+        day.ask(ms, read(ID)).receive(ms, ID, 0).done(ms + 1, ID, 0, Dealt::Served).answer(
+            ms + 1,
+            ID,
+            SERVED,
+        );
+        rules(&day)
+    };
+    let told = |day: &mut Day| {
+        day.tell(0, 0, 0, Told::Draining);
+    };
+    assert_eq!(sent(grace, &told), []);
+    assert_eq!(sent(grace + 1, &told), [Rule::Drains]);
+    let heard = |day: &mut Day| {
+        day.hear(0, 0, 0, Told::Gone);
+    };
+    assert_eq!(sent(6_000 + grace, &heard), []);
+    assert_eq!(sent(6_001 + grace, &heard), [Rule::Drains]);
+    let started_late = |day: &mut Day| {
+        {
+            day.hear(0, 0, 0, Told::Gone).see(20_000, What::GatewayUp { gateway: 0 });
+        };
+    };
+    assert_eq!(sent(20_000 + grace, &started_late), [], "nobody is told before it runs");
+    let back = |day: &mut Day| {
+        day.tell(0, 0, 0, Told::Gone).tell(5_000, 0, 0, Told::InService);
+    };
+    assert_eq!(sent(9_000, &back), [], "it is back");
+    let other = |day: &mut Day| {
+        day.tell(0, 1, 0, Told::Gone).tell(0, 0, 1, Told::Gone);
+    };
+    assert_eq!(sent(9_000, &other), [], "another gateway, another host");
+}
+
+#[test]
+fn a_verdict_may_be_as_old_as_stated_and_no_older() {
+    let aged = |age| {
+        let mut history = History::new(terms(), 0);
+        let (who, about, value) = ("gateway 2".to_owned(), "building 1".to_owned(), "lost".to_owned());
+        history.claim(Claim { who, about, value, made: SECOND, used: SECOND + age, allowed: 3 * SECOND });
+        history.check(9 * SECOND).iter().map(|finding| finding.rule).collect::<Vec<_>>()
+    };
+    assert_eq!(aged(3_050 * MS), []);
+    assert_eq!(aged(3_051 * MS), [Rule::Claims]);
+}
+
+#[test]
+fn the_news_of_a_start_may_be_six_seconds_old() {
+    let sent = |ms: u64, told_ms: Option<u64>| {
+        let mut day = Day::default();
+        let (gateway, host, state, started) = (0, 0, Told::InService, 77);
+        day.see(0, What::Heard { gateway, host, state, started });
+        told_ms.iter().for_each(|ms| {
+            day.see(*ms, What::Told { gateway, host, state, started });
+        });
+        day.ask(ms, read(ID)).receive(ms, ID, 0).done(ms + 1, ID, 0, Dealt::Served).answer(
+            ms + 1,
+            ID,
+            SERVED,
+        );
+        rules(&day)
+    };
+    assert_eq!(sent(6_050, None), []);
+    assert_eq!(sent(6_051, None), [Rule::Claims]);
+    assert_eq!(sent(9_000, Some(4_000)), []);
+    assert_eq!(sent(9_000, Some(9_001)), [Rule::Claims]);
+}
