Check the history of every rehearsal, and hold units to what is stated for its faults

`fennelbeam-rehearse` shows all sightings to the history's checker, prints its breaches below the judge's with their chains, and ends with status 1 for them; a swarm takes one for a site that went wrong. `stated` says what units are held to: one allowance of the statement of error for each spell of the counter, a burst and a block for each process of a gateway that ends, on sockets a lost counter besides, and nothing for plans that are let in beyond on purpose.

--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,7 +1,8 @@
 //! Rehearsals of a whole site: gateways, hosts, the counter, discovery and clients, through a scenario of
 //! failures. In virtual time the real network side runs once per gateway in one process, on a simulated
 //! network, and the same seed gives the same run to the byte; on real sockets the release program runs once
-//! per gateway, before the same stand-ins. A judge looks at what passes on the wires.
+//! per gateway, before the same stand-ins. A judge looks at what passes on the wires, and the history of each run is
+//! checked after it.
 
 mod director;
 mod explain;
@@ -9,9 +10,11 @@
 mod real;
 mod site;
 mod stage;
+mod stated;
 mod swarm;
 mod virtual_time;
 
-pub use play::{play_real, play_virtual, OnPacket, Played, Progress, RealOptions, VirtualOptions};
+pub use play::{play_real, play_virtual, Checked, OnPacket, Played, Progress, RealOptions, VirtualOptions};
+pub use stated::stated;
 pub use swarm::{only, random_scenario, shrink, Found, Swarm};
 pub use virtual_time::{Document, GatewayMaker, GatewayStart, GatewayTask};
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -5,7 +5,7 @@
 use fennelbeam_model::file;
 use fennelbeam_model::scenario::Scenario;
 use fennelbeam_rehearse::{
-    only, play_real, play_virtual, random_scenario, OnPacket, Played, Progress, RealOptions, Swarm,
+    only, play_real, play_virtual, random_scenario, Checked, OnPacket, Played, Progress, RealOptions, Swarm,
     VirtualOptions,
 };
 use fennelbeam_report::{html, json, progress, speed_line, table, Heading};
@@ -81,6 +81,8 @@
 
 /// Bytes of what arrives that a trace shows.
 const SHOWN: usize = 300;
+/// Breaches of the history that are shown.
+const MOST_FINDINGS: usize = 10;
 
 fn main() -> ExitCode {
     let line = CommandLine::parse();
@@ -130,7 +132,7 @@
         digest: played.digest.map(|digest| format!("{digest:032x}")),
     };
     show(line, &played, &heading)?;
-    Ok(played.verdict.breaches.is_empty() && played.troubles.is_empty())
+    Ok(played.verdict.breaches.is_empty() && played.history.findings.is_empty() && played.troubles.is_empty())
 }
 
 fn scenario(line: &CommandLine) -> Result<(Scenario, u64)> {
@@ -229,6 +231,7 @@
     for trouble in &played.troubles {
         println!("{trouble}");
     }
+    show_history(&played.history);
     if let Some(cpu) = played.gateway_cpu_s {
         let each = cpu * 1e6 / played.tries.max(1) as f64;
         println!("gateways: {cpu:.2} s of CPU, {each:.0} us a try");
@@ -239,6 +242,19 @@
     Ok(())
 }
 
+/// What the history's checker found, up to so many breaches, on standard output; its cost on the other one, since
+/// that differs from run to run.
+fn show_history(history: &Checked) {
+    let Checked { findings, sightings, took } = history;
+    for finding in findings.iter().take(MOST_FINDINGS) {
+        println!("{finding}");
+    }
+    if findings.len() > MOST_FINDINGS {
+        println!("history: and {} more", findings.len() - MOST_FINDINGS);
+    }
+    eprintln!("History of {sightings} sightings checked in {:.1} ms.", took.as_secs_f64() * 1e3);
+}
+
 /// Whether no site of the swarm went wrong.
 fn swarm(line: &CommandLine, count: u64) -> bool {
     let cores = || std::thread::available_parallelism().map_or(1, |cores| cores.get());
--- /dev/null
+++ b/crates/rehearse/src/stated.rs
@@ -0,0 +1,105 @@
+//! What the history of a scenario's run is held to: the terms of its site, and the units beyond a quota that are
+//! stated in advance for what fails in it.
+//!
+//! The statement of error (`fennelbeam-quota`, `bound`) speaks of one failure of the counter. A scenario may have
+//! several and other things beside them, so allowances add up:
+//!
+//! - one for a whole counter (blocks leased ahead, and a request at each gateway),
+//! - one for each spell in which the counter fails or gateways are cut off from it; at most what gateways could let in
+//!   that each took all of the quota for themselves,
+//! - for each process of a gateway that ends, a burst and a block: what it alone knew of its customers dies with it,
+//!   and none of them can gain more by that than one full store,
+//! - on sockets, one for a counter lost from begin to end: a machine that is slow by other work makes the counter's
+//!   time-out pass, and no scenario says when.
+//!
+//! Nothing is stated of plans whose customers the decision module lets in beyond their quotas on purpose, where idle
+//! hosts make that worth more than it costs.
+
+use fennelbeam_history::{Bound, Terms};
+use fennelbeam_model::scenario::{CounterFault, Event, PlanSpec, Scenario, Side};
+use fennelbeam_model::Span;
+use fennelbeam_quota::bound::{beyond, Failure, Quota, BLOCK_S};
+
+/// Terms for the history of a run of this scenario, in virtual time or on sockets.
+pub fn stated(scenario: &Scenario, on_sockets: bool) -> Terms {
+    let mut terms = Terms::of(&scenario.site);
+    for (plan, bound) in scenario.site.plans.iter().zip(&mut terms.bounds) {
+        let lets_in_more = plan.extra_worth > plan.overrun_cost && plan.ceiling_rate == 0.0;
+        *bound = bound.filter(|_| !lets_in_more).map(|bound| {
+            let allowance = allowance(scenario, plan, on_sockets);
+            Bound { allowance, ..bound }
+        });
+    }
+    terms
+}
+
+/// Units beyond a plan's quota that are stated for all that fails.
+fn allowance(scenario: &Scenario, plan: &PlanSpec, on_sockets: bool) -> f64 {
+    let gateways = scenario.site.gateways;
+    let quota = Quota {
+        rate: plan.rate,
+        burst: plan.burst,
+        spread: plan.spread.min(gateways),
+        most_units: f64::from(scenario.traffic.most_units),
+    };
+    let none = Failure { span_s: 0.0, sides: 1, answers: true, replaced: 0 };
+    let mut units = beyond(&quota, &none, true);
+    for timed in &scenario.events {
+        units += failure(&timed.event, &quota).map_or(0.0, |failure| at_most(&quota, &failure));
+        units +=
+            f64::from(ends(&timed.event, gateways)) * (quota.burst + BLOCK_S * quota.rate + quota.most_units);
+    }
+    if on_sockets {
+        units += at_most(&quota, &Failure::lost(seconds(scenario.length), &quota));
+    }
+    units
+}
+
+/// What the statement says, or what gateways that know nothing of one another could let in, if that is less.
+fn at_most(quota: &Quota, failure: &Failure) -> f64 {
+    let others = f64::from(quota.spread.saturating_sub(1));
+    let alone = others * (quota.rate * failure.span_s + quota.burst);
+    let leased = BLOCK_S * quota.rate + f64::from(quota.spread) * (quota.most_units + 1.0);
+    let replaced = beyond(quota, &Failure { span_s: 0.0, sides: 1, answers: true, ..*failure }, true);
+    beyond(quota, failure, true).min(alone + leased + replaced)
+}
+
+/// What an event is to the counter's callers.
+fn failure(event: &Event, quota: &Quota) -> Option<Failure> {
+    let lost = |span: Span| Some(Failure::lost(seconds(span), quota));
+    match event {
+        Event::Counter(CounterFault::Fresh, _) => {
+            Some(Failure { span_s: 0.0, sides: 1, answers: true, replaced: 1 })
+        }
+        Event::Counter(CounterFault::Split(groups), span) => {
+            let sides = groups.len() as u32 + quota.spread;
+            Some(Failure { span_s: seconds(*span), sides, answers: true, replaced: 0 })
+        }
+        // Each return of the counter is believed anew, and gains of several spells add up.
+        Event::Counter(CounterFault::Flapping(_), span) => {
+            Some(Failure { answers: true, ..Failure::lost(seconds(*span), quota) })
+        }
+        Event::Counter(_, span) | Event::GarbleCounter(_, span) => lost(*span),
+        Event::Cut(a, b, span, _) if [a, b].iter().any(|side| reaches_counter(side)) => {
+            Some(Failure { answers: true, ..Failure::lost(seconds(*span), quota) })
+        }
+        _ => None,
+    }
+}
+
+/// The counter stands in a building.
+fn reaches_counter(side: &Side) -> bool {
+    matches!(side, Side::Counter | Side::Building(_))
+}
+
+/// Processes of gateways that an event ends.
+fn ends(event: &Event, gateways: u32) -> u32 {
+    match event {
+        Event::KillGateways(which, _) | Event::RestartGateways(which) => which.count(gateways),
+        _ => 0,
+    }
+}
+
+fn seconds(span: Span) -> f64 {
+    span as f64 / 1e9
+}
--- a/crates/rehearse/src/swarm.rs
+++ b/crates/rehearse/src/swarm.rs
@@ -4,6 +4,7 @@
 use crate::play::{play_virtual, Played, VirtualOptions};
 use crate::virtual_time::GatewayMaker;
 use anyhow::Result;
+use fennelbeam_history::Rule as HistoryRule;
 use fennelbeam_judge::Rule;
 use fennelbeam_model::rng::Rng;
 use fennelbeam_model::scenario::{CounterFault, DiscoveryFault, Event, Mishap, Scenario, Side, Timed, Which};
@@ -82,6 +83,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     Broken(Rule),
+    /// The history of the run breaks a rule that the judge saw kept.
+    History(HistoryRule),
     /// The judge and the model disagree.
     Notes,
     /// A process ended in an error, panicked or span.
@@ -102,6 +105,9 @@
     if let Some(breach) = played.verdict.breaches.first() {
         return Some((Kind::Broken(breach.rule), format!("{:.3} s: {}", breach.at_s, breach.text)));
     }
+    if let Some(finding) = played.history.findings.first() {
+        return Some((Kind::History(finding.rule), finding.to_string()));
+    }
     if let Some(trouble) = played.troubles.first() {
         return Some((Kind::Process, trouble.clone()));
     }
