--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::Budget;
 use crate::call;
+use crate::crash::{self, CrashPoint};
 use crate::messages::{Answer, Incoming, Input, Phase, ReplyTo};
 use crate::outage::Outage;
 use bytes::{Buf, Bytes, BytesMut};
@@ -176,6 +177,7 @@
         context.crowd.full.store(false, Ordering::Relaxed);
         match listener.accept().await {
             Ok((stream, _)) => {
+                crash::here(CrashPoint::Accepted);
                 outage.back(env.now());
                 let seat = Arc::new(Seat::new(env.now()));
                 seats.push(seat.clone());
@@ -425,6 +427,10 @@
     /// Writes what can be written without a wait; whether that is all. What waits goes on being written in turn with
     /// all else, within its time.
     async fn write_now<W: AsyncWrite + Unpin + Send>(&mut self, writer: &mut W) -> io::Result<bool> {
+        if crash::is_due(CrashPoint::InAnswer) {
+            writer.write_all(&self.output.chunk()[..1]).await?;
+            crash::die();
+        }
         while self.output.has_remaining() {
             let now = poll_fn(|cx| Poll::Ready(pin!(writer.write_buf(&mut self.output)).poll(cx)));
             match now.await {
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,6 +1,7 @@
 //! The counter service: calls written one behind another on a few connections, answered in their order.
 //! A call that was given up still has its answer coming, which is taken off the line and dropped.
 
+use crate::crash::{self, CrashPoint};
 use crate::messages::{CallId, Counted, CounterEvent, Input};
 use bytes::{Buf, Bytes, BytesMut};
 use fennelbeam_env::{Env, Stream};
@@ -261,6 +262,7 @@
         }
         let all = self.output.len();
         let wrote = self.env.timeout(self.silence, writer.write_all_buf(&mut self.output)).await;
+        crash::here(CrashPoint::CallWritten);
         let written = all - self.output.remaining();
         for (end, call) in batch {
             if end <= written {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of hosts: one watch on the discovery agent, resumed where it broke off.
 
+use crate::crash::{self, CrashPoint};
 use crate::membership::{Lifecycle, Membership};
 use crate::messages::News;
 use crate::outage::Outage;
@@ -135,6 +136,7 @@
 
     fn tell(&mut self, line: &[u8]) -> Result<u64> {
         let mut list: Membership = serde_json::from_slice(line).context("not a list of hosts")?;
+        crash::here(CrashPoint::ListRead);
         self.versions.sort_out(&mut list);
         let generation = list.generation;
         self.gateway.send(News::Hosts(list)).context("the gateway has stopped")?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::counter::Counter;
 use crate::counter_log::{quotas, CounterLog, Line};
+use crate::crash::{self, CrashPoint};
 use crate::hosts::{Finished, Hosts};
 use crate::lag::{Lag, Said};
 use crate::losses::{self, Cause, Losses, Tried};
@@ -199,7 +200,10 @@
 
     fn on_news(&mut self, news: News) {
         match news {
-            News::CounterAt(address) => self.counter.move_to(address),
+            News::CounterAt(address) => {
+                self.counter.move_to(address);
+                crash::here(CrashPoint::ReloadHalf);
+            }
             News::Operators(operators) => self.on_operators(*operators),
             News::Hosts(list) => {
                 self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
@@ -216,6 +220,7 @@
             Input::Host(event) => self.hosts.on_event(event),
             Input::Counter(event) => {
                 if let Some(counted) = self.counter.on_event(event) {
+                    crash::here(CrashPoint::Counted);
                     self.timers.cancel(counted.until, Timer::Call(counted.call));
                     self.on_counted(counted);
                 }
--- a/crates/gateway/src/host_line.rs
+++ b/crates/gateway/src/host_line.rs
@@ -1,6 +1,7 @@
 //! One connection to a host. The gateway writes a request itself, since on an idle connection all of it goes at once;
 //! a task reads what comes, and writes the rest where it does not.
 
+use crate::crash::{self, CrashPoint};
 use crate::messages::{ConnId, HostEvent, Input};
 use bytes::{Buf, Bytes, BytesMut};
 use fennelbeam_env::{Env, Sleep, Span, Stream, Time, Writer};
@@ -93,6 +94,7 @@
         self.shared.asked.store(true, Ordering::Relaxed);
         match write_now(&mut writer, &mut text) {
             Ok(true) => {
+                crash::here(CrashPoint::AttemptWritten);
                 self.shared.sent.store(true, Ordering::Relaxed);
                 self.writer = Some(writer);
                 true
@@ -161,6 +163,7 @@
                         return Err(RespError::Malformed("answer without a request"));
                     }
                     let frame = self.answer(&mut reader, &mut buf).await?;
+                    crash::here(CrashPoint::AnswerRead);
                     let clean = buf.is_empty();
                     self.shared.asked.store(false, Ordering::Relaxed);
                     idle_since = self.env.now();
@@ -172,6 +175,7 @@
                 rest = rests.recv() => {
                     let (mut writer, mut text) = rest.ok_or(RespError::Closed)?;
                     writer.write_all_buf(&mut text).await?;
+                    crash::here(CrashPoint::AttemptWritten);
                     self.shared.sent.store(true, Ordering::Relaxed);
                     self.shared.put(writer);
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod counter;
 mod counter_log;
+mod crash;
 mod discovery;
 mod gateway;
 mod host_line;
@@ -31,6 +32,7 @@
 
 pub use budget::Budget;
 pub use config::{Config, MIN_SOCKETS};
+pub use crash::CrashPoint;
 pub use fennelbeam_lang::model::Operators;
 pub use fennelbeam_settings::Site;
 pub use membership::{Lifecycle, Member, Membership};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::clients::{self, Context, Limits, Room};
 use crate::config::Config;
 use crate::counter::MAX_LINKS;
+use crate::crash::{self, CrashPoint};
 use crate::discovery;
 use crate::gateway::{Decisions, Gateway};
 use crate::messages::{News, Phase};
@@ -116,6 +117,7 @@
                 continue;
             }
         };
+        crash::here(CrashPoint::ReloadRead);
         agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
         let _ = gateway.send(News::CounterAt(config.counter));
         let _ = gateway.send(News::Operators(Box::new(config.operators)));
@@ -128,6 +130,7 @@
     phase.send_replace(Phase::Stopping);
     env.sleep(STILL_ACCEPTING).await;
     accepting.abort();
+    crash::here(CrashPoint::Stopping);
     phase.send_replace(Phase::Closing);
     // No request is unanswered, then no connection is left.
     unanswered.until_none().await;
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -53,13 +53,16 @@
     next: u64,
     /// What went wrong with a process of a gateway, in words.
     pub troubles: Vec<String>,
+    /// Gateways that ended themselves as arranged, and when.
+    pub died: Vec<(u32, Time)>,
 }
 
 impl<S: Stage> Director<S> {
     /// The events of the site's scenario, counted from `start`.
     pub fn new(site: SiteOf<S>, start: Time) -> Self {
         let ats: Vec<Time> = site.scenario.events.iter().map(|timed| start + timed.at).collect();
-        let mut director = Director { site, due: BTreeMap::new(), next: 0, troubles: Vec::new() };
+        let mut director =
+            Director { site, due: BTreeMap::new(), next: 0, troubles: Vec::new(), died: Vec::new() };
         director.plan(start, Step::Open);
         for (place, at) in ats.into_iter().enumerate() {
             director.plan(at, Step::Event(place));
@@ -290,13 +293,20 @@
                 continue;
             }
             post.up = None;
-            let (meant, again) = (post.ending && exit.error.is_none(), post.again);
+            // One that killed itself as arranged was killed by the scenario, unless that has done so just now.
+            let died = exit.arranged.filter(|_| !post.ending || post.again);
+            let meant = (post.ending || died.is_some()) && exit.error.is_none();
+            let again = died.filter(|_| !post.again).or(post.again.then_some(CHANGEOVER));
+            if died.is_some() {
+                self.died.push((gateway, now));
+                self.site.see(What::GatewaySignalled { gateway, kill: true });
+            }
             self.site.see(What::GatewayDown { gateway, meant });
             if let Some(error) = exit.error {
                 self.troubles.push(format!("gateway {}: {error}", gateway + 1));
             }
-            if again {
-                self.plan(now + CHANGEOVER, Step::StartGateway(gateway));
+            if let Some(after) = again {
+                self.plan(now + after, Step::StartGateway(gateway));
             }
         }
     }
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -4,6 +4,7 @@
 //! per gateway, before the same stand-ins. A judge looks at what passes on the wires, and the history of each run is
 //! checked after it.
 
+mod deaths;
 mod director;
 mod explain;
 mod play;
@@ -14,7 +15,9 @@
 mod swarm;
 mod virtual_time;
 
+pub use deaths::Death;
 pub use play::{play_real, play_virtual, Checked, OnPacket, Played, Progress, RealOptions, VirtualOptions};
+pub use real::Special;
 pub use stated::stated;
 pub use swarm::{only, random_scenario, shrink, Found, Swarm};
 pub use virtual_time::{Document, GatewayMaker, GatewayStart, GatewayTask};
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -186,7 +186,7 @@
     }
     let mut meter = Meter::new();
     let mut told = |now: Progress| meter.tell(now);
-    let options = RealOptions { program, logs: line.logs.clone(), progress: Some(&mut told) };
+    let options = RealOptions { program, logs: line.logs.clone(), special: None, progress: Some(&mut told) };
     let played = play_real(scenario, seed, options);
     meter.end();
     played
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::director::Director;
 use crate::explain::Explain;
-use crate::real::RealStage;
+use crate::real::{RealStage, Special};
 use crate::site::{SiteOf, HEAD_START};
 use crate::stage::{lock, Post, Stage};
 use crate::stated::stated;
@@ -61,6 +61,8 @@
     pub digest: Option<u128>,
     /// What went wrong with processes of gateways, in words.
     pub troubles: Vec<String>,
+    /// Gateways that ended themselves as arranged (see [`Special`]), and at which second.
+    pub died: Vec<(u32, f64)>,
     /// Seconds of CPU that all gateways took, on real sockets.
     pub gateway_cpu_s: Option<f64>,
     /// Tries that came to gateways.
@@ -119,6 +121,8 @@
     pub program: PathBuf,
     /// Where its logs go.
     pub logs: Option<PathBuf>,
+    /// A gateway whose first process is not as the others.
+    pub special: Option<Special>,
     /// Is told how far it is.
     pub progress: OnProgress<'a>,
 }
@@ -191,6 +195,7 @@
             history: Checked { findings, sightings: self.sightings, took: begun.elapsed() },
             digest: None,
             troubles: Vec::new(),
+            died: Vec::new(),
             gateway_cpu_s: None,
             tries: self.offered,
             explained: self.explain.map_or_else(Vec::new, Explain::lines),
@@ -275,7 +280,7 @@
 }
 
 async fn real(scenario: &Scenario, seed: u64, mut options: RealOptions<'_>) -> Result<Played> {
-    let stage = RealStage::new(&scenario.site, &options.program, options.logs)?;
+    let stage = RealStage::new(&scenario.site, &options.program, options.logs)?.with_special(options.special);
     let env = stage.env();
     let start = env.now() + HEAD_START;
     let mut bench = Bench::new(scenario, start, true, None);
@@ -293,7 +298,9 @@
     }
     let cpu = director.site.stage.cpu_s();
     let troubles = std::mem::take(&mut director.troubles);
-    Ok(Played { troubles, gateway_cpu_s: Some(cpu), ..bench.finish(env.now()) })
+    let seconds = |at: Time| at.saturating_sub(start) as f64 / SECOND as f64;
+    let died = director.died.iter().map(|(gateway, at)| (*gateway, seconds(*at))).collect();
+    Ok(Played { troubles, died, gateway_cpu_s: Some(cpu), ..bench.finish(env.now()) })
 }
 
 impl Director<RealStage> {
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -11,6 +11,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
@@ -27,10 +28,24 @@
     cpu: u64,
 }
 
+/// A gateway whose first process is another program, or has a world of its own; its later ones are as all others.
+#[derive(Clone, Debug)]
+pub struct Special {
+    /// Which, counted from 0.
+    pub gateway: u32,
+    /// The program.
+    pub program: PathBuf,
+    /// Environment variables that it gets besides.
+    pub environment: Vec<(String, String)>,
+    /// It may end itself by SIGKILL: that counts as the scenario's doing, and it is started again after this.
+    pub dies: Option<Span>,
+}
+
 /// A stage of processes and sockets.
 pub struct RealStage {
     env: Real,
     program: PathBuf,
+    special: Option<Special>,
     logs: Option<PathBuf>,
     folder: TempDir,
     lag: Span,
@@ -71,6 +86,7 @@
         Ok(RealStage {
             env: Real::start(),
             program: program.to_owned(),
+            special: None,
             logs,
             folder: tempfile::tempdir()?,
             // Two of three hosts are in another building, as gateways and hosts are dealt out in turn.
@@ -85,6 +101,12 @@
         })
     }
 
+    /// With a gateway that is not as the others.
+    pub fn with_special(mut self, special: Option<Special>) -> RealStage {
+        self.special = special;
+        self
+    }
+
     /// The world of the stand-ins.
     pub fn env(&self) -> Real {
         self.env
@@ -148,7 +170,11 @@
 
     fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()> {
         self.write_config(gateway, document)?;
-        let child = Command::new(&self.program)
+        let special = self.special.as_ref().filter(|one| one.gateway == gateway && incarnation == 0);
+        let mut command = Command::new(special.map_or(&self.program, |one| &one.program));
+        let environment = special.map_or(&[][..], |one| &one.environment);
+        let child = command
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .env("ROUTER_CONFIG", self.config(gateway))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -158,7 +184,8 @@
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         let pid = pid.ok_or_else(|| io::Error::other("ended at once"))?;
         self.running.insert(gateway, Running { pid, cpu: 0 });
-        self.env.spawn(wait(child, gateway, incarnation, self.exits.clone()));
+        let dies = special.and_then(|one| one.dies);
+        self.env.spawn(wait(child, (gateway, incarnation), dies, self.exits.clone()));
         Ok(())
     }
 
@@ -216,14 +243,24 @@
 }
 
 /// Waits for the end of a gateway's process.
-async fn wait(mut child: Child, gateway: u32, incarnation: u32, exits: Arc<Mutex<Vec<Exit>>>) {
+async fn wait(
+    mut child: Child,
+    (gateway, incarnation): (u32, u32),
+    dies: Option<Span>,
+    exits: Arc<Mutex<Vec<Exit>>>,
+) {
+    let mut arranged = None;
     let error = match child.wait().await {
+        Ok(status) if dies.is_some() && status.signal() == Some(UnixSignal::KILL.as_raw()) => {
+            arranged = dies;
+            None
+        }
         Ok(status) if status.success() => None,
         Ok(status) if status.code().is_none() => None,
         Ok(status) => Some(format!("ended with {status}")),
         Err(error) => Some(error.to_string()),
     };
-    let exit = Exit { gateway, incarnation, error };
+    let exit = Exit { gateway, incarnation, error, arranged };
     lock(&exits).push(exit);
 }
 
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -29,6 +29,8 @@
     pub incarnation: u32,
     /// Why, where it was not in the ordinary way.
     pub error: Option<String>,
+    /// It was to die by itself, as if it had been killed from outside, and to be started again after this.
+    pub arranged: Option<Span>,
 }
 
 /// What a process of a gateway is told from outside.
--- a/crates/rehearse/src/virtual_time.rs
+++ b/crates/rehearse/src/virtual_time.rs
@@ -133,7 +133,12 @@
     fn end(&mut self, gateway: u32) {
         let Some(running) = self.running.remove(&gateway) else { return };
         self.sim.kill(running.process);
-        lock(&self.exits).push(Exit { gateway, incarnation: running.incarnation, error: None });
+        lock(&self.exits).push(Exit {
+            gateway,
+            incarnation: running.incarnation,
+            error: None,
+            arranged: None,
+        });
     }
 }
 
@@ -170,7 +175,7 @@
         let (exits, own) = (self.exits.clone(), env.clone());
         env.spawn(async move {
             let error = serving.await.err().map(|error| format!("{error:#}"));
-            lock(&exits).push(Exit { gateway, incarnation, error });
+            lock(&exits).push(Exit { gateway, incarnation, error, arranged: None });
             own.exit();
         });
         let process = env.process_id();
