--- a/crates/rehearse/examples/crash_sweep.rs
+++ b/crates/rehearse/examples/crash_sweep.rs
@@ -4,7 +4,8 @@
 //!     cargo build --release -p fennelbeam --features crash-points --target-dir target/crash-points
 //!     cargo run --release -p fennelbeam-rehearse --example crash_sweep -- target/crash-points/release/fennelbeam
 //!
-//! `[SEED [AT ONCE]]` may follow the program. Ends with status 1 where a rule broke, or a gateway did not die.
+//! `[SEED [AT ONCE [POINT FROM TO]]]` may follow the program: the last three play that point alone, once for each time
+//! from FROM to TO that the gateway may come there. Ends with status 1 where a rule broke, or a gateway did not die.
 
 use fennelbeam_gateway::CrashPoint;
 use fennelbeam_rehearse::{Death, Played};
@@ -20,11 +21,17 @@
     };
     let mut number = |or: u64| words.next().and_then(|word| word.parse().ok()).unwrap_or(or);
     let (seed, at_once) = (number(1), number(2));
-    let of = |cut: bool| {
-        let none = Death { point: None, nth: 0, cut };
-        std::iter::once(none).chain(CrashPoint::ALL.into_iter().map(move |point| Death::at(point, cut)))
+    let point = words.next().and_then(|name| CrashPoint::ALL.into_iter().find(|point| point.name() == name));
+    let times: Vec<u64> = words.map_while(|word| word.parse().ok()).collect();
+    let of = |cut: bool| match (point, &times[..]) {
+        (Some(_), &[from, to]) => (from..=to).map(|nth| Death { point, nth, cut }).collect(),
+        _ => {
+            let none = Death { point: None, nth: 0, cut };
+            let each = CrashPoint::ALL.into_iter().map(|point| Death::at(point, cut));
+            std::iter::once(none).chain(each).collect::<Vec<_>>()
+        }
     };
-    let todo = Mutex::new(of(false).chain(of(true)).collect::<Vec<_>>().into_iter().enumerate());
+    let todo = Mutex::new(of(false).into_iter().chain(of(true)).enumerate());
     let rows = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for _ in 0..at_once.max(1) {
@@ -37,7 +44,7 @@
     });
     let mut rows = rows.into_inner().expect("no job panics with it");
     rows.sort_by_key(|(place, _)| *place);
-    println!("| dies at | counter | at, s | tries | cut off or failed | late | served | worth | rules |");
+    println!("| dies at | counter | at, s | tries | no answer | late | served | worth | rules |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     rows.iter().for_each(|(_, (line, _))| println!("{line}"));
     if rows.iter().all(|(_, (_, well))| *well) {
@@ -64,11 +71,14 @@
     }
     wrong.iter().for_each(|what| eprintln!("{name}, counter {counter}: {what}"));
     let sum = |of: fn(&fennelbeam_judge::SecondFigures) -> u32| verdict.timeline.iter().map(of).sum::<u32>();
+    // Cut off, failed, or gone without an answer; some clients of any day leave early.
+    let unanswered =
+        sum(|second| second.offered) - sum(|second| second.served + second.late + second.refused);
     let at = played.died.first().map_or("-".into(), |(_, at)| format!("{at:.2}"));
     let line = format!(
         "| {name} | {counter} | {at} | {} | {} | {} | {:.1} % | {:.3} | {} |",
         sum(|second| second.offered),
-        sum(|second| second.failed),
+        unanswered,
         sum(|second| second.late),
         verdict.share_served * 100.0,
         verdict.worth,
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -14,10 +14,22 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
 
+/// Stages that this process has put up.
+static STAGES: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address for the gateways of one stage. Their ports are free while no gateway runs, and a connection that
+/// goes out from the usual address must not take one meanwhile.
+fn own_loopback() -> Ipv4Addr {
+    let [_, a, b, c] =
+        (std::process::id().wrapping_mul(64) + STAGES.fetch_add(1, Ordering::Relaxed) % 64).to_be_bytes();
+    Ipv4Addr::new(127, 64 | a & 63, b, c)
+}
+
 /// What a cut parts: stand-ins and the gateways that they are silent to.
 type CutOff = Vec<(Post, u32)>;
 
@@ -76,7 +88,9 @@
 impl RealStage {
     /// A stage that starts `program` for each gateway, with logs in a folder if one is given.
     pub fn new(site: &Site, program: &Path, logs: Option<PathBuf>) -> io::Result<RealStage> {
-        let loopback = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        let own = own_loopback();
+        let loopback =
+            || TcpListener::bind((own, 0)).or_else(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)));
         // All are held until all are known, so that no two are the same.
         let held = (0..site.gateways).map(|_| loopback()).collect::<io::Result<Vec<_>>>()?;
         let addresses = held.iter().map(TcpListener::local_addr).collect::<io::Result<Vec<_>>>()?;
