Blame no gateway for an order that one had taken which then died

A client whose connection ends cleanly soon after it wrote takes its request for unread and writes it to another gateway under the same id. Nobody could have told it; what a dead gateway held is its client's to repeat.

The judge holds such a breach back for its allowance, and drops it where the first gateway's end is seen by then; a gateway that closed a connection whose request it had read, and lives, is blamed as before. The history does the same with what it knows at the end.

--- a/crates/history/tests/history/edges.rs
+++ b/crates/history/tests/history/edges.rs
@@ -1,8 +1,9 @@
 //! Where each rule begins and ends.
 
-use crate::day::{first, read, Ask, Day, SERVED};
+use crate::day::{first, order, read, Ask, Day, SERVED, START};
 use crate::{rules, terms};
 use fennelbeam_history::{Claim, History, Rule};
+use fennelbeam_judge::Rule as Judged;
 use fennelbeam_model::seen::{Dealt, Got, Told, What};
 use fennelbeam_model::{MS, SECOND};
 
@@ -59,6 +60,33 @@
     assert_eq!(rules(&day), []);
 }
 
+#[test]
+fn an_order_whose_gateway_died_may_be_written_to_another_one() {
+    let acts = |refuses: bool, died_ms: Option<u64>| {
+        let mut day = Day::default();
+        day.ask(0, order(ID)).receive(2, ID, 0).done(30, ID, 0, Dealt::Unheard);
+        day.ask(20, Ask { gateway: 1, ..order(ID) });
+        if refuses {
+            day.see(22, What::Answered { request: ID, gateway: 1, got: Got::Busy(None) });
+        } else {
+            let first_byte = START + 21 * MS;
+            day.see(22, What::Received { request: ID, host: 1, gateway: 1, first_byte, work: MS });
+            day.answer(40, ID, SERVED);
+        }
+        if let Some(ms) = died_ms {
+            day.see(ms, down());
+        }
+        (rules(&day), day.broken())
+    };
+    let caught = (vec![Rule::NothingTwice], vec![Judged::NothingTwice]);
+    for refuses in [false, true] {
+        assert_eq!(acts(refuses, None), caught, "it closed a connection whose request it had read");
+        assert_eq!(acts(refuses, Some(19)), (vec![], vec![]));
+        assert_eq!(acts(refuses, Some(70)), (vec![], vec![]), "seen a little later");
+        assert_eq!(acts(refuses, Some(73)), caught, "later than that");
+    }
+}
+
 #[test]
 fn nobody_minds_what_comes_after_a_client_has_left() {
     let mut day = Day::default();
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -79,6 +79,7 @@
         self.now = self.now.max(seen.at);
         self.cold.advance(self.now, &mut self.log);
         self.judge_overdue();
+        self.effects.judge_doubts(self.now, &self.gateways, &mut self.log);
         self.take(seen);
     }
 
@@ -194,6 +195,7 @@
             units,
             asked: seen.at,
             patience,
+            former: None,
             answer: Answer::Unowed,
             attempts: Attempts::default(),
             passed: None,
@@ -229,6 +231,7 @@
             self.log.note(|| format!("request {id:016x} was asked again after its end"));
             return;
         }
+        request.former = Some((request.gateway, request.asked));
         request.gateway = gateway;
         request.asked = now;
         request.patience = patience;
@@ -402,6 +405,7 @@
                 self.judge_lost(at, id);
             }
         }
+        self.effects.judge_doubts(Time::MAX, &self.gateways, &mut self.log);
         self.tries.values().for_each(|request| effects::finish(end, request, &mut self.log));
         self.cold.finish(&mut self.log);
         self.note_unmatched();
--- a/crates/judge/src/tries.rs
+++ b/crates/judge/src/tries.rs
@@ -18,6 +18,8 @@
     pub(crate) units: f64,
     pub(crate) asked: Time,
     pub(crate) patience: Span,
+    /// The gateway that it was written to before, and when, if its connection there was closed on it unread.
+    pub(crate) former: Option<(u32, Time)>,
     pub(crate) answer: Answer,
     pub(crate) attempts: Attempts,
     pub(crate) passed: Passed,
