--- a/crates/judge/src/effects.rs
+++ b/crates/judge/src/effects.rs
@@ -64,7 +64,7 @@
     fn fold(&mut self) {
         let ended = |attempt: &Attempt| attempt.out && attempt.dealt.is_some();
         let ran = self.live.iter().filter(|attempt| ended(attempt) && attempt.may_have_run());
-        self.by = ran.clone().last().map(|attempt| attempt.gateway).or(self.by);
+        self.by = ran.clone().next_back().map(|attempt| attempt.gateway).or(self.by);
         self.ran = ran.map(|attempt| attempt.first_byte).chain(self.ran).min();
         self.live.retain(|attempt| !ended(attempt));
     }
