--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -126,8 +126,8 @@
         (pace.met, pace.warmed, pace.saved_at) = (now, now, now);
         self.customers.house.epoch = now / EPOCH;
         self.dues.put(now + PERIOD, Due::Control);
-        // Those who start together do not beat together, where beats are slow.
-        self.dues.put(now + 1 + self.contact.first_beat(self.rng.unit()), Due::Beat);
+        let rng = &mut self.rng;
+        self.dues.put(now + 1 + self.contact.first_beat(|| rng.unit()), Due::Beat);
         if self.s.must_subscribe {
             self.dues.put(now + 1, Due::Subscribe);
         }
--- a/crates/quota/src/contact.rs
+++ b/crates/quota/src/contact.rs
@@ -126,9 +126,15 @@
         self.hearing.beat_span()
     }
 
-    /// Until the first beat, which is at once where beats are quick, and else drawn: `lot` is from 0 to 1.
-    pub fn first_beat(&self, lot: f64) -> Span {
-        ((self.beat_span() - crate::BEAT) as f64 * lot) as Span
+    /// Until the first beat: at once, but where beats are slow drawn by a `lot` from 0 to 1, so that gateways that
+    /// start together do not beat together.
+    pub fn first_beat(&self, lot: impl FnOnce() -> f64) -> Span {
+        let slower = self.beat_span() - crate::BEAT;
+        if slower > 0 {
+            (slower as f64 * lot()) as Span
+        } else {
+            0
+        }
     }
 
     /// A customer of this set is leased for.
