--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -259,8 +259,9 @@
         {
             let Some(conn) = host.idle.last().copied() else { return };
             let stood = self.conns.get(&conn).filter(|c| c.used);
-            let stood = stood.map_or(0, |c| self.env.now().saturating_sub(c.idle_since));
-            let is_trusted = |once| stood == 0 || stood < self.keep.limit(host.trust, once);
+            let now = self.env.now();
+            let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
+            let is_trusted = |once| stood == 0 || stood < self.keep.limit(now, host.trust, once);
             if !is_trusted(false) {
                 // The others have stood for longer still.
                 let old: Vec<ConnId> = host.idle.drain(..).collect();
@@ -393,7 +394,7 @@
                 if let Some(host) = self.hosts.get_mut(&host_id) {
                     host.heard = now;
                     if kept {
-                        self.keep.alive(&mut host.trust, rested);
+                        self.keep.alive(self.env.now(), &mut host.trust, rested);
                     }
                 }
                 if self.answered(key, frame) && clean {
@@ -426,7 +427,8 @@
         host.idle.retain(|idle| *idle != id);
         if conn.up {
             if conn.used && host.ready && host.era == conn.era {
-                self.keep.ended(&mut host.trust, self.env.now().saturating_sub(conn.idle_since));
+                let now = self.env.now();
+                self.keep.ended(now, &mut host.trust, now.saturating_sub(conn.idle_since));
             }
             return;
         }
@@ -442,7 +444,7 @@
     /// A connection that had stood idle for so long was of no use any more: others are trusted for less.
     fn found_dead(&mut self, host_id: HostId, used: bool, rested: Span) {
         if let Some(host) = self.hosts.get_mut(&host_id).filter(|_| used) {
-            self.keep.dead(&mut host.trust, rested);
+            self.keep.dead(self.env.now(), &mut host.trust, rested);
         }
     }
 
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -25,6 +25,7 @@
     pub slow: f64,         // logarithm of its latency against the class's, smoothed
     pub slower: f64,       // by how much of the usual that is more, or less
     pub heard: Time,
+    pub shut: Time,                // up to when it is feared to take no connection
     pub told: Option<(Time, f64)>, // the load it reported last
     pub cold: Option<Time>,        // when its ramp from cold began
     pub ramp: f64,                 // what a cold host can do at the least, as a share of a warm one
@@ -57,7 +58,7 @@
     }
 }
 
-/// Our part of the attempts that all gateways may have out at a cold host on credit: of those that work with it.
+/// Our part of the attempts that all gateways that work with a cold host may have out there on credit.
 pub(crate) fn cold_part(s: &Settings, circles: f64) -> f64 {
     COLD_OUT * circles / s.gateways.max(1) as f64
 }
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -13,6 +13,7 @@
 const HANGS: f64 = 8.0; // mean latencies without an answer: e^-8 by chance
 const PRICE: (f64, f64) = (0.03, 0.3); // of a further attempt, in answers: at the least, and by load
 const RISK: f64 = 1.0; // requests in hand that a sure failure weighs; four where it cannot be repeated
+const SHUT: (Span, f64) = (2_000 * MS, 4.0); // for so long one that took no connection weighs so much more
 const FORGOTTEN: Span = crate::names::EPOCH; // of a host that takes no work and says nothing
 const FEW: usize = 16; // up to so many hosts a choice looks at all
 const EXAMINED: usize = 8; // of more at so many drawn at random, which is about as good
@@ -111,8 +112,7 @@
             .any(|list| matches!(reach, Reach::Pools(_)) && !list.is_empty() || list.iter().any(takes))
     }
 
-    /// Some of those within reach that this gateway works with, drawn at random; all of them if there are few. Whether
-    /// it is all within reach.
+    /// Some within reach that this gateway works with, at random, or all if there are few; whether it is all.
     fn draw(&mut self, reach: Reach, candidates: &mut Vec<HostId>) -> bool {
         let lists = match reach {
             Reach::Pools(0) => std::iter::once(self.fleet.near()).collect(),
@@ -174,6 +174,7 @@
             let mut cost = slow * load + self.rng.unit() * 0.05;
             // Of a stranger to this class, what the class meets elsewhere is feared.
             cost += weight * s.feared(class, usual, now).max(s.failed(all, now));
+            cost += if now < s.shut { SHUT.1 } else { 0.0 };
             cost += if s.entry.zone != self.s.zone { 0.1 } else { 0.0 };
             cost += if r.attempts.iter().any(|a| a.host == *sid) { 100.0 } else { 0.0 };
             if best.is_none_or(|(b, _)| cost < b) {
@@ -253,8 +254,7 @@
             self.pace.load += 0.05 * (load - self.pace.load);
             s.told = Some((now, load));
         }
-        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
-            s.heard = now;
-        }
+        s.heard = if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) { now } else { s.heard };
+        s.shut = if outcome == Outcome::NoConnection { now + SHUT.0 } else { s.shut };
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,7 +1,6 @@
-//! All decisions of one gateway. The interface, its settings, events and actions, is `src/api.rs`; slots
-//! are in `src/slots.rs`, the choice of hosts in `src/hosts.rs`, attempts and answers in `src/attempts.rs`,
-//! and quotas in `src/quotas.rs` and `src/account.rs`. Nothing is gone through that is not concerned: what
-//! has to happen later falls due.
+//! All decisions of one gateway. Interface: `api.rs`; slots: `slots.rs`; hosts: `hosts.rs`, `host.rs`;
+//! attempts and answers: `attempts.rs`; quotas: `quotas.rs`, `account.rs`. Nothing is gone through that is
+//! of no concern: what has to happen later falls due.
 
 use crate::api::*;
 use crate::chance::Chance;
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -66,7 +66,7 @@
         let idle = self.classes.iter().map(used).sum::<f64>() < IDLE_SLOTS * self.pace.total;
         let extra = earns && idle && !self.pace.strain.is_strained(self.pace.part);
         let (inside, wait) = match c.stores.iter().any(|a| a.thin) {
-            // Whatever the counter would say, it is let in; so calls are left for those whom that decides on.
+            // Whatever the counter would say, it is let in: calls are left for whom they decide on.
             true if extra => (false, false),
             _ if full => (false, true),
             true => self.ration(now, id, late),
@@ -136,7 +136,7 @@
         (inside, wait)
     }
 
-    /// A customer spread too thin for blocks: some requests ask the counter, each for several, what all gateways
+    /// A customer spread too thin for blocks: some requests ask the counter, for several, what all gateways
     /// were asked for in this window; that, or what was seen last, decides: (let in, should wait).
     fn ration(&mut self, now: Time, id: RequestId, late: bool) -> (bool, bool) {
         let (down, lot, odds) = (self.counter_down(now), self.rng.unit(), self.pace.call_odds);
