--- a/crates/policy/src/account.rs
+++ b/crates/policy/src/account.rs
@@ -84,16 +84,6 @@
         self.store.refill(now, contact);
     }
 
-    /// A customer asks for these units, whatever becomes of that.
-    pub fn ask(&mut self, units: f64) {
-        self.store.ask(units);
-    }
-
-    /// Units that may be spent now: leased ones, less those the store has yet to fill.
-    pub fn ready(&self) -> f64 {
-        self.store.ready()
-    }
-
     /// A part of the store kept back.
     fn kept(&self, back: f64) -> f64 {
         back * self.store.terms().burst * self.store.part()
@@ -110,7 +100,7 @@
     pub fn covers(&self, units: f64, back: f64) -> bool {
         let left = self.store.held().max(0.0) + self.store.left();
         let kept = back > 0.0 && left - units < self.kept(back);
-        !kept && self.ready() + 1e-6 >= units
+        !kept && self.store.ready() + 1e-6 >= units
     }
 
     pub fn spend(&mut self, units: f64, contact: &mut Contact) {
--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -456,7 +456,7 @@
             let account = &mut customer.stores[0];
             account.go_dark(S, &contact);
             account.spend(units, &mut contact);
-            account.ready()
+            account.store.ready()
         };
         // Without a counter a gateway lends all of it.
         assert_eq!([0, 1, 2].map(|id| use_up(&mut customers, id, 15.0)), [5.0; 3]);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::due::{Dues, STEP};
 use crate::fleet::Fleet;
 use crate::names::EPOCH;
-use crate::pace::{Due, Pace};
+use crate::pace::{seconds, Due, Pace};
 use crate::pending::Pending;
 use crate::pools::Pools;
 use crate::quotas::IN_VAIN;
@@ -21,6 +21,7 @@
 
 pub use crate::fuzzy::fuzzy;
 
+const VAIN: f64 = 0.6; // of the usual latency: a client that waits less, and half of the aim, waits in vain
 const RETRY_PART: f64 = 0.15; // further attempts for each request, so that trouble is not multiplied
 
 /// The decisions of one gateway.
@@ -194,12 +195,13 @@
         // Its time runs from when it came, however late this module hears of it.
         let arrived = if arrived == 0 { now } else { arrived.min(now) };
         let deadline = arrived.saturating_add(patience);
-        let aim_at = arrived.saturating_add(c.aim).min(deadline);
+        let (aim, aim_at) = (c.aim, arrived.saturating_add(c.aim).min(deadline));
         let held = Pending { class, route, customer, units, arrived, aim_at, deadline, ..Pending::default() };
         self.requests.insert(id, held);
         self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
         // No time for an answer, nor for a later look at it; or no host for it.
-        let is_short = aim_at <= now + 2 * STEP;
+        let vain = (VAIN * self.classes[class].latency).min(0.5 * seconds(0, aim));
+        let is_short = aim_at <= now + 2 * STEP || seconds(now, aim_at) < vain;
         if is_short || self.pools.lets_nothing_out(&route, !self.fleet.is_empty()) {
             return self.give_up(id, if is_short { Why::Short } else { Why::NoHost });
         }
@@ -212,7 +214,7 @@
             return self.give_up(id, Why::Crowd);
         };
         (met.in_hand, r.met) = (met.in_hand + 1, true);
-        met.stores.iter_mut().for_each(|a| a.ask(units));
+        met.stores.iter_mut().for_each(|a| a.store.ask(units));
         met.waiting.push_back(id);
         let is_behind = met.waiting.len() > IN_VAIN;
         self.settle(now, customer);
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -72,8 +72,8 @@
             true => self.ration(now, id, late),
             false => self.ask(now, customer, id),
         };
-        let Some(c) = self.customers.get_mut(customer) else { return true };
-        let Some(r) = self.requests.get_mut(&id) else { return true };
+        let (c, r) = (self.customers.get_mut(customer), self.requests.get_mut(&id));
+        let Some((c, r)) = c.zip(r) else { return true };
         if wait && !late {
             // An answer of the counter or an end is news of its own; a store that fills is not.
             let is_filling = !full && !c.stores.iter().any(Account::is_calling);
@@ -97,8 +97,8 @@
     fn ask(&mut self, now: Time, customer: CustomerId, id: RequestId) -> (bool, bool) {
         let (down, epoch) = (self.counter_down(now), now / EPOCH);
         let paced = self.contact.is_paced(now);
-        let Some(r) = self.requests.get(&id) else { return (false, false) };
-        let Some(c) = self.customers.get_mut(customer) else { return (false, false) };
+        let found = self.requests.get(&id).zip(self.customers.get_mut(customer));
+        let Some((r, c)) = found else { return (false, false) };
         for a in &mut c.stores {
             if down && !a.is_blind() {
                 a.go_dark(now, &self.contact);
@@ -122,7 +122,7 @@
                 self.debts.owe(now, &mut self.dues, customer, c);
             }
         }
-        let short = |a: &Account| !a.is_blind() && a.ready() < units && !a.is_calling();
+        let short = |a: &Account| !a.is_blind() && a.store.ready() < units && !a.is_calling();
         let may = c.stores.iter().all(|a| !a.is_blind() || a.covers(units, back));
         let mut wait = !inside && may;
         for (i, a) in c.stores.iter_mut().enumerate().filter(|(_, a)| wait && short(a)) {
