Refuse impatient tries sooner while hosts are strained, and hold circles by tests

Change: under strain a try is refused that has less than half of the aim and 2.4 usual latencies left, at ease 0.6 of one (policy.rs). Tests of circles in the decision module; seen to fail without circles, and without the part that cold hosts elsewhere get.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,7 +21,7 @@
 
 pub use crate::fuzzy::fuzzy;
 
-const VAIN: f64 = 0.6; // of the usual latency: a client that waits less, and half of the aim, waits in vain
+const VAIN: (f64, f64) = (0.6, 2.4); // usual latencies, at ease and strained: who waits less does in vain
 const RETRY_PART: f64 = 0.15; // further attempts for each request, so that trouble is not multiplied
 
 /// The decisions of one gateway.
@@ -200,7 +200,8 @@
         self.requests.insert(id, held);
         self.pace.retries = (self.pace.retries + RETRY_PART).min(10.0);
         // No time for an answer, nor for a later look at it; or no host for it.
-        let vain = (VAIN * self.classes[class].latency).min(0.5 * seconds(0, aim));
+        let vain = [VAIN.0, VAIN.1][usize::from(self.pace.strain.is_strained(self.pace.part))];
+        let vain = (vain * self.classes[class].latency).min(0.5 * seconds(0, aim));
         let is_short = aim_at <= now + 2 * STEP || seconds(now, aim_at) < vain;
         if is_short || self.pools.lets_nothing_out(&route, !self.fleet.is_empty()) {
             return self.give_up(id, if is_short { Why::Short } else { Why::NoHost });
--- /dev/null
+++ b/crates/policy/tests/circle.rs
@@ -0,0 +1,58 @@
+//! One of many gateways works with few of many hosts, and with others when these are gone.
+mod common;
+use common::*;
+use fennelbeam_policy::api::*;
+use std::collections::BTreeSet;
+
+const HOSTS: u64 = 200;
+
+fn one_of(gateways: u32) -> Harness {
+    let mut settings = Settings { gateways, me: gateways / 2, ..settings() };
+    settings.plans[0].rate = 0.0;
+    Harness::new(settings, HOSTS)
+}
+
+/// The hosts that get these requests, each of which is answered.
+fn used(g: &mut Harness, ids: std::ops::Range<u64>) -> BTreeSet<u64> {
+    let mut hosts = BTreeSet::new();
+    for id in ids {
+        for (request, host) in sends(&g.request(id, 0, id, 1.0)) {
+            hosts.insert(host.0);
+            g.ended(request.0, 0, host, Outcome::Ok);
+        }
+        g.pass(20 * MS);
+    }
+    hosts
+}
+
+#[test]
+fn a_gateway_of_a_large_fleet_uses_its_circle_and_one_of_a_small_fleet_all_hosts() {
+    assert!(used(&mut one_of(3), 1..1_000).len() > 150);
+    let circle = used(&mut one_of(300), 1..1_000);
+    assert!((16..32).contains(&circle.len()), "{circle:?}");
+}
+
+#[test]
+fn where_its_circle_is_gone_it_works_with_others_at_once() {
+    let mut g = one_of(300);
+    let circle = used(&mut g, 1..1_000);
+    let leave = |id: &u64| HostEntry { state: HostState::Draining, ..entry(*id) };
+    g.list(ListKind::Delta, circle.iter().map(leave).collect());
+    let other = used(&mut g, 1_000..2_000);
+    assert!((16..32).contains(&other.len()) && other.is_disjoint(&circle), "{other:?}");
+}
+
+#[test]
+fn while_its_circle_takes_no_work_it_looks_further_but_never_at_cold_hosts_of_others() {
+    let mut g = one_of(300);
+    let circle = used(&mut g, 1..1_000);
+    // All but a dozen hosts start anew; those of the circle are among them.
+    let warm: BTreeSet<u64> = (1..=HOSTS).filter(|id| !circle.contains(id)).take(12).collect();
+    let cold = |id| HostEntry { started: g.now, ..entry(id) };
+    let entries = (1..=HOSTS).filter(|id| !warm.contains(id)).map(cold).collect();
+    g.list(ListKind::Delta, entries);
+    let hosts = used(&mut g, 1_000..1_200);
+    let strangers: Vec<&u64> = hosts.iter().filter(|id| !warm.contains(id) && !circle.contains(id)).collect();
+    assert!(hosts.iter().any(|id| warm.contains(id)), "{hosts:?}");
+    assert!(strangers.len() <= 4, "cold hosts that others feed: {strangers:?}");
+}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -104,13 +104,23 @@
         }))
     }
     pub fn ended(&mut self, id: u64, attempt: u32, host: HostId, outcome: Outcome) -> Vec<Action> {
+        self.ended_after(50 * MS, id, attempt, host, outcome)
+    }
+    pub fn ended_after(
+        &mut self,
+        took: Span,
+        id: u64,
+        attempt: u32,
+        host: HostId,
+        outcome: Outcome,
+    ) -> Vec<Action> {
         let closed = outcome == Outcome::Ok;
         let end = Ended {
             id: RequestId(id),
             attempt,
             host,
             outcome,
-            took: 50 * MS,
+            took,
             closed,
             used: None,
             true_units: None,
--- a/crates/policy/tests/slots.rs
+++ b/crates/policy/tests/slots.rs
@@ -200,3 +200,35 @@
     assert!(load.served - served >= 600, "{}", load.served - served);
     assert!(load.refused - refused < 20_500);
 }
+
+#[test]
+fn whoever_waits_less_than_answers_take_is_refused_as_it_comes() {
+    let mut settings = settings();
+    settings.plans[0].rate = 0.0;
+    let mut g = Harness::new(settings, 20);
+    let ask = |g: &mut Harness, id, patience| {
+        let request = Request { id: RequestId(id), units: 1.0, patience, spread: 2, ..Request::default() };
+        g.on(Event::Request(request))
+    };
+    let answered = |g: &mut Harness, actions: &[Action]| {
+        for (id, host) in sends(actions) {
+            g.ended_after(400 * MS, id.0, 0, host, Outcome::Ok);
+        }
+    };
+    let early = ask(&mut g, 1, 200 * MS);
+    assert_eq!(sends(&early).len(), 1, "nobody knows yet how long answers take");
+    answered(&mut g, &early);
+    for id in 2..60 {
+        let actions = ask(&mut g, id, 4_000 * MS);
+        answered(&mut g, &actions);
+    }
+    for (id, patience, is_refused) in [(100, 200, true), (101, 700, false), (102, 4_000, false)] {
+        let actions = ask(&mut g, id, patience * MS);
+        assert_eq!(
+            (refused(&actions, id), sends(&actions).len()),
+            (is_refused, usize::from(!is_refused)),
+            "{id}"
+        );
+        answered(&mut g, &actions);
+    }
+}
