--- a/crates/rehearse/src/stated.rs
+++ b/crates/rehearse/src/stated.rs
@@ -95,7 +95,7 @@
 /// Processes of gateways that an event ends.
 fn ends(event: &Event, gateways: u32) -> u32 {
     match event {
-        Event::KillGateways(which, _) | Event::RestartGateways(which) => which.count(gateways),
+        Event::KillGateways(which, _) | Event::RestartGateways(which, _) => which.count(gateways),
         _ => 0,
     }
 }
