--- a/crates/judge/src/cold.rs
+++ b/crates/judge/src/cold.rs
@@ -190,6 +190,7 @@
     }
 
     /// A command has come whole to a host that was sent from `first_byte` on, by a gateway that runs since `up`.
+    /// `told` says when it has heard what it should have heard at a time.
     pub(crate) fn received(
         &mut self,
         now: Time,
@@ -197,11 +198,12 @@
         (gateway, up): (u32, Time),
         first_byte: Time,
         work: Span,
+        told: &dyn Fn(Time) -> Time,
     ) {
         let Some(life) = self.lives.get_mut(&host).filter(|life| life.is_cold(now)) else { return };
         let starts = self.news.get(&(gateway, host)).map_or(&[][..], Vec::as_slice);
         let knew = starts.iter().any(|(started, news)| {
-            let told = news.since(up).is_some_and(|at| at.saturating_add(ALLOWANCE) <= first_byte);
+            let told = news.since(up).map(told).is_some_and(|at| at.saturating_add(ALLOWANCE) <= first_byte);
             told && started.abs_diff(life.started) <= SAME_START
         });
         life.forget(life.window_start(now, self.window));
--- a/crates/judge/src/drains.rs
+++ b/crates/judge/src/drains.rs
@@ -47,16 +47,18 @@
     }
 
     /// A command has come whole to a host that was sent from `first_byte` on, by a gateway that runs since `up`.
+    /// `told` says when it has heard what it should have heard at a time.
     pub(crate) fn received(
         &self,
         request: u64,
         (gateway, up): (u32, Time),
         host: u32,
         first_byte: Time,
+        told: &dyn Fn(Time) -> Time,
         log: &mut Log,
     ) {
         let Some(known) = self.known.get(&(gateway, host)) else { return };
-        let Some(since) = known.leaving.since(up) else { return };
+        let Some(since) = known.leaving.since(up).map(told) else { return };
         let is_back = known.back.is_some_and(|at| first_byte >= at.saturating_add(LATEST));
         if first_byte > since.saturating_add(self.grace) && !is_back {
             log.breach(first_byte, Rule::DrainsKept, Subject::Host(host), || {
--- a/crates/judge/src/gateways.rs
+++ b/crates/judge/src/gateways.rs
@@ -18,6 +18,18 @@
     excused: Vec<Time>,
     /// When nothing passed between it and the clients: from and to.
     cuts: Vec<(Time, Time)>,
+    /// When its process stood still: from and to.
+    stops: Vec<(Time, Time)>,
+}
+
+/// Something begins or ends; what has begun once ends once.
+fn turn(spans: &mut Vec<(Time, Time)>, at: Time, begins: bool) {
+    let open = spans.last_mut().filter(|(_, to)| *to == Time::MAX);
+    match open {
+        Some((_, to)) if !begins => *to = at,
+        None if begins => spans.push((at, Time::MAX)),
+        _ => {}
+    }
 }
 
 #[derive(Debug)]
@@ -65,13 +77,11 @@
     }
 
     pub(crate) fn cut(&mut self, at: Time, gateway: u32, cut: bool) {
-        let cuts = &mut self.known.entry(gateway).or_default().cuts;
-        let open = cuts.last_mut().filter(|(_, to)| *to == Time::MAX);
-        match open {
-            Some((_, to)) if !cut => *to = at,
-            None if cut => cuts.push((at, Time::MAX)),
-            _ => {}
-        }
+        turn(&mut self.known.entry(gateway).or_default().cuts, at, cut);
+    }
+
+    pub(crate) fn stopped(&mut self, at: Time, gateway: u32, stopped: bool) {
+        turn(&mut self.known.entry(gateway).or_default().stops, at, stopped);
     }
 
     pub(crate) fn is_running(&self, gateway: u32) -> bool {
@@ -92,7 +102,11 @@
     pub(crate) fn excuses(&self, gateway: u32, from: Time, to: Time) -> bool {
         self.known.get(&gateway).is_some_and(|gateway| {
             gateway.excused.iter().any(|at| (from..=to).contains(at))
-                || gateway.cuts.iter().any(|(cut, mended)| *cut <= to && from <= *mended)
+                || gateway
+                    .cuts
+                    .iter()
+                    .chain(&gateway.stops)
+                    .any(|(cut, mended)| *cut <= to && from <= *mended)
         })
     }
 }
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -5,6 +5,7 @@
 use crate::ceilings::Ceilings;
 use crate::cold::Cold;
 use crate::drains::Drains;
+use crate::ears::Ears;
 use crate::effects::{self, Attempts, Effects};
 use crate::figures::{End, Figures};
 use crate::gateways::Gateways;
@@ -30,6 +31,7 @@
     /// The latest moment seen.
     now: Time,
     log: Log,
+    ears: Ears,
     gateways: Gateways,
     answers: Answers,
     effects: Effects,
@@ -54,6 +56,7 @@
             mean_units: Draws::new(0, traffic).mean_units(),
             now: 0,
             log: Log::new(start),
+            ears: Ears::default(),
             gateways: Gateways::new(site.gateways, longest),
             answers: Answers::new(site.rules.answer_slack),
             effects: Effects::new(site),
@@ -112,7 +115,10 @@
             What::GatewayUp { .. }
             | What::GatewayDown { .. }
             | What::GatewaySignalled { .. }
-            | What::ClientsCut { .. } => self.gateway(seen.at, &seen.what),
+            | What::ClientsCut { .. }
+            | What::GatewayStopped { .. }
+            | What::NewsCut { .. }
+            | What::CallsLate { .. } => self.gateway(seen.at, &seen.what),
             What::Counted { .. } => self.figures.counted(seen.at),
             What::Event { text } => self.figures.event(seen.at, text),
             What::Connected { .. }
@@ -130,7 +136,13 @@
         match *what {
             What::GatewayUp { gateway } => self.gateways.up(at, gateway),
             What::GatewaySignalled { gateway, kill } => self.gateways.signalled(at, gateway, kill),
-            What::ClientsCut { gateway, cut } => self.gateways.cut(at, gateway, cut),
+            What::ClientsCut { gateway, cut } => return self.gateways.cut(at, gateway, cut),
+            What::GatewayStopped { gateway, stopped } => {
+                self.gateways.stopped(at, gateway, stopped);
+                return self.ears.stopped(at, gateway, stopped);
+            }
+            What::NewsCut { gateway, cut } => return self.ears.news_cut(at, gateway, cut),
+            What::CallsLate { gateway, host, late } => return self.ears.calls_late(at, gateway, host, late),
             What::GatewayDown { gateway, meant } => {
                 self.gateways.down(at, gateway);
                 if !meant {
@@ -338,11 +350,13 @@
     }
 
     fn received(&mut self, now: Time, id: u64, (host, gateway): (u32, u32), first_byte: Time, work: Span) {
+        let first_byte = self.ears.sent(gateway, host, first_byte);
         let Some(request) = self.tries.get_mut(&id) else { return };
         self.answers.sent(request, first_byte, host, &mut self.log);
         let up = self.gateways.up_since(gateway);
-        self.drains.received(id, (gateway, up), host, first_byte, &mut self.log);
-        self.cold.received(now, host, (gateway, up), first_byte, work);
+        let told = |since| self.ears.told(gateway, since);
+        self.drains.received(id, (gateway, up), host, first_byte, &told, &mut self.log);
+        self.cold.received(now, host, (gateway, up), first_byte, work, &told);
         self.figures.received(host);
         self.worth.received(request.thing);
         if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -27,6 +27,7 @@
 mod ceilings;
 mod cold;
 mod drains;
+mod ears;
 mod effects;
 mod figures;
 mod gateways;
--- a/crates/model/src/file/check.rs
+++ b/crates/model/src/file/check.rs
@@ -8,7 +8,7 @@
 use super::parser::{EventPlaces, Places};
 use super::{MOST_CUSTOMERS, MOST_HOSTS};
 use crate::draw::Draws;
-use crate::scenario::{CounterFault, Event, Scenario, Side, Site, Timed};
+use crate::scenario::{CounterFault, Event, LinkEnd, Scenario, Side, Site, Timed};
 
 /// How far shares may miss the whole: three thirds written as 33.3 % are meant as one.
 const SHARES_MISS: f64 = 0.002;
@@ -20,6 +20,7 @@
     check.plans();
     check.customer_kinds();
     check.customer_numbers();
+    check.counter();
     check.events();
     match check.faults.into_iter().min_by_key(|fault| fault.place) {
         Some(first) => Err(first),
@@ -87,6 +88,15 @@
         self.shares("plans", "plan", &shares);
     }
 
+    /// The counter stands in a building of the site.
+    fn counter(&mut self) {
+        let site = &self.scenario.site;
+        let missing = no_such("building", site.counter.building, site.buildings, "the site has");
+        if let Some(reason) = missing {
+            self.fault_at(&["counter building".into()], reason);
+        }
+    }
+
     /// No plan is so small beside the traffic that it takes customers without number to ask for its share.
     fn customer_numbers(&mut self) {
         let traffic = &self.scenario.traffic;
@@ -178,6 +188,7 @@
         let site = &self.scenario.site;
         let reason = match event {
             Event::Counter(..) | Event::GarbleCounter(..) if !site.counter.on => Some(Reason::NoCounter),
+            Event::Links(_, LinkEnd::Counter, ..) if !site.counter.on => Some(Reason::NoCounter),
             Event::Cut(Side::Counter, ..) | Event::Cut(_, Side::Counter, ..) if !site.counter.on => {
                 Some(Reason::NoCounter)
             }
--- a/crates/model/src/file/events.rs
+++ b/crates/model/src/file/events.rs
@@ -2,15 +2,18 @@
 
 use super::errors::{Parsed, Place, Reason};
 use super::figure::{number_text, share_text, span_text};
+use super::lexer::Kind;
 use super::line::{Bounds, Line};
 use super::{MOST_GATEWAYS, MOST_HOSTS, MOST_LENGTH, MOST_NUMBERS};
-use crate::scenario::{CounterFault, DiscoveryFault, Event, Mishap, Side, Which};
+use crate::scenario::{
+    CounterFault, DiscoveryFault, Event, LinkEnd, LinkFault, LinkWay, Mishap, Side, Which,
+};
 use crate::{Span, MS};
 use std::fmt;
 
 /// The words that events begin with. The one without a verb begins with its share: `10 % of the clients leave
 /// early for 10 s`.
-pub const VERBS: [&str; 17] = [
+pub const VERBS: [&str; 20] = [
     "kill",
     "restart",
     "reload",
@@ -28,8 +31,14 @@
     "swallow",
     "counter",
     "discovery",
+    "links",
+    "stop",
+    "lose",
 ];
 
+/// How links fail.
+const LINK_FAULTS: [&str; 6] = ["hold", "cut", "slow", "narrow", "reset", "flap"];
+
 /// How long something lasts.
 const LASTING: Bounds<Span> = (MS, MOST_LENGTH);
 /// A span that may be nothing.
@@ -39,6 +48,9 @@
 /// How many times slower or costlier.
 const WORSE: Bounds<f64> = (1.0, 1000.0);
 
+/// KiB a second of a narrow link.
+const RATE: Bounds<f64> = (0.1, 1e6);
+
 /// Where parts of an event stand that only the whole file tells right from wrong.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Marks(pub Vec<Place>);
@@ -105,8 +117,12 @@
             "reload" => Ok(Event::ReloadGateways(self.only(Machines::Gateways)?)),
             "traffic" => self.traffic(),
             "slow" => {
-                let which = self.only(Machines::Hosts)?;
-                Ok(Event::SlowHosts(which, self.line.times("x", WORSE)?, self.lasting()?))
+                let (machines, which) = self.machines()?;
+                let (times, lasting) = (self.line.times("x", WORSE)?, self.lasting()?);
+                Ok(match machines {
+                    Machines::Gateways => Event::SlowGateways(which, times, lasting),
+                    Machines::Hosts => Event::SlowHosts(which, times, lasting),
+                })
             }
             "pause" => Ok(Event::PauseHosts(self.only(Machines::Hosts)?, self.lasting()?)),
             "drain" => self.drain(),
@@ -119,6 +135,12 @@
             "swallow" => self.mishap(Mishap::Swallowed),
             "stale" => self.stale(),
             "counter" => self.counter(),
+            "links" => self.links(),
+            "stop" => Ok(Event::StopGateways(self.only(Machines::Gateways)?, self.lasting()?)),
+            "lose" => {
+                self.line.require("building")?;
+                Ok(Event::LoseBuilding(self.numbered("building", 100)?, self.lasting()?))
+            }
             _ => self.discovery(),
         }
     }
@@ -217,6 +239,10 @@
     }
 
     fn cut(&mut self) -> Parsed<Event> {
+        if self.line.accept("off") {
+            self.line.require("building")?;
+            return Ok(Event::CutOff(self.numbered("building", 100)?, self.lasting()?));
+        }
         let one = self.side()?;
         self.line.require("from")?;
         let other = self.side()?;
@@ -229,6 +255,50 @@
         Ok(Event::Cut(one, other, lasting, resets))
     }
 
+    /// `gateways 1, 2 to the counter cut answers for 5 s`.
+    fn links(&mut self) -> Parsed<Event> {
+        let gateways = self.only(Machines::Gateways)?;
+        self.line.require("to")?;
+        let end = self.link_end()?;
+        let fault = match self.line.one_of("link fault", &LINK_FAULTS)? {
+            "hold" => LinkFault::Hold(self.way()),
+            "cut" => LinkFault::Cut(self.way()),
+            "slow" => {
+                let (from, to) = self.line.spans("slow", WITHIN)?;
+                LinkFault::Slow(from, to)
+            }
+            "narrow" => LinkFault::Narrow(self.line.number("narrow", RATE, "KiB/s")?),
+            "reset" => return Ok(Event::Links(gateways, end, LinkFault::Reset, 0)),
+            _ => {
+                self.line.require("every")?;
+                LinkFault::Flap(self.line.span("every", LASTING)?)
+            }
+        };
+        Ok(Event::Links(gateways, end, fault, self.lasting()?))
+    }
+
+    fn link_end(&mut self) -> Parsed<LinkEnd> {
+        self.line.accept("the");
+        Ok(match self.line.peek() {
+            Kind::Word("clients" | "counter" | "discovery") => {
+                match self.line.one_of("end", &["clients", "counter", "discovery"])? {
+                    "clients" => LinkEnd::Clients,
+                    "counter" => LinkEnd::Counter,
+                    _ => LinkEnd::Discovery,
+                }
+            }
+            _ => LinkEnd::Hosts(self.only(Machines::Hosts)?),
+        })
+    }
+
+    fn way(&mut self) -> LinkWay {
+        match (self.line.accept("calls"), self.line.accept("answers")) {
+            (true, _) => LinkWay::Calls,
+            (_, true) => LinkWay::Answers,
+            _ => LinkWay::Both,
+        }
+    }
+
     fn side(&mut self) -> Parsed<Side> {
         self.line.accept("the");
         Ok(match self.line.one_of("side", &["building", "gateway", "host", "counter", "clients"])? {
@@ -382,9 +452,19 @@
 /// What an event names, as its marks stand.
 pub(super) fn named(event: &Event) -> Vec<Named<'_>> {
     match event {
-        Event::KillGateways(which, _) | Event::RestartGateways(which) | Event::ReloadGateways(which) => {
-            named_machines(which, Named::Gateway, Named::Gateways)
+        Event::KillGateways(which, _)
+        | Event::RestartGateways(which)
+        | Event::ReloadGateways(which)
+        | Event::StopGateways(which, _)
+        | Event::SlowGateways(which, _, _) => named_machines(which, Named::Gateway, Named::Gateways),
+        Event::Links(which, end, ..) => {
+            let mut named = named_machines(which, Named::Gateway, Named::Gateways);
+            if let LinkEnd::Hosts(hosts) = end {
+                named.extend(named_machines(hosts, Named::Host, Named::Hosts));
+            }
+            named
         }
+        Event::LoseBuilding(building, _) | Event::CutOff(building, _) => vec![Named::Building(*building)],
         Event::SlowHosts(which, _, _)
         | Event::PauseHosts(which, _)
         | Event::DrainHosts(which, _, _)
@@ -492,6 +572,22 @@
                 let fault = discovery_text(fault);
                 write!(f, "discovery {fault} for {}", span_text(*span))
             }
+            Event::Links(which, end, fault, span) => {
+                write!(f, "links {} to {} ", gateways(which), link_end_text(end))?;
+                link_text(f, fault, *span)
+            }
+            Event::StopGateways(which, span) => {
+                write!(f, "stop {} for {}", gateways(which), span_text(*span))
+            }
+            Event::SlowGateways(which, times, span) => {
+                write!(f, "slow {} x {} for {}", gateways(which), number_text(*times), span_text(*span))
+            }
+            Event::LoseBuilding(building, span) => {
+                write!(f, "lose building {building} for {}", span_text(*span))
+            }
+            Event::CutOff(building, span) => {
+                write!(f, "cut off building {building} for {}", span_text(*span))
+            }
             Event::Impatient(share, span) => {
                 write!(f, "{} of the clients leave early for {}", share_text(*share), span_text(*span))
             }
@@ -532,6 +628,33 @@
     }
 }
 
+fn link_end_text(end: &LinkEnd) -> String {
+    match end {
+        LinkEnd::Clients => "the clients".into(),
+        LinkEnd::Hosts(which) => machines_text(Machines::Hosts, which),
+        LinkEnd::Counter => "the counter".into(),
+        LinkEnd::Discovery => "discovery".into(),
+    }
+}
+
+fn link_text(f: &mut fmt::Formatter<'_>, fault: &LinkFault, span: Span) -> fmt::Result {
+    let way = |way: &LinkWay| match way {
+        LinkWay::Both => "",
+        LinkWay::Calls => " calls",
+        LinkWay::Answers => " answers",
+    };
+    match fault {
+        LinkFault::Hold(held) => write!(f, "hold{}", way(held))?,
+        LinkFault::Cut(cut) => write!(f, "cut{}", way(cut))?,
+        LinkFault::Slow(from, to) => write!(f, "slow {} to {}", span_text(*from), span_text(*to))?,
+        LinkFault::Narrow(rate) => write!(f, "narrow {} KiB/s", number_text(*rate))?,
+        // It happens at one moment: there is nothing to last.
+        LinkFault::Reset => return f.write_str("reset"),
+        LinkFault::Flap(every) => write!(f, "flap every {}", span_text(*every))?,
+    }
+    write!(f, " for {}", span_text(span))
+}
+
 fn counter_text(f: &mut fmt::Formatter<'_>, fault: &CounterFault, span: Span) -> fmt::Result {
     f.write_str("counter ")?;
     match fault {
--- a/crates/model/src/file/fields.rs
+++ b/crates/model/src/file/fields.rs
@@ -199,6 +199,7 @@
     "call" => |c| Slot::Span(&mut c.call, (0, 10 * SECOND));
     "queue" => |c| Slot::Count(&mut c.queue, (0, 1_000_000), "");
     "timeout" => |c| Slot::Span(&mut c.timeout, (MS, 10 * SECOND));
+    "building" => |c| Slot::Count(&mut c.building, (1, 100), "");
 });
 
 fields!(DISCOVERY: DiscoverySpec {
--- a/crates/model/src/file/shipped.rs
+++ b/crates/model/src/file/shipped.rs
@@ -14,6 +14,11 @@
     ("deaf-hosts", include_str!("../../../../scenarios/deaf-hosts.scenario")),
     ("discovery-cut", include_str!("../../../../scenarios/discovery-cut.scenario")),
     ("planned-restarts", include_str!("../../../../scenarios/planned-restarts.scenario")),
+    ("held-links", include_str!("../../../../scenarios/held-links.scenario")),
+    ("one-way-cut", include_str!("../../../../scenarios/one-way-cut.scenario")),
+    ("stopped-gateway", include_str!("../../../../scenarios/stopped-gateway.scenario")),
+    ("building-lost", include_str!("../../../../scenarios/building-lost.scenario")),
+    ("two-at-once", include_str!("../../../../scenarios/two-at-once.scenario")),
 ];
 
 /// The names and texts of the shipped scenarios; each is a file for [`super::parse`].
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -113,6 +113,8 @@
     pub queue: u32,
     /// Gateways give a call up after this.
     pub timeout: Span,
+    /// The building that it stands in, numbered from 1.
+    pub building: u32,
 }
 
 /// Discovery.
@@ -282,6 +284,47 @@
     Clients,
 }
 
+/// The far end of the links of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkEnd {
+    /// All clients, who call the gateway.
+    Clients,
+    /// Hosts, which the gateway calls.
+    Hosts(Which),
+    /// The counter, which the gateway calls.
+    Counter,
+    /// The gateway's agent of discovery, which it calls.
+    Discovery,
+}
+
+/// Directions of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkWay {
+    /// Both.
+    Both,
+    /// From the one that connected.
+    Calls,
+    /// To the one that connected.
+    Answers,
+}
+
+/// How links fail.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkFault {
+    /// Bytes wait and pass all at once when it is over, also those of a process that has died meanwhile.
+    Hold(LinkWay),
+    /// Nothing passes.
+    Cut(LinkWay),
+    /// Each message takes this much longer, from and to, each way.
+    Slow(Span, Span),
+    /// So many KiB a second pass on a connection in each direction.
+    Narrow(f64),
+    /// All connections are reset, at that moment.
+    Reset,
+    /// Cut for so long, then whole for as long, and so on.
+    Flap(Span),
+}
+
 /// How the counter fails.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CounterFault {
@@ -372,6 +415,16 @@
     Discovery(DiscoveryFault, Span),
     /// This share of the clients leaves early for a while.
     Impatient(f64, Span),
+    /// Links between gateways and others fail for a while.
+    Links(Which, LinkEnd, LinkFault, Span),
+    /// Processes of gateways do not run for a while (SIGSTOP, SIGCONT); the clock goes on.
+    StopGateways(Which, Span),
+    /// Processes of gateways run one part of so many of the time, in slices, for a while.
+    SlowGateways(Which, f64, Span),
+    /// A building loses power for a while: its gateways, its hosts, and its counter if it has that.
+    LoseBuilding(u32, Span),
+    /// Nothing passes between a building and all that is not in it for a while.
+    CutOff(u32, Span),
 }
 
 impl Which {
@@ -410,7 +463,15 @@
 
 impl Default for CounterSpec {
     fn default() -> Self {
-        CounterSpec { on: true, parts: 2, calls_per_s: 870.0, call: MS, queue: 40, timeout: 50 * MS }
+        CounterSpec {
+            on: true,
+            parts: 2,
+            calls_per_s: 870.0,
+            call: MS,
+            queue: 40,
+            timeout: 50 * MS,
+            building: 1,
+        }
     }
 }
 
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -224,6 +224,30 @@
         /// Nothing passes.
         cut: bool,
     },
+    /// A gateway's process stands still from now on (SIGSTOP), or goes on.
+    GatewayStopped {
+        /// The gateway.
+        gateway: u32,
+        /// It stands still.
+        stopped: bool,
+    },
+    /// Its link to discovery fails from now on, or is whole again.
+    NewsCut {
+        /// The gateway.
+        gateway: u32,
+        /// It fails.
+        cut: bool,
+    },
+    /// What a gateway sends may come late to a host from now on, or comes as usual again. Only where a host
+    /// cannot tell when it was sent.
+    CallsLate {
+        /// The gateway.
+        gateway: u32,
+        /// The host.
+        host: u32,
+        /// It may come late.
+        late: bool,
+    },
     /// An event of the scenario, in words.
     Event {
         /// Its words.
--- a/crates/model/tests/file.rs
+++ b/crates/model/tests/file.rs
@@ -43,7 +43,7 @@
           second-copies no
           host cores 4, speed 1.25, speed-spread 10 %, slots 6, queue 30, thrash-at 5.5 requests/core
           host thrash 4%, cold 30 % for 12 s, connections 900, handshake 1.2 ms, error-rate 0.2 %, idle 9 s
-          counter off, parts 3, rate 740 calls/s, call 0.5 ms, queue 41, timeout 60 ms
+          counter off, parts 3, rate 740 calls/s, call 0.5 ms, queue 41, timeout 60 ms, building 2
           discovery notice 1 s to 2 s, silent-notice 7 s to 8 s
           network same 150 us, cross 900 us, client 0.5 ms, jitter 20 %, window 32 KiB
           rules drain-grace 300 ms, fall x 2.5 for 2 s, answer-slack 70 ms
@@ -87,6 +87,7 @@
             call: 500_000,
             queue: 41,
             timeout: 60 * MS,
+            building: 2,
         },
         discovery: DiscoverySpec { notice: (SECOND, 2 * SECOND), silent_notice: (7 * SECOND, 8 * SECOND) },
         network: NetworkSpec { same: 150_000, cross: 900_000, client: 500_000, jitter: 0.2, window: 32_768 },
@@ -202,7 +203,19 @@
         at 1 s: swallow 3.7 % of requests at all hosts for 20 s\n\
         at 1 s: reset 5 % of requests at hosts 1 and 2 for 20 s\n\
         at 1 s: stale connections after 300 ms at 2 hosts for 20 s\n\
-        at 1 s: 10 % of the clients leave early for 10 s";
+        at 1 s: 10 % of the clients leave early for 10 s\n\
+        at 1 s: links gateways 1, 2 to the counter hold for 5 s\n\
+        at 1 s: links all gateways to clients hold answers for 5 s\n\
+        at 1 s: links gateway 2 to host 3 cut calls for 5 s\n\
+        at 1 s: links 1 gateway to 2 hosts cut answers for 5 s\n\
+        at 1 s: links all gateways to all hosts slow 50 ms to 200 ms for 5 s\n\
+        at 1 s: links all gateways to hosts 1 and 2 narrow 10 KiB/s for 5 s\n\
+        at 1 s: links gateway 1 to discovery reset\n\
+        at 1 s: links gateway 1 to discovery flap every 700 ms for 10 s\n\
+        at 1 s: stop gateway 2 for 5 s\n\
+        at 1 s: slow gateway 2 x 4 for 10 s\n\
+        at 1 s: lose building 2 for 30 s\n\
+        at 1 s: cut off building 2 for 10 s";
     use Event::*;
     let wanted = vec![
         KillGateways(Which::Share(0.41), Some(6 * SECOND)),
@@ -245,6 +258,23 @@
         Mishaps(Mishap::Reset, 0.05, Which::These(vec![1, 2]), 20 * SECOND),
         Stale(300 * MS, Which::Count(2), 20 * SECOND),
         Impatient(0.1, 10 * SECOND),
+        Links(Which::These(vec![1, 2]), LinkEnd::Counter, LinkFault::Hold(LinkWay::Both), 5 * SECOND),
+        Links(Which::All, LinkEnd::Clients, LinkFault::Hold(LinkWay::Answers), 5 * SECOND),
+        Links(
+            Which::These(vec![2]),
+            LinkEnd::Hosts(Which::These(vec![3])),
+            LinkFault::Cut(LinkWay::Calls),
+            5 * SECOND,
+        ),
+        Links(Which::Count(1), LinkEnd::Hosts(Which::Count(2)), LinkFault::Cut(LinkWay::Answers), 5 * SECOND),
+        Links(Which::All, LinkEnd::Hosts(Which::All), LinkFault::Slow(50 * MS, 200 * MS), 5 * SECOND),
+        Links(Which::All, LinkEnd::Hosts(Which::These(vec![1, 2])), LinkFault::Narrow(10.0), 5 * SECOND),
+        Links(Which::These(vec![1]), LinkEnd::Discovery, LinkFault::Reset, 0),
+        Links(Which::These(vec![1]), LinkEnd::Discovery, LinkFault::Flap(700 * MS), 10 * SECOND),
+        StopGateways(Which::These(vec![2]), 5 * SECOND),
+        SlowGateways(Which::These(vec![2]), 4.0, 10 * SECOND),
+        LoseBuilding(2, 30 * SECOND),
+        CutOff(2, 10 * SECOND),
     ];
     let read = events(lines);
     for (read, wanted) in read.iter().zip(&wanted) {
@@ -408,7 +438,19 @@
             top(&format!("at 10 s: kill hosts {}1", "1, ".repeat(100))),
             "2:321: an event names 100 machines at the most, a share or a count any number",
         ),
-        (top("at 10 s: slow 2 gateways x 3 for 3 s"), "2:17: expected `hosts`, found `gateways`"),
+        (top("at 10 s: pause 2 gateways for 3 s"), "2:18: expected `hosts`, found `gateways`"),
+        (top("at 10 s: slow 2 clients x 3 for 3 s"), "2:17: expected `gateways` or `hosts`, found `clients`"),
+        (top("at 10 s: stop 2 hosts for 3 s"), "2:17: expected `gateways`, found `hosts`"),
+        (top("at 10 s: links gateway 1 to hots 3 hold for 3 s"), "2:29: expected `hosts`, found `hots`"),
+        (top("at 10 s: links gateway 1 to host 30 hold for 3 s"), "2:34: there is no host 30: all that have come by then are 10 hosts"),
+        (top("at 10 s: links gateway 1 to host 3 holds for 3 s"), "2:36: unknown link fault `holds`; did you mean `hold`?"),
+        (top("at 10 s: links gateway 4 to host 3 hold for 3 s"), "2:24: there is no gateway 4: the site has 3 gateways"),
+        (top("at 10 s: links gateway 1 to host 3 narrow 10 for 3 s"), "2:46: `narrow` needs a unit: KiB/s"),
+        (top("at 10 s: links gateway 1 to host 3 hold"), "2:40: expected `for`, found the end of the line"),
+        (top("at 10 s: lose building 4 for 3 s"), "2:24: there is no building 4: the site has 3 buildings"),
+        (top("at 10 s: cut off building 4 for 3 s"), "2:27: there is no building 4: the site has 3 buildings"),
+        (site("counter building 4"), "3:9: there is no building 4: the site has 3 buildings"),
+        (site("counter off\nat 10 s: links gateway 1 to the counter reset"), "4:10: the site has no counter"),
         (top("at 10 s: slow 2 hosts x 0.5 for 3 s"), "2:25: `x` is 0.5, and has to be from x 1 to x 1000"),
         (top("at 10 s: drain 3 hosts over 5 s"), "2:32: expected `,`, found the end of the line"),
         (top("at 10 s: traffic x 2 for 3 s, rising in 2 s"), "2:10: traffic rises in 2 s and falls in as much, and all of it is to last 3 s"),
@@ -524,12 +566,18 @@
         "deaf-hosts",
         "discovery-cut",
         "planned-restarts",
+        "held-links",
+        "one-way-cut",
+        "stopped-gateway",
+        "building-lost",
+        "two-at-once",
     ];
     assert_eq!(names, wanted);
     for (name, text) in shipped() {
         let scenario = parse(&format!("scenarios/{name}.scenario"), text).unwrap();
         assert_eq!((scenario.name.as_str(), find(name)), (*name, Some(*text)));
-        assert_eq!(scenario.site, Site::default(), "{name}");
+        let usual = *name != "building-lost";
+        assert_eq!(scenario.site == Site::default(), usual, "{name}");
         assert_eq!(scenario.traffic, Traffic::default(), "{name}");
         assert_eq!(scenario.events.is_empty(), *name == "calm");
     }
@@ -620,6 +668,7 @@
             call: span(rng, 0, SECOND),
             queue: count(rng, 0, 1000),
             timeout: span(rng, MS, SECOND),
+            building: 1,
         },
         discovery: DiscoverySpec { notice: spans(rng), silent_notice: spans(rng) },
         network: NetworkSpec {
@@ -787,7 +836,7 @@
     let (gateways, hosts) = (which(rng, site.gateways), which(rng, site.hosts));
     let (lasts, times, part) = (lasting(rng), number(rng, 1.0, 1000.0), some_share(rng));
     let back = rng.chance(0.5).then_some(lasts);
-    match rng.below(21) {
+    match rng.below(25) {
         0 => Event::KillGateways(gateways, back),
         1 => Event::RestartGateways(gateways),
         2 => Event::ReloadGateways(gateways),
@@ -808,6 +857,11 @@
         17 => Event::Mishaps(Mishap::Swallowed, part, hosts, lasts),
         18 => Event::Mishaps(Mishap::Reset, part, hosts, lasts),
         19 => Event::Stale(lasts, hosts, lasting(rng)),
+        20 => Event::StopGateways(gateways, lasts),
+        21 => Event::SlowGateways(gateways, times, lasts),
+        22 => Event::LoseBuilding(count(rng, 1, site.buildings), lasts),
+        23 => Event::CutOff(count(rng, 1, site.buildings), lasts),
+        24 => random_links(rng, gateways, site.hosts),
         16 => {
             let late = DiscoveryFault::Late(lasting(rng));
             let cut = DiscoveryFault::Cut(lasting(rng));
@@ -819,6 +873,24 @@
     }
 }
 
+fn random_links(rng: &mut Rng, gateways: Which, hosts: u32) -> Event {
+    // Two long lists of numbers would not fit into a line.
+    let hosts = Which::Count(count(rng, 1, hosts));
+    let ends = [LinkEnd::Clients, LinkEnd::Hosts(hosts), LinkEnd::Counter, LinkEnd::Discovery];
+    let end = ends[rng.below(4) as usize].clone();
+    let way = [LinkWay::Both, LinkWay::Calls, LinkWay::Answers][rng.below(3) as usize];
+    let (from, to) = ordered(span(rng, 0, SECOND), span(rng, 0, SECOND));
+    let fault = match rng.below(6) {
+        0 => LinkFault::Hold(way),
+        1 => LinkFault::Cut(way),
+        2 => LinkFault::Slow(from, to),
+        3 => LinkFault::Narrow(number(rng, 0.1, 1e6)),
+        4 => return Event::Links(gateways, end, LinkFault::Reset, 0),
+        _ => LinkFault::Flap(lasting(rng)),
+    };
+    Event::Links(gateways, end, fault, lasting(rng))
+}
+
 fn random_cut(rng: &mut Rng, site: &Site) -> Event {
     let one = [Side::Building(count(rng, 1, site.buildings)), Side::Gateway(count(rng, 1, site.gateways))];
     let other = [Side::Host(count(rng, 1, site.hosts)), Side::Counter, Side::Clients];
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -1,12 +1,15 @@
 //! What happens to a site and when: the events of the scenario, and what follows from them later.
 
+mod faults;
+
 use crate::site::SiteOf;
 use crate::stage::{Post, Signal, Stage};
 use anyhow::Result;
+use faults::{Flapping, Gap, Slices};
 use fennelbeam_env::{Span, Time};
 use fennelbeam_model::agent::Notice;
 use fennelbeam_model::rng::Rng;
-use fennelbeam_model::scenario::{Event, Side, Which};
+use fennelbeam_model::scenario::{CounterFault, Event, Side, Which};
 use fennelbeam_model::seen::{Told, What};
 use fennelbeam_model::{MS, SECOND};
 use std::collections::BTreeMap;
@@ -41,8 +44,18 @@
     HostBack(u32),
     /// A new host comes at the addresses of this one.
     NewAt(u32),
-    /// A cut, and the gateways that clients were cut from.
-    Heal(u64, Vec<u32>),
+    /// A cut, and the gaps that it made.
+    Heal(u64, Vec<Gap>),
+    /// Gaps of links that are whole again.
+    Whole(Vec<Gap>),
+    /// Links are cut again.
+    Flap(Flapping),
+    /// A gateway, in this process of it, has one reason less to stand still; true: the judge was told of it.
+    GoOn(u32, u32, bool),
+    /// A slowed process stands still again.
+    Slice(Slices),
+    /// The counter comes back and knows nothing.
+    Forget,
 }
 
 /// Plays a scenario's events on a site.
@@ -51,6 +64,8 @@
     pub site: SiteOf<S>,
     due: BTreeMap<(Time, u64), Step>,
     next: u64,
+    /// How many reasons there are for each.
+    gaps: BTreeMap<Gap, u32>,
     /// What went wrong with a process of a gateway, in words.
     pub troubles: Vec<String>,
 }
@@ -59,7 +74,8 @@
     /// The events of the site's scenario, counted from `start`.
     pub fn new(site: SiteOf<S>, start: Time) -> Self {
         let ats: Vec<Time> = site.scenario.events.iter().map(|timed| start + timed.at).collect();
-        let mut director = Director { site, due: BTreeMap::new(), next: 0, troubles: Vec::new() };
+        let mut director =
+            Director { site, due: BTreeMap::new(), next: 0, gaps: BTreeMap::new(), troubles: Vec::new() };
         director.plan(start, Step::Open);
         for (place, at) in ats.into_iter().enumerate() {
             director.plan(at, Step::Event(place));
@@ -116,12 +132,15 @@
                 }
             }
             Step::NewAt(host) => drop(self.site.add_host(Some(host))?),
-            Step::Heal(cut, from_clients) => {
+            Step::Heal(cut, gaps) => {
                 self.site.stage.heal(cut);
-                for gateway in from_clients {
-                    self.site.see(What::ClientsCut { gateway, cut: false });
-                }
+                self.close_gaps(&gaps);
             }
+            Step::Whole(gaps) => self.close_gaps(&gaps),
+            Step::Flap(flapping) => self.flap(now, flapping)?,
+            Step::GoOn(gateway, incarnation, told) => self.go_on(gateway, incarnation, told),
+            Step::Slice(slices) => self.slice(now, slices),
+            Step::Forget => self.site.counter.fail(CounterFault::Fresh, 0),
         }
         Ok(())
     }
@@ -219,7 +238,25 @@
                 }
             }
             Event::GarbleCounter(share, span) => self.site.counter.garble(share, span),
-            Event::Cut(a, b, span, reset) => self.cut(now, &a, &b, span, reset),
+            Event::Cut(a, b, span, reset) => {
+                let (a, b) = (self.posts(&a), self.posts(&b));
+                self.cut(now, &a, &b, span, reset)?;
+            }
+            Event::CutOff(building, span) => self.cut_off(now, building, span)?,
+            Event::LoseBuilding(building, span) => self.lose(now, building, span)?,
+            Event::Links(gateways, end, fault, span) => {
+                self.links(now, (&gateways, &end), &fault, span, &mut rng)?;
+            }
+            Event::StopGateways(which, span) => {
+                for gateway in self.gateways(&which, &mut rng) {
+                    self.stop(now, gateway, span);
+                }
+            }
+            Event::SlowGateways(which, times, span) => {
+                for gateway in self.gateways(&which, &mut rng) {
+                    self.slow_gateway(now, gateway, times, span);
+                }
+            }
             Event::Counter(fault, span) => self.site.counter.fail(fault, span),
             Event::Discovery(fault, span) => self.site.registry.fail(now, fault, span),
             Event::Impatient(share, span) => self.site.clients.set_impatient(share, span),
@@ -248,7 +285,7 @@
     }
 
     fn signal(&mut self, now: Time, gateway: u32, signal: Signal) {
-        if signal != Signal::Reload {
+        if matches!(signal, Signal::Terminate | Signal::Kill) {
             self.site.see(What::GatewaySignalled { gateway, kill: signal == Signal::Kill });
             self.site.gateways[gateway as usize].ending = true;
         }
@@ -290,6 +327,7 @@
                 continue;
             }
             post.up = None;
+            post.stops = 0;
             let (meant, again) = (post.ending && exit.error.is_none(), post.again);
             self.site.see(What::GatewayDown { gateway, meant });
             if let Some(error) = exit.error {
@@ -370,26 +408,6 @@
 
     // ---- The network
 
-    fn cut(&mut self, now: Time, a: &Side, b: &Side, span: Span, reset: bool) {
-        let (a, b) = (self.posts(a), self.posts(b));
-        let cut = self.site.stage.cut(&a, &b, reset);
-        let clients = |side: &[Post]| side.contains(&Post::Clients);
-        let others = match (clients(&a), clients(&b)) {
-            (true, _) => b,
-            (_, true) => a,
-            _ => Vec::new(),
-        };
-        let gateway = |post: Post| match post {
-            Post::Gateway(gateway) => Some(gateway),
-            _ => None,
-        };
-        let from_clients: Vec<u32> = others.into_iter().filter_map(gateway).collect();
-        for gateway in &from_clients {
-            self.site.see(What::ClientsCut { gateway: *gateway, cut: true });
-        }
-        self.plan(now + span, Step::Heal(cut, from_clients));
-    }
-
     fn posts(&self, side: &Side) -> Vec<Post> {
         let site = &self.site.scenario.site;
         let places = self.site.hosts.iter().map(|host| host.place);
@@ -401,8 +419,7 @@
                 places.sort_unstable();
                 places.dedup();
                 posts.extend(places.into_iter().map(Post::Host));
-                // The counter stands in the first one.
-                posts.extend((*number == 1).then_some(Post::Counter));
+                posts.extend((*number == site.counter.building).then_some(Post::Counter));
                 posts
             }
             Side::Gateway(number) => vec![Post::Gateway(number - 1)],
--- /dev/null
+++ b/crates/rehearse/src/director/faults.rs
@@ -0,0 +1,259 @@
+//! What fails between machines and in processes: cuts, links, buildings, processes that stand still.
+
+use super::{choose, Director, Step};
+use crate::stage::{Post, Signal, Stage};
+use anyhow::Result;
+use fennelbeam_env::{Span, Time};
+use fennelbeam_model::agent::Notice;
+use fennelbeam_model::rng::Rng;
+use fennelbeam_model::scenario::{CounterFault, LinkEnd, LinkFault, LinkWay, Side, Which};
+use fennelbeam_model::seen::What;
+use fennelbeam_model::MS;
+
+/// A slowed process stands still and runs once within this: short beside any time that a rule allows.
+const SLICE: Span = 20 * MS;
+
+/// Something that does not pass, and that the judge has to know of. Several events may be the reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Gap {
+    /// Between the clients and a gateway.
+    Clients(u32),
+    /// A gateway's process stands still.
+    Still(u32),
+    /// Between a gateway and discovery.
+    News(u32),
+    /// From a gateway to a host; only where hosts cannot tell when something was sent.
+    Calls(u32, u32),
+}
+
+impl Gap {
+    fn what(self, open: bool) -> What {
+        match self {
+            Gap::Clients(gateway) => What::ClientsCut { gateway, cut: open },
+            Gap::Still(gateway) => What::GatewayStopped { gateway, stopped: open },
+            Gap::News(gateway) => What::NewsCut { gateway, cut: open },
+            Gap::Calls(gateway, host) => What::CallsLate { gateway, host, late: open },
+        }
+    }
+}
+
+/// Links that are cut and whole by turns.
+#[derive(Clone, Debug)]
+pub(super) struct Flapping {
+    pairs: Vec<(Post, Post)>,
+    every: Span,
+    until: Time,
+}
+
+/// A slowed process, in this one of its lives.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Slices {
+    gateway: u32,
+    incarnation: u32,
+    /// Of each slice it stands still for so long.
+    still: Span,
+    until: Time,
+}
+
+impl<S: Stage> Director<S> {
+    pub(super) fn open_gaps(&mut self, gaps: &[Gap]) {
+        for gap in gaps {
+            let reasons = self.gaps.entry(*gap).or_default();
+            *reasons += 1;
+            if *reasons == 1 {
+                self.site.see(gap.what(true));
+            }
+        }
+    }
+
+    pub(super) fn close_gaps(&mut self, gaps: &[Gap]) {
+        for gap in gaps {
+            let Some(reasons) = self.gaps.get_mut(gap).filter(|reasons| **reasons > 0) else { continue };
+            *reasons -= 1;
+            if *reasons == 0 {
+                self.site.see(gap.what(false));
+            }
+        }
+    }
+
+    // ---- Cuts and buildings
+
+    pub(super) fn cut(&mut self, now: Time, a: &[Post], b: &[Post], span: Span, reset: bool) -> Result<()> {
+        let cut = self.site.stage.cut(a, b, span, reset)?;
+        let both = a.iter().flat_map(|a| b.iter().flat_map(|b| [(*a, *b), (*b, *a)]));
+        let gaps = self.gaps_of(both.filter(|(a, b)| a != b));
+        self.open_gaps(&gaps);
+        self.plan(now + span, Step::Heal(cut, gaps));
+        Ok(())
+    }
+
+    /// Gaps that arise where nothing passes, or not all, from each first to each second.
+    fn gaps_of(&self, pairs: impl Iterator<Item = (Post, Post)>) -> Vec<Gap> {
+        let blind = !self.site.stage.knows_when_sent();
+        let mut gaps: Vec<Gap> = Vec::new();
+        for pair in pairs {
+            match pair {
+                (Post::Clients, Post::Gateway(gateway)) => gaps.push(Gap::Clients(gateway)),
+                (Post::Gateway(one), Post::Gateway(other)) if one == other => gaps.push(Gap::News(one)),
+                (Post::Gateway(gateway), Post::Host(place)) if blind => {
+                    let there = (0..).zip(&self.site.hosts).filter(|(_, host)| host.place == place);
+                    gaps.extend(there.map(|(host, _)| Gap::Calls(gateway, host)));
+                }
+                _ => {}
+            }
+        }
+        gaps
+    }
+
+    pub(super) fn cut_off(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
+        let (inside, outside) = (self.posts(&Side::Building(building)), self.outside(building));
+        self.cut(now, &inside, &outside, span, false)
+    }
+
+    /// Power goes first on the wires: nobody hears how the processes die.
+    pub(super) fn lose(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
+        self.cut_off(now, building, span)?;
+        for post in self.posts(&Side::Building(building)) {
+            match post {
+                Post::Gateway(gateway) => {
+                    self.site.gateways[gateway as usize].again = false;
+                    self.signal(now, gateway, Signal::Kill);
+                    self.plan(now + span, Step::StartGateway(gateway));
+                }
+                Post::Host(place) => {
+                    for host in self.in_service_at(place) {
+                        self.stop_host(host, Notice::Missed);
+                        self.plan(now + span, Step::HostBack(host));
+                    }
+                }
+                Post::Counter => {
+                    self.site.counter.fail(CounterFault::Lost, span);
+                    self.plan(now + span, Step::Forget);
+                }
+                Post::Clients => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn in_service_at(&self, place: u32) -> Vec<u32> {
+        let there = |host: &u32| self.site.hosts[*host as usize].place == place;
+        self.site.in_service().into_iter().filter(there).collect()
+    }
+
+    /// All that is not in a building.
+    fn outside(&self, building: u32) -> Vec<Post> {
+        let others = (1..=self.site.scenario.site.buildings).filter(|other| *other != building);
+        others.flat_map(|other| self.posts(&Side::Building(other))).chain([Post::Clients]).collect()
+    }
+
+    // ---- Links
+
+    pub(super) fn links(
+        &mut self,
+        now: Time,
+        (gateways, end): (&Which, &LinkEnd),
+        fault: &LinkFault,
+        span: Span,
+        rng: &mut Rng,
+    ) -> Result<()> {
+        // Links are there whether or not a process is.
+        let all: Vec<u32> = (0..self.site.gateways.len() as u32).collect();
+        let gateways = choose(gateways, all.len() as u32, all, rng);
+        let pairs = self.pairs(&gateways, end, rng);
+        let gaps = self.gaps_of(pairs.iter().copied());
+        self.open_gaps(&gaps);
+        match fault {
+            LinkFault::Reset => self.site.stage.reset_links(&pairs)?,
+            LinkFault::Flap(every) => {
+                self.flap(now, Flapping { pairs, every: *every, until: now + span })?;
+            }
+            lasting => self.site.stage.fail_links(&pairs, lasting, span)?,
+        }
+        self.plan(now + span, Step::Whole(gaps));
+        Ok(())
+    }
+
+    /// Who opens connections to whom on these links.
+    fn pairs(&self, gateways: &[u32], end: &LinkEnd, rng: &mut Rng) -> Vec<(Post, Post)> {
+        let gateways = gateways.iter().map(|gateway| Post::Gateway(*gateway));
+        match end {
+            LinkEnd::Clients => gateways.map(|gateway| (Post::Clients, gateway)).collect(),
+            LinkEnd::Counter => gateways.map(|gateway| (gateway, Post::Counter)).collect(),
+            // Each has its agent on its own machine.
+            LinkEnd::Discovery => gateways.map(|gateway| (gateway, gateway)).collect(),
+            LinkEnd::Hosts(which) => {
+                let hosts = self.hosts(which, rng);
+                let mut places: Vec<u32> =
+                    hosts.into_iter().map(|host| self.site.hosts[host as usize].place).collect();
+                places.sort_unstable();
+                places.dedup();
+                let to_all = |gateway| places.iter().map(move |place| (gateway, Post::Host(*place)));
+                gateways.flat_map(to_all).collect()
+            }
+        }
+    }
+
+    /// Cuts them once more, if there is time left.
+    pub(super) fn flap(&mut self, now: Time, flapping: Flapping) -> Result<()> {
+        if now >= flapping.until {
+            return Ok(());
+        }
+        let span = flapping.every.min(flapping.until - now);
+        self.site.stage.fail_links(&flapping.pairs, &LinkFault::Cut(LinkWay::Both), span)?;
+        self.plan(now.saturating_add(flapping.every.saturating_mul(2)), Step::Flap(flapping));
+        Ok(())
+    }
+
+    // ---- Processes
+
+    /// Lets a gateway's process stand still for so long.
+    pub(super) fn stop(&mut self, now: Time, gateway: u32, span: Span) {
+        let Some(incarnation) = self.site.gateways[gateway as usize].up else { return };
+        self.open_gaps(&[Gap::Still(gateway)]);
+        self.hold(gateway);
+        self.plan(now + span, Step::GoOn(gateway, incarnation, true));
+    }
+
+    /// Lets it run one part of so many of the time.
+    pub(super) fn slow_gateway(&mut self, now: Time, gateway: u32, times: f64, span: Span) {
+        let Some(incarnation) = self.site.gateways[gateway as usize].up else { return };
+        let still = (SLICE as f64 * (1.0 - 1.0 / times)) as Span;
+        self.slice(now, Slices { gateway, incarnation, still, until: now + span });
+    }
+
+    pub(super) fn slice(&mut self, now: Time, slices: Slices) {
+        let Slices { gateway, incarnation, still, until } = slices;
+        if now >= until || still == 0 || self.site.gateways[gateway as usize].up != Some(incarnation) {
+            return;
+        }
+        self.hold(gateway);
+        self.plan(now + still, Step::GoOn(gateway, incarnation, false));
+        self.plan(now + SLICE, Step::Slice(slices));
+    }
+
+    /// One more reason for a process to stand still.
+    fn hold(&mut self, gateway: u32) {
+        let reasons = &mut self.site.gateways[gateway as usize].stops;
+        *reasons += 1;
+        if *reasons == 1 {
+            self.site.stage.signal(gateway, Signal::Stop);
+        }
+    }
+
+    /// One reason less; `told`: the judge knows of it.
+    pub(super) fn go_on(&mut self, gateway: u32, incarnation: u32, told: bool) {
+        if told {
+            self.close_gaps(&[Gap::Still(gateway)]);
+        }
+        let post = &mut self.site.gateways[gateway as usize];
+        // Another life of it stands still for reasons of its own.
+        if post.up != Some(incarnation) || post.stops == 0 {
+            return;
+        }
+        post.stops -= 1;
+        if post.stops == 0 {
+            self.site.stage.signal(gateway, Signal::Continue);
+        }
+    }
+}
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -4,7 +4,7 @@
 
 use crate::stage::{lock, Exit, Post, Signal, Stage};
 use fennelbeam_env::{Env, Real, Span, Time};
-use fennelbeam_model::scenario::Site;
+use fennelbeam_model::scenario::{LinkFault, Site};
 use rustix::process::{kill_process, Pid, Signal as UnixSignal};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -173,6 +173,8 @@
             Signal::Reload => UnixSignal::HUP,
             Signal::Terminate => UnixSignal::TERM,
             Signal::Kill => UnixSignal::KILL,
+            Signal::Stop => UnixSignal::STOP,
+            Signal::Continue => UnixSignal::CONT,
         };
         // It may have ended just now.
         let _ = kill_process(running.pid, told);
@@ -186,12 +188,12 @@
         exits
     }
 
-    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64 {
+    fn cut(&mut self, a: &[Post], b: &[Post], _span: Span, reset: bool) -> io::Result<u64> {
         let cut: CutOff = pairs(a, b).chain(pairs(b, a)).collect();
         self.silence(&cut, true, reset);
         self.next_cut += 1;
         self.cuts.insert(self.next_cut, cut);
-        self.next_cut
+        Ok(self.next_cut)
     }
 
     fn heal(&mut self, cut: u64) {
@@ -200,6 +202,18 @@
         }
     }
 
+    fn fail_links(&mut self, _: &[(Post, Post)], _: &LinkFault, _: Span) -> io::Result<()> {
+        Err(io::Error::other("links fail only with --links"))
+    }
+
+    fn reset_links(&mut self, _: &[(Post, Post)]) -> io::Result<()> {
+        Err(io::Error::other("links fail only with --links"))
+    }
+
+    fn knows_when_sent(&self) -> bool {
+        false
+    }
+
     fn now(&self) -> Time {
         self.env.now()
     }
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -64,6 +64,8 @@
     pub ending: bool,
     /// It is to be started again as soon as it has ended.
     pub again: bool,
+    /// Reasons for its process to stand still.
+    pub stops: u32,
 }
 
 /// What is at work for a while, also on hosts that come meanwhile.
@@ -137,7 +139,7 @@
         let mut gateways = Vec::new();
         for gateway in 0..site.gateways {
             let agent = start_agent(&stage, &registry, gateway)?;
-            gateways.push(GatewayPost { agent, up: None, starts: 0, ending: false, again: false });
+            gateways.push(GatewayPost { agent, up: None, starts: 0, ending: false, again: false, stops: 0 });
         }
         let clients = Clients::start(
             stage.process(Post::Clients, "clients"),
@@ -188,6 +190,7 @@
         post.up = Some(incarnation);
         post.ending = false;
         post.again = false;
+        post.stops = 0;
         let known = self.known(gateway);
         // The list in its configuration tells a gateway of hosts as discovery does.
         known.iter().for_each(|known| self.registry.told(self.stage.now(), gateway, known));
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -2,6 +2,7 @@
 //! in one process; the real one starts the release program once per gateway on loopback sockets.
 
 use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_model::scenario::LinkFault;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
@@ -40,6 +41,10 @@
     Terminate,
     /// SIGKILL.
     Kill,
+    /// SIGSTOP.
+    Stop,
+    /// SIGCONT.
+    Continue,
 }
 
 /// Where a site is played.
@@ -71,12 +76,22 @@
     /// Processes of gateways that have ended since this was last asked.
     fn exits(&mut self) -> Vec<Exit>;
 
-    /// Parts two sides from one another; true: with resets. Gives a number to heal it by.
-    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64;
+    /// Parts two sides from one another; true: with resets. Gives a number to heal it by, so long after now.
+    fn cut(&mut self, a: &[Post], b: &[Post], span: Span, reset: bool) -> io::Result<u64>;
 
     /// Takes a cut away.
     fn heal(&mut self, cut: u64);
 
+    /// Something that lasts goes wrong for so long with the links on which each first opens connections to each
+    /// second. Flapping is not among it.
+    fn fail_links(&mut self, pairs: &[(Post, Post)], fault: &LinkFault, span: Span) -> io::Result<()>;
+
+    /// Resets the connections that each first has opened to each second.
+    fn reset_links(&mut self, pairs: &[(Post, Post)]) -> io::Result<()>;
+
+    /// Whether stand-ins know when what they read was sent.
+    fn knows_when_sent(&self) -> bool;
+
     /// Now.
     fn now(&self) -> Time;
 }
--- a/crates/rehearse/src/virtual_time.rs
+++ b/crates/rehearse/src/virtual_time.rs
@@ -4,8 +4,8 @@
 use anyhow::Result;
 use fennelbeam_env::{Env, Span, Time};
 use fennelbeam_gateway::{serve, Config, Operators};
-use fennelbeam_model::scenario::{NetworkSpec, Site};
-use fennelbeam_sim::{Cut, CutId, Machine, Place, ProcessId, Sim, SimConfig, SimEnv};
+use fennelbeam_model::scenario::{LinkFault, NetworkSpec, Site};
+use fennelbeam_sim::{Cut, CutId, Machine, MachineId, Place, ProcessId, Sim, SimConfig, SimEnv};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -17,6 +17,8 @@
 
 /// Where gateways listen on their machines.
 const PORT: u16 = 6379;
+/// Bytes.
+const KIB: f64 = 1024.0;
 
 /// A gateway's process, as it begins.
 pub struct GatewayStart {
@@ -78,6 +80,8 @@
     gateway: Option<GatewayMaker>,
     operators: Operators,
     buildings: u32,
+    /// Where the counter stands, from 0.
+    counter: u32,
     descriptors: usize,
     machines: Arc<Mutex<BTreeMap<Post, Machine>>>,
     running: BTreeMap<u32, Running>,
@@ -95,6 +99,7 @@
             gateway: None,
             operators: Operators::default(),
             buildings: site.buildings.max(1),
+            counter: site.counter.building - 1,
             descriptors: site.sockets as usize,
             machines: Arc::default(),
             running: BTreeMap::new(),
@@ -124,12 +129,16 @@
         let (name, place) = match post {
             Post::Gateway(number) => (format!("gateway {}", number + 1), place(number)),
             Post::Host(number) => (format!("host {}", number + 1), place(number)),
-            Post::Counter => ("counter".to_owned(), place(0)),
+            Post::Counter => ("counter".to_owned(), place(self.counter)),
             Post::Clients => ("clients".to_owned(), Place::Client),
         };
         lock(&self.machines).entry(post).or_insert_with(|| self.sim.machine(&name, place)).clone()
     }
 
+    fn machines(&self, pairs: &[(Post, Post)]) -> Vec<(MachineId, MachineId)> {
+        pairs.iter().map(|(a, b)| (self.machine(*a).id(), self.machine(*b).id())).collect()
+    }
+
     fn end(&mut self, gateway: u32) {
         let Some(running) = self.running.remove(&gateway) else { return };
         self.sim.kill(running.process);
@@ -188,6 +197,10 @@
     fn signal(&mut self, gateway: u32, signal: Signal) {
         let told = match signal {
             Signal::Kill => return self.end(gateway),
+            Signal::Stop | Signal::Continue => {
+                let running = self.running.get(&gateway);
+                return running.into_iter().for_each(|it| self.sim.stop(it.process, signal == Signal::Stop));
+            }
             Signal::Reload => fennelbeam_gateway::Signal::Reload,
             Signal::Terminate => fennelbeam_gateway::Signal::Terminate,
         };
@@ -201,13 +214,13 @@
         std::mem::take(&mut *lock(&self.exits))
     }
 
-    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64 {
+    fn cut(&mut self, a: &[Post], b: &[Post], _span: Span, reset: bool) -> io::Result<u64> {
         let ids = |side: &[Post]| side.iter().map(|post| self.machine(*post).id()).collect();
         let how = if reset { Cut::Reset } else { Cut::Silent };
         let cut = self.sim.cut(ids(a), ids(b), how);
         self.next_cut += 1;
         self.cuts.insert(self.next_cut, cut);
-        self.next_cut
+        Ok(self.next_cut)
     }
 
     fn heal(&mut self, cut: u64) {
@@ -216,6 +229,28 @@
         }
     }
 
+    fn fail_links(&mut self, pairs: &[(Post, Post)], fault: &LinkFault, span: Span) -> io::Result<()> {
+        let fault = match fault {
+            LinkFault::Hold(way) => fennelbeam_sim::LinkFault::Hold(*way),
+            LinkFault::Cut(way) => fennelbeam_sim::LinkFault::Cut(*way),
+            LinkFault::Slow(from, to) => fennelbeam_sim::LinkFault::Slow(*from, *to),
+            LinkFault::Narrow(rate) => fennelbeam_sim::LinkFault::Narrow(rate * KIB),
+            LinkFault::Reset | LinkFault::Flap(_) => return Ok(()),
+        };
+        let id = self.sim.begin_link(self.machines(pairs), fault);
+        self.sim.at(self.sim.now() + span, move |sim| sim.end_link(id));
+        Ok(())
+    }
+
+    fn reset_links(&mut self, pairs: &[(Post, Post)]) -> io::Result<()> {
+        self.sim.reset_links(&self.machines(pairs));
+        Ok(())
+    }
+
+    fn knows_when_sent(&self) -> bool {
+        true
+    }
+
     fn now(&self) -> Time {
         self.sim.now()
     }
--- /dev/null
+++ b/crates/rehearse/tests/proving.rs
@@ -0,0 +1,53 @@
+//! Links that fail, processes that stand still and buildings that go, in virtual time: no rule is broken, and each
+//! fault is seen to bite.
+
+use fennelbeam_model::file;
+use fennelbeam_rehearse::{play_virtual, Played, VirtualOptions};
+
+fn play(text: &str) -> Played {
+    let scenario = file::parse("test.scenario", text).unwrap();
+    let played = play_virtual(&scenario, 1, VirtualOptions::default()).unwrap();
+    assert_eq!(played.verdict.breaches, [], "{text}");
+    assert_eq!(played.verdict.notes, [""; 0], "{text}");
+    assert_eq!(played.troubles, [""; 0], "{text}");
+    played
+}
+
+/// Things served in this second, of all.
+fn served(played: &Played, second: usize) -> u32 {
+    played.verdict.timeline[second].served
+}
+
+/// What each fault does to a site of one gateway with all its work, in the two seconds from 3 s on.
+#[test]
+fn each_fault_of_links_and_processes_is_seen_and_passes() {
+    let faults = [
+        "links all gateways to the clients cut for 2 s",
+        "links all gateways to the clients hold answers for 2 s",
+        "links all gateways to all hosts cut calls for 2 s",
+        "links all gateways to all hosts cut answers for 2 s",
+        "links all gateways to all hosts hold for 2 s",
+        "links all gateways to all hosts narrow 0.1 KiB/s for 2 s",
+        "links all gateways to all hosts slow 2 s to 3 s for 2 s",
+        "stop all gateways for 2 s",
+        "cut off building 1 for 2 s",
+        "lose building 1 for 2 s",
+    ];
+    for fault in faults {
+        let played = play(&format!(
+            "scenario \"One fault\"\nlength 16 s\nsite\n gateways 1\n buildings 1\n hosts 4\n\
+             host cold 100 % for 0 s\ntraffic\n rate 40 requests/s\n retries 0\nat 3 s: {fault}"
+        ));
+        let during = served(&played, 4);
+        let (before, after) = (served(&played, 2), (10..16).map(|s| served(&played, s)).sum::<u32>() / 6);
+        assert!(during * 2 < before && after * 3 > before * 2, "{fault}: {before}, {during}, {after}");
+    }
+}
+
+#[test]
+fn hard_cases_of_links_processes_and_buildings_break_no_rule() {
+    for name in ["held-links", "one-way-cut", "stopped-gateway", "building-lost", "two-at-once"] {
+        let played = play(file::find(name).unwrap());
+        assert!(played.verdict.share_served > 0.6, "{name}: {}", played.verdict.share_served);
+    }
+}
--- a/crates/sim/src/executor.rs
+++ b/crates/sim/src/executor.rs
@@ -57,6 +57,9 @@
 /// A process, as the executor knows it.
 struct Runner {
     alive: bool,
+    /// It does not run; its tasks that could go on wait here in their order.
+    stopped: bool,
+    waiting: Vec<Key>,
     /// Polls at this instant.
     at: Time,
     polls: u64,
@@ -83,7 +86,7 @@
     }
 
     pub(crate) fn add_process(&mut self) {
-        self.runners.push(Runner { alive: true, at: 0, polls: 0 });
+        self.runners.push(Runner { alive: true, stopped: false, waiting: Vec::new(), at: 0, polls: 0 });
     }
 
     /// The bodies of all tasks of a process that has ended. One that is being polled goes after that.
@@ -94,6 +97,17 @@
         tasks.into_iter().filter_map(|key| self.all.remove(key)?.body).collect()
     }
 
+    /// Lets a process stand still, or go on; gives the tasks that have waited.
+    fn stop(&mut self, process: ProcessId, stopped: bool) -> Vec<Key> {
+        let runner = &mut self.runners[process.0 as usize];
+        runner.stopped = stopped;
+        if stopped {
+            Vec::new()
+        } else {
+            std::mem::take(&mut runner.waiting)
+        }
+    }
+
     fn begin(&mut self, key: Key, now: Time) -> Option<(ProcessId, Turn)> {
         let task = self.all.get_mut(key)?;
         let process = task.process;
@@ -102,6 +116,10 @@
             return Some((process, Turn::Drop(body)));
         }
         let runner = &mut self.runners[process.0 as usize];
+        if runner.stopped {
+            runner.waiting.push(key);
+            return None;
+        }
         if runner.at != now {
             runner.at = now;
             runner.polls = 0;
@@ -159,6 +177,12 @@
         waker.into_iter().for_each(Wake::wake);
     }
 
+    /// Lets a process stand still, or go on where it was.
+    pub(crate) fn stop(&self, process: ProcessId, stopped: bool) {
+        let waited = lock(&self.tasks).stop(process, stopped);
+        lock(&self.queue.0).extend(waited);
+    }
+
     /// Drops the tasks of a process.
     pub(crate) fn drop_tasks(&self, process: ProcessId) {
         let bodies = lock(&self.tasks).end_process(process);
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -41,6 +41,10 @@
 //! and what it opened can be accepted half a round later. A refusal takes a round trip. A request that finds
 //! the listener's queue full, no such machine, or a silent cut is lost, and sent again.
 //!
+//! Links from a machine that opens connections to one that accepts them may fail one way or both: hold what
+//! comes, lose it, carry it later or more slowly, or break. While one is cut either way no connection comes up on
+//! it; while one is held they do.
+//!
 //! A writer may have `window` bytes on their way or unread. Space shows at once to the writer when the reader
 //! reads, not half a round later: the one thing that travels faster than it should. Memory of systems for
 //! bytes beyond that, segments, acknowledgements and congestion are left out.
@@ -62,6 +66,7 @@
 pub use digest::{Packet, Peer, What};
 pub use env::{SimEnv, SimTask};
 pub use halt::Halt;
+pub use net::links::{LinkFault, LinkFaultId};
 pub use net::place::{Cut, CutId, MachineId, Place};
 pub use net::stream::{SimListener, SimReader, SimStream, SimWriter};
 pub use process::ProcessId;
--- a/crates/sim/src/net/connection.rs
+++ b/crates/sim/src/net/connection.rs
@@ -201,6 +201,8 @@
     last: Time,
     /// Something was lost; it is sent again after this time-out, which doubles, and all the rest after it.
     pub(crate) stalled: Option<Span>,
+    /// It waits until its link is held no more.
+    pub(crate) parked: bool,
     /// A reset is on its way, or has come.
     pub(crate) reset: bool,
 }
@@ -215,7 +217,7 @@
 
 impl Way {
     pub(crate) fn new(rng: Rng) -> Way {
-        Way { rng, flight: VecDeque::new(), bytes: 0, last: 0, stalled: None, reset: false }
+        Way { rng, flight: VecDeque::new(), bytes: 0, last: 0, stalled: None, parked: false, reset: false }
     }
 
     /// A delay with its jitter.
@@ -226,9 +228,18 @@
         delay + (delay as f64 * jitter * self.rng.unit()) as Span
     }
 
-    /// When something sent now arrives.
-    pub(crate) fn arrival(&mut self, now: Time, delay: Span, jitter: f64) -> Time {
-        self.last = self.last.max(now.saturating_add(self.draw(delay, jitter)));
+    /// When something sent now arrives, on a link that takes so much longer and carries so many bytes a second.
+    pub(crate) fn arrival(
+        &mut self,
+        now: Time,
+        delay: Span,
+        jitter: f64,
+        (longer, rate): (Span, Option<f64>),
+        bytes: usize,
+    ) -> Time {
+        let arrives = now.saturating_add(self.draw(delay, jitter)).saturating_add(longer);
+        let takes = rate.map_or(0, |rate| (bytes as f64 * 1e9 / rate) as Span);
+        self.last = self.last.max(arrives).saturating_add(takes);
         self.last
     }
 
--- a/crates/sim/src/net/faults.rs
+++ b/crates/sim/src/net/faults.rs
@@ -92,7 +92,7 @@
         if stalled {
             // None of it is on any wire, and nobody is left to send it again.
             self.clear_way(id);
-        } else if how == HangUp::Torn {
+        } else if how == HangUp::Torn && !self.is_parked(id) {
             self.tear(id);
         }
         self.send_reset(id);
@@ -171,7 +171,8 @@
         let sides = [a, b].map(|side| side.iter().copied().collect::<BTreeSet<_>>());
         self.cuts.insert(id, CutState { sides, how });
         if how == Cut::Reset {
-            self.sever();
+            let across = self.across_resets();
+            self.sever(&across);
         }
         id
     }
@@ -181,13 +182,22 @@
         self.cuts.remove(&id);
     }
 
-    /// Resets all connections across cuts that do so, at both ends.
-    fn sever(&mut self) {
+    fn is_parked(&self, id: EndId) -> bool {
+        self.conns.get(id.conn).is_some_and(|conn| conn.way(id.side).parked)
+    }
+
+    /// All connections across cuts that reset them.
+    fn across_resets(&self) -> Vec<Key> {
         let across = |conn: &Conn| match (conn.ends[0].machine, conn.ends[1].machine) {
             (Some(a), Some(b)) => !conn.asking && self.is_cut(a, b, Cut::Reset),
             _ => false,
         };
-        for conn in self.conns.keys_of(across) {
+        self.conns.keys_of(across)
+    }
+
+    /// Resets these connections at both ends; what is on its way is lost.
+    pub(super) fn sever(&mut self, conns: &[Key]) {
+        for conn in conns.iter().copied() {
             for side in Side::BOTH {
                 self.clear_way(EndId { conn, side });
             }
--- a/crates/sim/src/net/mod.rs
+++ b/crates/sim/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod connection;
 pub(crate) mod faults;
+pub(crate) mod links;
 mod opening;
 pub(crate) mod place;
 pub(crate) mod stream;
@@ -16,6 +17,7 @@
 use connection::{Conn, Side};
 use fennelbeam_env::{Span, Time};
 use fennelbeam_model::scenario::NetworkSpec;
+use links::{LinkFaultId, LinkState};
 use opening::ListenerState;
 use place::{CutId, CutState, MachineState};
 use std::collections::BTreeMap;
@@ -33,6 +35,7 @@
     pub(crate) processes: Vec<Process>,
     cuts: BTreeMap<CutId, CutState>,
     next_cut: u64,
+    links: BTreeMap<LinkFaultId, LinkState>,
     conns: Slab<Conn>,
     next_conn: u64,
     listeners: Slab<ListenerState>,
@@ -61,6 +64,7 @@
             processes: Vec::new(),
             cuts: BTreeMap::new(),
             next_cut: 0,
+            links: BTreeMap::new(),
             conns: Slab::new(),
             next_conn: 0,
             listeners: Slab::new(),
--- a/crates/sim/src/net/opening.rs
+++ b/crates/sim/src/net/opening.rs
@@ -135,7 +135,8 @@
             return Reception::Nothing;
         };
         let (Some(from), Some(to)) = (opener.machine, acceptor.machine) else { return Reception::Nothing };
-        if !self.passes(from, to) {
+        let is_cut = |conn| self.is_link_cut(conn, Side::Opener) || self.is_link_cut(conn, Side::Acceptor);
+        if !self.passes(from, to) || self.conns.get(key).is_some_and(is_cut) {
             return Reception::Nothing;
         }
         if self.is_cut(from, to, Cut::Reset) {
--- a/crates/sim/src/net/wire.rs
+++ b/crates/sim/src/net/wire.rs
@@ -21,12 +21,14 @@
 impl Room {
     /// Puts something on its way.
     pub(super) fn send(&mut self, id: EndId, what: What) {
+        let bytes = what.bytes().len();
+        let hindrance = self.hindrance(id.conn, bytes);
         let Some(conn) = self.conns.get_mut(id.conn) else { return };
         let delay = conn.delay;
         let way = conn.way_mut(id.side);
-        way.bytes += what.bytes().len();
-        let due = way.stalled.is_none().then(|| {
-            let at = way.arrival(self.now, delay, self.network.jitter);
+        way.bytes += bytes;
+        let due = (way.stalled.is_none() && !way.parked).then(|| {
+            let at = way.arrival(self.now, delay, self.network.jitter, hindrance, bytes);
             self.agenda.add(at, Event::Arrive(id.conn, id.side))
         });
         way.flight.push_back(Flying { due, sent: self.now, what });
@@ -34,12 +36,15 @@
 
     /// Something arrives from this side, if it does: what is between the machines at this moment decides.
     pub(super) fn arrive(&mut self, key: Key, from: Side) {
-        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Some(conn) = self.conns.get(key) else { return };
         let machines = (conn.ends[0].machine, conn.ends[1].machine);
         let (Some(a), Some(b)) = machines else { return };
-        if !self.passes(a, b) {
+        if !self.passes(a, b) || self.is_link_cut(conn, from) {
             return self.lose(EndId { conn: key, side: from });
         }
+        if self.is_held(conn, from) {
+            return self.park(EndId { conn: key, side: from });
+        }
         let Some(conn) = self.conns.get_mut(key) else { return };
         let way = conn.way_mut(from);
         let was_stalled = way.stalled.take().is_some();
@@ -88,6 +93,7 @@
         let way = conn.way_mut(id.side);
         way.bytes = 0;
         way.stalled = None;
+        way.parked = false;
         way.reset = false;
         for flying in way.flight.drain(..) {
             if let Some(due) = flying.due {
--- a/crates/sim/src/sim.rs
+++ b/crates/sim/src/sim.rs
@@ -4,6 +4,7 @@
 use crate::env::SimEnv;
 use crate::halt::Halt;
 use crate::net::faults::HangUp;
+use crate::net::links::{LinkFault, LinkFaultId};
 use crate::net::place::{Cut, CutId, MachineId, MachineState, Place};
 use crate::net::Next;
 use crate::panics;
@@ -97,6 +98,29 @@
         self.shared().drop_tasks(process);
     }
 
+    /// Lets a process stand still as SIGSTOP does, or go on as SIGCONT does. The clock goes on, timers fall due
+    /// and are seen late, and the system takes in connections and bytes as long as there is room.
+    pub fn stop(&self, process: ProcessId, stopped: bool) {
+        self.shared().stop(process, stopped);
+    }
+
+    /// Something goes wrong with the links from each first machine to each second one, where the first opened the
+    /// connection, until it is ended.
+    pub fn begin_link(&self, pairs: Vec<(MachineId, MachineId)>, fault: LinkFault) -> LinkFaultId {
+        self.shared().room(|room| room.begin_link(pairs, fault))
+    }
+
+    /// It is over.
+    pub fn end_link(&self, fault: LinkFaultId) {
+        self.shared().room(|room| room.end_link(fault));
+    }
+
+    /// Resets all connections that each first machine has opened to each second one, at both ends; what is on its
+    /// way is lost.
+    pub fn reset_links(&self, pairs: &[(MachineId, MachineId)]) {
+        self.shared().room(|room| room.reset_links(pairs));
+    }
+
     /// The name that a process was given.
     pub fn process_name(&self, process: ProcessId) -> String {
         self.shared().name_of(process)
--- a/crates/sim/tests/room/main.rs
+++ b/crates/sim/tests/room/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod halts;
 mod http;
+mod links;
 mod network;
 mod repeat;
 mod support;
