Play scenarios on real processes with a link between any two of them

--real started one process a gateway and could break almost nothing between them.

A run whose stand-ins came late by more than 50 ms, or whose gateways waited for a core, says that it was too slow to judge and fails.

The judge held a copy that was held up on its way, and came when a later one was out, for a second copy; it counts now from when it came.

--- a/crates/judge/src/ears.rs
+++ b/crates/judge/src/ears.rs
@@ -21,6 +21,8 @@
     news: BTreeMap<u32, Vec<Gap>>,
     /// By gateway and host.
     calls: BTreeMap<(u32, u32), Vec<Gap>>,
+    /// Hosts cannot tell when something was sent.
+    blind: bool,
 }
 
 fn turn(gaps: &mut Vec<Gap>, at: Time, begins: bool, later: Time) {
@@ -45,7 +47,8 @@
     }
 
     /// What a gateway sends to a host comes there late, or as usual again.
-    pub(crate) fn calls_late(&mut self, at: Time, gateway: u32, host: u32, late: bool) {
+    pub(crate) fn calls_late(&mut self, at: Time, (gateway, host): (u32, u32), late: bool, blind: bool) {
+        self.blind |= blind;
         turn(self.calls.entry((gateway, host)).or_default(), at, late, ALLOWANCE);
     }
 
@@ -61,10 +64,16 @@
 
     /// When a command may have been sent whose first byte a host saw at `first_byte`.
     pub(crate) fn sent(&self, gateway: u32, host: u32, first_byte: Time) -> Time {
-        let gaps = self.calls.get(&(gateway, host)).into_iter().flatten();
+        let gaps = self.calls.get(&(gateway, host)).into_iter().flatten().filter(|_| self.blind);
         let here = gaps.filter(|gap| (gap.from..=gap.caught_up).contains(&first_byte));
         here.map(|gap| gap.from).min().unwrap_or(first_byte)
     }
+
+    /// Whether the end of an attempt that was out from `from` to `to` may have come late to its host.
+    pub(crate) fn is_end_late(&self, gateway: u32, host: u32, from: Time, to: Time) -> bool {
+        let mut gaps = self.calls.get(&(gateway, host)).into_iter().flatten();
+        gaps.any(|gap| gap.from <= to && from <= gap.caught_up)
+    }
 }
 
 #[cfg(test)]
@@ -90,8 +99,8 @@
     #[test]
     fn what_comes_out_of_a_gap_may_have_been_sent_at_its_beginning() {
         let mut ears = Ears::default();
-        ears.calls_late(100, 1, 2, true);
-        ears.calls_late(200, 1, 2, false);
+        ears.calls_late(100, (1, 2), true, true);
+        ears.calls_late(200, (1, 2), false, true);
         let after = 200 + ALLOWANCE;
         let cases = [
             (1, 2, 99, 99),
@@ -103,5 +112,8 @@
         for (gateway, host, first_byte, wanted) in cases {
             assert_eq!(ears.sent(gateway, host, first_byte), wanted, "{gateway} {host} {first_byte}");
         }
+        let late = |host, from, to| ears.is_end_late(1, host, from, to);
+        assert!(late(2, 50, 100) && late(2, after, after + 5));
+        assert!(!late(2, 50, 99) && !late(2, after + 1, after + 5) && !late(3, 100, 200));
     }
 }
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -142,7 +142,9 @@
                 return self.ears.stopped(at, gateway, stopped);
             }
             What::NewsCut { gateway, cut } => return self.ears.news_cut(at, gateway, cut),
-            What::CallsLate { gateway, host, late } => return self.ears.calls_late(at, gateway, host, late),
+            What::CallsLate { gateway, host, late, blind } => {
+                return self.ears.calls_late(at, (gateway, host), late, blind);
+            }
             What::GatewayDown { gateway, meant } => {
                 self.gateways.down(at, gateway);
                 if !meant {
@@ -399,7 +401,7 @@
 
     fn out(&mut self, now: Time, id: u64, host: u32, gateway: u32) -> bool {
         let Some(request) = self.tries.get_mut(&id) else { return false };
-        let known = effects::out(now, request, host, gateway, &mut self.log);
+        let known = effects::out(now, request, (host, gateway), &self.ears, &mut self.log);
         if known {
             self.quotas.back(request.customer);
         }
@@ -416,7 +418,7 @@
                 self.judge_lost(at, id);
             }
         }
-        self.tries.values().for_each(|request| effects::finish(end, request, &mut self.log));
+        self.tries.values().for_each(|request| effects::finish(end, request, &self.ears, &mut self.log));
         self.cold.finish(&mut self.log);
         self.note_unmatched();
         self.verdict(end)
--- a/crates/judge/tests/judge/effects.rs
+++ b/crates/judge/tests/judge/effects.rs
@@ -121,6 +121,25 @@
     assert_eq!(broken(None), [Rule::NothingTwice]);
 }
 
+#[test]
+fn a_copy_that_was_held_up_on_its_way_may_come_after_a_later_one_and_ends_as_it_comes() {
+    let site = Site { second_copies: false, ..Site::default() };
+    let id = first(1);
+    let broken = |out_ms: u64, late: bool| {
+        let mut day = Day::default();
+        let calls =
+            |late| fennelbeam_model::seen::What::CallsLate { gateway: 0, host: 0, late, blind: false };
+        day.ask(0, read(id)).receive(500, id, 1);
+        // Sent at 10 ms; the other was sent when this one had been withdrawn.
+        day.see(550, calls(late)).receive_sent(10, 600, id, 0);
+        day.done(800, id, 1, Dealt::Served).answer(801, id, SERVED);
+        day.done(out_ms, id, 0, Dealt::Unheard).broken_at(&site)
+    };
+    assert_eq!(broken(650, false), []);
+    assert_eq!(broken(651, false), [Rule::NothingTwice]);
+    assert_eq!(broken(900, true), [], "its end was on its way all the time");
+}
+
 #[test]
 fn the_end_of_a_connection_may_be_on_its_way_when_the_run_ends() {
     let site = Site { second_copies: false, ..Site::default() };
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -238,8 +238,8 @@
         /// It fails.
         cut: bool,
     },
-    /// What a gateway sends may come late to a host from now on, or comes as usual again. Only where a host
-    /// cannot tell when it was sent.
+    /// What a gateway sends may come late to a host from now on, or comes as usual again: also the end of a
+    /// connection, by which a host learns that an attempt is withdrawn.
     CallsLate {
         /// The gateway.
         gateway: u32,
@@ -247,6 +247,8 @@
         host: u32,
         /// It may come late.
         late: bool,
+        /// The host cannot tell when it was sent.
+        blind: bool,
     },
     /// An event of the scenario, in words.
     Event {
--- a/crates/rehearse/examples/quota_table.rs
+++ b/crates/rehearse/examples/quota_table.rs
@@ -25,7 +25,13 @@
     let played = match program {
         None => play_virtual(scenario, seed, VirtualOptions::default()),
         Some(program) => {
-            let options = RealOptions { program: program.to_owned(), logs: None, progress: None };
+            let options = RealOptions {
+                program: program.to_owned(),
+                launcher: None,
+                links: false,
+                logs: None,
+                progress: None,
+            };
             play_real(scenario, seed, options)
         }
     };
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -48,6 +48,8 @@
     Heal(u64, Vec<Gap>),
     /// Gaps of links that are whole again.
     Whole(Vec<Gap>),
+    /// A building that was lost comes back: connections of clients to it are none.
+    Drop(u32),
     /// Links are cut again.
     Flap(Flapping),
     /// A gateway, in this process of it, has one reason less to stand still; true: the judge was told of it.
@@ -137,6 +139,7 @@
                 self.close_gaps(&gaps);
             }
             Step::Whole(gaps) => self.close_gaps(&gaps),
+            Step::Drop(building) => self.drop_connections(building)?,
             Step::Flap(flapping) => self.flap(now, flapping)?,
             Step::GoOn(gateway, incarnation, told) => self.go_on(gateway, incarnation, told),
             Step::Slice(slices) => self.slice(now, slices),
@@ -307,7 +310,7 @@
     fn reload_gateway(&mut self, now: Time, gateway: u32) -> Result<()> {
         self.site.move_agent(gateway)?;
         let incarnation = self.site.gateways[gateway as usize].up.unwrap_or(0);
-        let document = self.site.document(gateway, incarnation, self.site.known(gateway).as_ref());
+        let document = self.site.document(gateway, incarnation, self.site.known(gateway).as_ref())?;
         self.site.stage.replace_document(gateway, &document)?;
         self.signal(now, gateway, Signal::Reload);
         Ok(())
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -13,5 +13,6 @@
 mod virtual_time;
 
 pub use play::{play_real, play_virtual, OnPacket, Played, Progress, RealOptions, VirtualOptions};
-pub use swarm::{only, random_scenario, shrink, Found, Swarm};
+pub use real::become_gateway;
+pub use swarm::{only, random_fleet, random_scenario, shrink, Found, Ground, Swarm};
 pub use virtual_time::{Document, GatewayMaker, GatewayStart, GatewayTask};
--- /dev/null
+++ b/crates/rehearse/src/real/lag.rs
@@ -0,0 +1,82 @@
+//! Whether the machine was quick enough for a run to be judged.
+
+use fennelbeam_env::{Span, Time};
+use fennelbeam_model::MS;
+
+/// Stand-ins, clients and judge share a thread. When it comes late by more than the rules allow sockets for
+/// (`fennelbeam_judge`: 50 ms), what they saw cannot be told from what gateways did.
+const MOST_LATE: Span = 50 * MS;
+/// A gateway that could have run but waited for a core for more than this share of a second was not judged either.
+const MOST_WAITING: f64 = 0.5;
+
+/// The worst that was seen of the machine itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Lag {
+    late: Span,
+    /// Share of a second, and which gateway.
+    waiting: (f64, u32),
+    last: Option<Time>,
+}
+
+impl Lag {
+    /// The thread that plays has come round once more; it means to each `beat`.
+    pub fn beat(&mut self, now: Time, beat: Span) {
+        let due = self.last.map_or(now, |last| last.saturating_add(beat));
+        self.late = self.late.max(now.saturating_sub(due));
+        self.last = Some(now);
+    }
+
+    /// A gateway has waited for a core for this share of the time since it was last looked at.
+    pub fn waited(&mut self, gateway: u32, share: f64) {
+        if share > self.waiting.0 {
+            self.waiting = (share, gateway);
+        }
+    }
+
+    /// The longest that the thread that plays came late, in nanoseconds.
+    pub fn late(&self) -> Span {
+        self.late
+    }
+
+    /// Why the run cannot be judged, if it cannot.
+    pub fn too_slow(&self) -> Option<String> {
+        if self.late > MOST_LATE {
+            let (late, most) = (self.late / MS, MOST_LATE / MS);
+            return Some(format!(
+                "too slow to judge: stand-ins came {late} ms late, and {most} ms is the most"
+            ));
+        }
+        let (share, gateway) = self.waiting;
+        (share > MOST_WAITING).then(|| {
+            let (share, gateway) = ((share * 100.0).round(), gateway + 1);
+            let most = MOST_WAITING * 100.0;
+            format!(
+                "too slow to judge: gateway {gateway} waited for a core for {share} % of a second, and {most} % is the most"
+            )
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_run_on_a_machine_that_came_late_or_gave_no_core_says_so() {
+        let run = |late: Span, waited: f64| {
+            let mut lag = Lag::default();
+            lag.beat(0, 10 * MS);
+            lag.beat(10 * MS + late, 10 * MS);
+            lag.beat(20 * MS + late, 10 * MS);
+            lag.waited(3, waited);
+            lag.waited(2, 0.1);
+            lag.too_slow()
+        };
+        assert_eq!(run(MOST_LATE, MOST_WAITING), None);
+        let late = "too slow to judge: stand-ins came 51 ms late, and 50 ms is the most";
+        assert_eq!(run(51 * MS, 0.0).as_deref(), Some(late));
+        let waited =
+            "too slow to judge: gateway 4 waited for a core for 60 % of a second, and 50 % is the most";
+        assert_eq!(run(0, 0.6).as_deref(), Some(waited));
+    }
+}
--- /dev/null
+++ b/crates/rehearse/src/real/wires.rs
@@ -0,0 +1,230 @@
+//! The links of a real stage: one for each pair of processes that speak, by which each way takes its time and each
+//! fault of a scenario acts on real sockets.
+
+use crate::stage::{lock, Post};
+use fennelbeam_env::Span;
+use fennelbeam_links::{Entry, Fault, LinkId, LinkSet, LinkSpec, Messages, Moment, Plan, Settings, Way, Who};
+use fennelbeam_model::scenario::{LinkFault, LinkWay, Site};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Bytes of a KiB.
+const KIB: f64 = 1024.0;
+
+/// Who opens connections to whom.
+pub(super) type Pair = (Post, Post);
+
+/// All links of a stage.
+pub(super) struct Wires {
+    set: LinkSet,
+    site: Site,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// By pair and by where it leads: where it listens.
+    links: BTreeMap<(Pair, SocketAddr), (LinkId, SocketAddr)>,
+    /// What is wrong, for links that come meanwhile.
+    wrong: Vec<Wrong>,
+}
+
+struct Wrong {
+    pairs: Vec<Pair>,
+    fault: Fault,
+    until: Instant,
+}
+
+impl Wires {
+    /// No links yet.
+    pub fn new(site: &Site, seed: u64, descriptors: usize) -> io::Result<Wires> {
+        let queue = site.network.window as usize;
+        let settings = Settings { seed, descriptors, queue, ..Settings::default() };
+        let set = LinkSet::start(settings).map_err(io::Error::other)?;
+        Ok(Wires { set, site: site.clone(), state: Mutex::default() })
+    }
+
+    /// Where the first of a pair reaches the second, which listens at `target`. The same each time.
+    pub fn reach(&self, pair: Pair, target: SocketAddr) -> io::Result<SocketAddr> {
+        let mut state = lock(&self.state);
+        if let Some((_, address)) = state.links.get(&(pair, target)) {
+            return Ok(*address);
+        }
+        let name = format!("{:?} to {:?}", pair.0, pair.1);
+        let spec = LinkSpec::to(&name, target).messages(Messages::None);
+        let (link, address) = self.set.add(spec).map_err(io::Error::other)?;
+        state.links.insert((pair, target), (link, address));
+        let delay = self.delay(pair).map(|fault| entry(link, fault, None));
+        let now = Instant::now();
+        state.wrong.retain(|wrong| wrong.until > now);
+        let wrong = state.wrong.iter().filter(|wrong| wrong.pairs.contains(&pair));
+        let wrong = wrong.map(|wrong| entry(link, wrong.fault.clone(), Some(wrong.until - now)));
+        self.plan(delay.into_iter().chain(wrong))?;
+        Ok(address)
+    }
+
+    /// What the network itself takes; nothing within a machine.
+    fn delay(&self, (a, b): Pair) -> Option<Fault> {
+        if a == b {
+            return None;
+        }
+        let network = &self.site.network;
+        let one_way = match (self.building(a), self.building(b)) {
+            (Some(one), Some(two)) if one == two => network.same,
+            (Some(_), Some(_)) => network.cross,
+            _ => network.client,
+        };
+        let jitter = Duration::from_nanos((one_way as f64 * network.jitter) as u64);
+        Some(Fault::Delay { way: Way::Both, base: Duration::from_nanos(one_way), jitter })
+    }
+
+    fn building(&self, post: Post) -> Option<u32> {
+        let buildings = self.site.buildings.max(1);
+        match post {
+            Post::Gateway(number) | Post::Host(number) => Some(number % buildings),
+            Post::Counter => Some(self.site.counter.building - 1),
+            Post::Clients => None,
+        }
+    }
+
+    /// Something that lasts is wrong for so long, also with links of these pairs that come meanwhile.
+    pub fn fail(&self, pairs: &[Pair], fault: &LinkFault, span: Span) -> io::Result<()> {
+        let Some(fault) = lasting(fault) else { return Ok(()) };
+        let span = Some(Duration::from_nanos(span));
+        self.begin(pairs, &fault, span)?;
+        if matches!(fault, Fault::Cut { .. }) {
+            // Opening takes both ways.
+            self.begin(pairs, &Fault::Unanswered, span)?;
+        }
+        Ok(())
+    }
+
+    /// Resets the connections that there are.
+    pub fn reset(&self, pairs: &[Pair]) -> io::Result<()> {
+        self.begin(pairs, &Fault::Reset, None)
+    }
+
+    /// Parts two sides for so long.
+    pub fn cut(&self, a: &[Post], b: &[Post], span: Span, reset: bool) -> io::Result<()> {
+        let both = a.iter().flat_map(|a| b.iter().flat_map(|b| [(*a, *b), (*b, *a)]));
+        let pairs: Vec<Pair> = both.filter(|(a, b)| a != b).collect();
+        let span = Some(Duration::from_nanos(span));
+        if !reset {
+            self.begin(&pairs, &Fault::Cut { way: Way::Both }, span)?;
+            return self.begin(&pairs, &Fault::Unanswered, span);
+        }
+        self.begin(&pairs, &Fault::Reset, None)?;
+        self.begin(&pairs, &Fault::Refuse, span)
+    }
+
+    /// All at once, by one word to the thread of the links: they may be hundreds.
+    fn begin(&self, pairs: &[Pair], fault: &Fault, lasts: Option<Duration>) -> io::Result<()> {
+        let mut state = lock(&self.state);
+        let meant = state.links.iter().filter(|((pair, _), _)| pairs.contains(pair));
+        self.plan(meant.map(|(_, (link, _))| entry(*link, fault.clone(), lasts)))?;
+        if let Some(lasts) = lasts {
+            let until = Instant::now() + lasts;
+            state.wrong.push(Wrong { pairs: pairs.to_vec(), fault: fault.clone(), until });
+        }
+        Ok(())
+    }
+
+    fn plan(&self, entries: impl Iterator<Item = Entry>) -> io::Result<()> {
+        let plan = entries.fold(Plan::new(), Plan::entry);
+        if plan.entries().is_empty() {
+            return Ok(());
+        }
+        self.set.plan(plan).map_err(io::Error::other)
+    }
+}
+
+/// At once, on all connections.
+fn entry(link: LinkId, fault: Fault, lasts: Option<Duration>) -> Entry {
+    Entry { link, when: Moment::At(Duration::ZERO), who: Who::Every, fault: Some(fault), lasts }
+}
+
+fn way(way: LinkWay) -> Way {
+    match way {
+        LinkWay::Both => Way::Both,
+        LinkWay::Calls => Way::Calls,
+        LinkWay::Answers => Way::Answers,
+    }
+}
+
+/// In the words of the links; nothing of what happens at one moment.
+fn lasting(fault: &LinkFault) -> Option<Fault> {
+    Some(match fault {
+        LinkFault::Hold(held) => Fault::Hold { way: way(*held) },
+        LinkFault::Cut(cut) => Fault::Cut { way: way(*cut) },
+        LinkFault::Slow(from, to) => Fault::Delay {
+            way: Way::Both,
+            base: Duration::from_nanos(*from),
+            jitter: Duration::from_nanos(to.saturating_sub(*from)),
+        },
+        LinkFault::Narrow(rate) => Fault::Rate { way: Way::Both, bytes_per_s: (rate * KIB) as u64 },
+        LinkFault::Reset | LinkFault::Flap(_) => return None,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{ErrorKind, Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    const PAIR: Pair = (Post::Gateway(0), Post::Counter);
+
+    /// Whether a byte comes through a link to `target`, asked for once more and within 0.3 s.
+    fn passes(wires: &Wires, pair: Pair, target: &TcpListener) -> bool {
+        let address = wires.reach(pair, target.local_addr().unwrap()).unwrap();
+        target.set_nonblocking(true).unwrap();
+        let until = Instant::now() + Duration::from_millis(300);
+        let Ok(mut near) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) else {
+            return false;
+        };
+        if near.write_all(b"x").is_err() {
+            return false;
+        }
+        while Instant::now() < until {
+            match target.accept() {
+                Ok((mut far, _)) => {
+                    far.set_nonblocking(false).unwrap();
+                    far.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+                    return far.read_exact(&mut [0]).is_ok();
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => std::thread::yield_now(),
+                Err(error) => panic!("{error}"),
+            }
+        }
+        false
+    }
+
+    #[test]
+    fn what_is_wrong_with_a_pair_is_wrong_with_links_that_come_later_and_with_no_other_pair() {
+        let wires = Wires::new(&Site::default(), 1, 100).unwrap();
+        let [old, new, other] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+        assert!(passes(&wires, PAIR, &old));
+        wires.cut(&[PAIR.0], &[PAIR.1], 3_600_000_000_000, false).unwrap();
+        assert!(!passes(&wires, PAIR, &old));
+        assert!(!passes(&wires, PAIR, &new), "it came while the pair was cut");
+        assert!(passes(&wires, (Post::Gateway(1), Post::Counter), &other));
+    }
+
+    #[test]
+    fn ways_within_a_building_between_buildings_and_from_clients_take_their_times() {
+        let site = Site { buildings: 3, ..Site::default() };
+        let wires = Wires::new(&site, 1, 100).unwrap();
+        let us = |a, b| match wires.delay((a, b)) {
+            Some(Fault::Delay { base, .. }) => base.as_micros(),
+            _ => 0,
+        };
+        assert_eq!(us(Post::Gateway(0), Post::Host(3)), 200);
+        assert_eq!(us(Post::Gateway(0), Post::Host(1)), 1000);
+        assert_eq!(us(Post::Gateway(3), Post::Counter), 200);
+        assert_eq!(us(Post::Clients, Post::Gateway(0)), 600);
+        assert_eq!(us(Post::Gateway(0), Post::Gateway(0)), 0);
+    }
+}
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -18,6 +18,7 @@
 use fennelbeam_standins::Recorder;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 
 /// Connections that the front has to a gateway at the most: the platform's clients hold a third of the
@@ -30,6 +31,8 @@
     pub id: String,
     /// The machine that it stands on: the number of the host that first stood there.
     pub place: u32,
+    /// Where it listens for each gateway.
+    pub listen: Vec<SocketAddr>,
     /// Where each gateway reaches it.
     pub addrs: Vec<SocketAddr>,
     /// The running stand-in; `None`: it is gone.
@@ -141,6 +144,11 @@
             let agent = start_agent(&stage, &registry, gateway)?;
             gateways.push(GatewayPost { agent, up: None, starts: 0, ending: false, again: false, stops: 0 });
         }
+        let doors = (0..site.gateways).map(|gateway| {
+            let listens = stage.gateway_address(gateway);
+            stage.reach(Post::Clients, Post::Gateway(gateway), listens)
+        });
+        let doors = doors.collect::<io::Result<Vec<_>>>()?;
         let clients = Clients::start(
             stage.process(Post::Clients, "clients"),
             ClientConfig {
@@ -148,7 +156,7 @@
                 traffic: scenario.traffic.clone(),
                 draws: draws.clone(),
                 seed,
-                gateways: (0..site.gateways).map(|gateway| stage.gateway_address(gateway)).collect(),
+                gateways: doors,
                 scales: Scale::of(&scenario.events),
                 start,
                 length: scenario.length,
@@ -194,7 +202,7 @@
         let known = self.known(gateway);
         // The list in its configuration tells a gateway of hosts as discovery does.
         known.iter().for_each(|known| self.registry.told(self.stage.now(), gateway, known));
-        let document = self.document(gateway, incarnation, known.as_ref());
+        let document = self.document(gateway, incarnation, known.as_ref())?;
         self.stage
             .start_gateway(gateway, incarnation, &document)
             .with_context(|| format!("cannot start gateway {}", gateway + 1))?;
@@ -208,18 +216,19 @@
     }
 
     /// The configuration document of a gateway that knows this list.
-    pub fn document(&self, gateway: u32, incarnation: u32, known: Option<&Line>) -> Value {
+    pub fn document(&self, gateway: u32, incarnation: u32, known: Option<&Line>) -> Result<Value> {
         let known = known.and_then(|list| serde_json::from_str(&list.text).ok());
         let mut rng = Rng::stream(self.seed, "gateway", u64::from(gateway) << 32 | u64::from(incarnation));
+        let post = Post::Gateway(gateway);
         let start = Start {
             name: format!("n{gateway}"),
             listen: self.stage.gateway_address(gateway),
-            discovery: self.gateways[gateway as usize].agent.addr(),
-            counter: self.counter.addrs()[gateway as usize],
+            discovery: self.stage.reach(post, post, self.gateways[gateway as usize].agent.addr())?,
+            counter: self.stage.reach(post, Post::Counter, self.counter.addrs()[gateway as usize])?,
             seed: rng.bits(),
             known: known.unwrap_or_else(|| json!({"generation": 0, "reset": true, "instances": []})),
         };
-        document(&self.scenario, gateway, &start)
+        Ok(document(&self.scenario, gateway, &start))
     }
 
     /// Moves a gateway's agent to another address; the old one closes a while later.
@@ -233,7 +242,7 @@
     /// A new host comes, cold; at a place where another was, or at one of its own.
     pub fn add_host(&mut self, place: Option<u32>) -> Result<u32> {
         let number = self.hosts.len() as u32;
-        let addrs = place.map_or(Vec::new(), |old| self.hosts[old as usize].addrs.clone());
+        let addrs = place.map_or(Vec::new(), |old| self.hosts[old as usize].listen.clone());
         let place = place.map_or(number, |old| self.hosts[old as usize].place);
         let host = self.maker().host(&self.stage, number, place, &addrs, true)?;
         self.hosts.push(host);
@@ -245,7 +254,7 @@
     /// A host's process starts anew where it was, cold.
     pub fn restart_host(&mut self, number: u32) -> Result<()> {
         let old = &self.hosts[number as usize];
-        let (place, addrs, id) = (old.place, old.addrs.clone(), old.id.clone());
+        let (place, addrs, id) = (old.place, old.listen.clone(), old.id.clone());
         let mut host = self.maker().host(&self.stage, number, place, &addrs, true)?;
         host.id = id;
         self.hosts[number as usize] = host;
@@ -329,10 +338,12 @@
         };
         let started_ms = if cold { stage.now() / MS } else { 0 };
         let running = HostStandIn::start(stage.process(post, &format!("host {}", number + 1)), config)?;
-        let addrs = running.addrs();
+        let listen = running.addrs();
+        let reached = |(gateway, at): (u32, &SocketAddr)| stage.reach(Post::Gateway(gateway), post, *at);
+        let addrs = (0..).zip(&listen).map(reached).collect::<io::Result<Vec<_>>>()?;
         let id = format!("s-{:08x}", Rng::stream(self.seed, "host id", u64::from(number)).bits() as u32);
         let (draining, missed, slow) = (false, false, Vec::new());
-        Ok(Machine { id, place, addrs, running: Some(running), draining, missed, slow, started_ms })
+        Ok(Machine { id, place, listen, addrs, running: Some(running), draining, missed, slow, started_ms })
     }
 }
 
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -61,6 +61,11 @@
     /// Where a gateway listens, the same after each start.
     fn gateway_address(&self, gateway: u32) -> SocketAddr;
 
+    /// Where the first of two machines reaches the second, which listens at this address.
+    fn reach(&self, _from: Post, _to: Post, address: SocketAddr) -> io::Result<SocketAddr> {
+        Ok(address)
+    }
+
     /// The way that messages of a stand-in at this machine take beside what the network does by itself.
     fn lag(&self, post: Post) -> Span;
 
