Start eight processes, cut a building off, and kill a rehearsal: nothing is broken, nothing is left

Tests of the program itself, in one that starts itself as a gateway's launcher and as the rehearsal that is killed.

--- /dev/null
+++ b/crates/fennelbeam/tests/fleet.rs
@@ -0,0 +1,196 @@
+//! Several processes of the program, links between them that fail, and one judge.
+//!
+//! A program of its own, without the usual harness: gateways begin by way of it, and one test needs a rehearsal in a
+//! process that can be killed. Words that are no flags choose tests by a part of their names.
+
+use fennelbeam_model::file;
+use fennelbeam_model::scenario::Scenario;
+use fennelbeam_rehearse::{become_gateway, play_real, play_virtual, Played, RealOptions, VirtualOptions};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// The word by which this program is the rehearsal that is killed.
+const RUNNER: &str = "--runner";
+/// A run that the machine was too slow for says nothing; it is played again, so often in all.
+const PLAYS: usize = 4;
+/// Things happen within this, however slow the machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Eight gateways in two buildings; one of the buildings is cut off and back, and it holds the counter.
+const FLEET: &str = "
+scenario \"A building is cut off and back\"
+length 9 s
+site
+  gateways 8
+  hosts 6
+  buildings 2
+  counter building 2
+traffic
+  rate 40 requests/s
+  retries 0
+at 2.5 s: cut off building 2 for 3 s
+";
+
+fn main() {
+    if let Err(error) = become_gateway() {
+        panic!("cannot become a gateway: {error}");
+    }
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    if words.first().is_some_and(|word| word == RUNNER) {
+        let _ = play(FLEET);
+        return;
+    }
+    let tests: [(&str, fn()); 3] = [
+        ("a_fleet_bears_a_building_cut_off_and_back", a_fleet_bears_a_building_cut_off_and_back),
+        ("faults_of_links_and_processes_bite_real_ones", faults_of_links_and_processes_bite_real_ones),
+        ("a_killed_rehearsal_leaves_nothing", a_killed_rehearsal_leaves_nothing),
+    ];
+    let chosen: Vec<&String> = words.iter().filter(|word| !word.starts_with('-')).collect();
+    for (name, test) in tests {
+        if chosen.is_empty() || chosen.iter().any(|part| name.contains(part.as_str())) {
+            let begun = Instant::now();
+            test();
+            println!("test {name} ... ok ({:.1} s)", begun.elapsed().as_secs_f64());
+        }
+    }
+}
+
+fn read(text: &str) -> Scenario {
+    file::parse("fleet.scenario", text).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn play(text: &str) -> Played {
+    let options = RealOptions {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_fennelbeam")),
+        launcher: Some(std::env::current_exe().unwrap()),
+        links: true,
+        logs: None,
+        progress: None,
+    };
+    play_real(&read(text), 1, options).unwrap_or_else(|error| panic!("{error:#}"))
+}
+
+/// A run that could be judged, and broke nothing.
+fn judged(text: &str) -> Played {
+    for _ in 0..PLAYS {
+        let played = play(text);
+        match &played.too_slow {
+            Some(slow) => println!("{slow}"),
+            None => {
+                assert_eq!(played.verdict.breaches, []);
+                assert_eq!(played.verdict.notes, [""; 0]);
+                assert_eq!(played.troubles, [""; 0]);
+                return played;
+            }
+        }
+    }
+    panic!("the machine was too slow {PLAYS} times");
+}
+
+/// Tries served in the aim within these seconds.
+fn served(played: &Played, seconds: std::ops::Range<usize>) -> u32 {
+    played.verdict.timeline[seconds].iter().map(|second| second.served).sum()
+}
+
+fn a_fleet_bears_a_building_cut_off_and_back() {
+    let real = judged(FLEET);
+    let virtual_time = play_virtual(&read(FLEET), 1, VirtualOptions::default()).unwrap();
+    for played in [&real, &virtual_time] {
+        // Half of the gateways reach nobody while it lasts.
+        let (cut, whole) = (served(played, 3..5), served(played, 7..9));
+        assert!(cut * 4 < whole * 3, "{cut} while it lasts, {whole} after it");
+    }
+    let shares = (real.verdict.share_served, virtual_time.verdict.share_served);
+    assert!((shares.0 - shares.1).abs() < 0.1, "{shares:?}");
+}
+
+fn faults_of_links_and_processes_bite_real_ones() {
+    let played = judged(
+        "scenario \"One after another\"
+        length 17 s
+        site
+          gateways 3
+          hosts 4
+          host cold 100 % for 0 s
+        traffic
+          rate 40 requests/s
+          retries 0
+        at 2 s: links all gateways to all hosts cut answers for 2 s
+        at 6 s: stop all gateways for 2 s
+        at 10 s: links all gateways to the clients hold answers for 2 s
+        at 14 s: links all gateways to all hosts reset
+        at 14 s: slow all gateways x 3 for 2 s",
+    );
+    let usual = served(&played, 1..2).max(served(&played, 5..6));
+    // The second second of each fault.
+    for fault in [3, 7, 11] {
+        let there = served(&played, fault..fault + 1);
+        assert!(there * 3 < usual, "{there} in second {fault}, else {usual}");
+    }
+    assert!(served(&played, 16..17) * 2 > usual);
+}
+
+/// Processes whose parent is this one.
+fn children(parent: u32) -> BTreeSet<u32> {
+    let mut found = BTreeSet::new();
+    for entry in std::fs::read_dir("/proc").unwrap().flatten() {
+        let Some(pid) = entry.file_name().to_str().and_then(|name| name.parse::<u32>().ok()) else {
+            continue;
+        };
+        // It may be gone by now.
+        let Ok(stat) = std::fs::read_to_string(entry.path().join("stat")) else { continue };
+        let of = stat.rsplit_once(')').and_then(|(_, rest)| rest.split_whitespace().nth(1));
+        if of == Some(parent.to_string().as_str()) {
+            found.insert(pid);
+        }
+    }
+    found
+}
+
+/// Whether anybody listens at the loopback address of this rehearsal.
+fn listens(rehearsal: u32) -> bool {
+    let [_, a, b, c] = rehearsal.to_be_bytes();
+    // The system writes addresses as little endian hexadecimal; 0A is a listener.
+    let own = format!("{c:02X}{b:02X}{:02X}7F:", 64 | a);
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut lines = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    lines.any(|words| words.get(1).is_some_and(|at| at.starts_with(&own)) && words.get(3) == Some(&"0A"))
+}
+
+fn wait_for(what: &str, mut is_so: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < until, "{what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Ends with the test, however that goes.
+struct Runner(Child);
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn a_killed_rehearsal_leaves_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut runner = Command::new(std::env::current_exe().unwrap());
+    runner.arg(RUNNER).env("TMPDIR", folder.path()).stdout(Stdio::null()).stderr(Stdio::null());
+    let mut runner = Runner(runner.spawn().unwrap());
+    let pid = runner.0.id();
+    wait_for("all gateways run", || children(pid).len() == 8 && listens(pid));
+    let gateways = children(pid);
+    runner.0.kill().unwrap();
+    runner.0.wait().unwrap();
+    let lives = |pid: &u32| Path::new(&format!("/proc/{pid}")).exists();
+    wait_for("gateways end with it", || !gateways.iter().any(lives));
+    wait_for("nobody listens any more", || !listens(pid));
+    let left: Vec<_> =
+        std::fs::read_dir(folder.path()).unwrap().flatten().map(|entry| entry.path()).collect();
+    assert_eq!(left, [PathBuf::new(); 0]);
+}
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -133,7 +133,7 @@
             CounterConfig {
                 spec: site.counter.clone(),
                 seed,
-                listen: vec![stage.address(Post::Counter); site.gateways as usize],
+                listen: (0..site.gateways).map(|_| stage.address(Post::Counter)).collect(),
                 recorder: recorder.clone(),
                 lag: stage.lag(Post::Counter),
             },
@@ -320,7 +320,7 @@
         let site = &self.scenario.site;
         let post = Post::Host(place);
         let listen = match addrs {
-            [] => vec![stage.address(post); site.gateways as usize],
+            [] => (0..site.gateways).map(|_| stage.address(post)).collect(),
             old => old.to_vec(),
         };
         let config = HostConfig {
