--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -241,25 +241,12 @@
                 }
             }
             Event::GarbleCounter(share, span) => self.site.counter.garble(share, span),
-            Event::Cut(a, b, span, reset) => {
-                let (a, b) = (self.posts(&a), self.posts(&b));
-                self.cut(now, &a, &b, span, reset)?;
-            }
-            Event::CutOff(building, span) => self.cut_off(now, building, span)?,
-            Event::LoseBuilding(building, span) => self.lose(now, building, span)?,
-            Event::Links(gateways, end, fault, span) => {
-                self.links(now, (&gateways, &end), &fault, span, &mut rng)?;
-            }
-            Event::StopGateways(which, span) => {
-                for gateway in self.gateways(&which, &mut rng) {
-                    self.stop(now, gateway, span);
-                }
-            }
-            Event::SlowGateways(which, times, span) => {
-                for gateway in self.gateways(&which, &mut rng) {
-                    self.slow_gateway(now, gateway, times, span);
-                }
-            }
+            fault @ (Event::Cut(..)
+            | Event::CutOff(..)
+            | Event::LoseBuilding(..)
+            | Event::Links(..)
+            | Event::StopGateways(..)
+            | Event::SlowGateways(..)) => self.fault(now, fault, &mut rng)?,
             Event::Counter(fault, span) => self.site.counter.fail(fault, span),
             Event::Discovery(fault, span) => self.site.registry.fail(now, fault, span),
             Event::Impatient(share, span) => self.site.clients.set_impatient(share, span),
--- a/crates/rehearse/src/director/faults.rs
+++ b/crates/rehearse/src/director/faults.rs
@@ -6,7 +6,7 @@
 use fennelbeam_env::{Span, Time};
 use fennelbeam_model::agent::Notice;
 use fennelbeam_model::rng::Rng;
-use fennelbeam_model::scenario::{CounterFault, LinkEnd, LinkFault, LinkWay, Side, Which};
+use fennelbeam_model::scenario::{CounterFault, Event, LinkEnd, LinkFault, LinkWay, Side, Which};
 use fennelbeam_model::seen::What;
 use fennelbeam_model::MS;
 
@@ -56,6 +56,34 @@
 }
 
 impl<S: Stage> Director<S> {
+    /// Something fails between machines or in processes of gateways.
+    pub(super) fn fault(&mut self, now: Time, event: Event, rng: &mut Rng) -> Result<()> {
+        match event {
+            Event::Cut(a, b, span, reset) => {
+                let (a, b) = (self.posts(&a), self.posts(&b));
+                self.cut(now, &a, &b, span, reset)?;
+            }
+            Event::CutOff(building, span) => self.cut_off(now, building, span)?,
+            Event::LoseBuilding(building, span) => self.lose(now, building, span)?,
+            Event::Links(gateways, end, fault, span) => {
+                self.links(now, (&gateways, &end), &fault, span, rng)?;
+            }
+            Event::StopGateways(which, span) => {
+                for gateway in self.gateways(&which, rng) {
+                    self.stop(now, gateway, span);
+                }
+            }
+            Event::SlowGateways(which, times, span) => {
+                for gateway in self.gateways(&which, rng) {
+                    self.slow_gateway(now, gateway, times, span);
+                }
+            }
+            // All else is no fault of this kind.
+            _ => {}
+        }
+        Ok(())
+    }
+
     pub(super) fn open_gaps(&mut self, gaps: &[Gap]) {
         let blind = !self.site.stage.knows_when_sent();
         for gap in gaps {
@@ -80,7 +108,7 @@
 
     // ---- Cuts and buildings
 
-    pub(super) fn cut(&mut self, now: Time, a: &[Post], b: &[Post], span: Span, reset: bool) -> Result<()> {
+    fn cut(&mut self, now: Time, a: &[Post], b: &[Post], span: Span, reset: bool) -> Result<()> {
         let cut = self.site.stage.cut(a, b, span, reset)?;
         let both = a.iter().flat_map(|a| b.iter().flat_map(|b| [(*a, *b), (*b, *a)]));
         let gaps = self.gaps_of(both.filter(|(a, b)| a != b));
@@ -106,13 +134,13 @@
         gaps
     }
 
-    pub(super) fn cut_off(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
+    fn cut_off(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
         let (inside, outside) = (self.posts(&Side::Building(building)), self.outside(building));
         self.cut(now, &inside, &outside, span, false)
     }
 
     /// Power goes first on the wires: nobody hears how the processes die.
-    pub(super) fn lose(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
+    fn lose(&mut self, now: Time, building: u32, span: Span) -> Result<()> {
         self.cut_off(now, building, span)?;
         self.plan(now + span, Step::Drop(building));
         for post in self.posts(&Side::Building(building)) {
@@ -160,7 +188,7 @@
 
     // ---- Links
 
-    pub(super) fn links(
+    fn links(
         &mut self,
         now: Time,
         (gateways, end): (&Which, &LinkEnd),
@@ -219,7 +247,7 @@
     // ---- Processes
 
     /// Lets a gateway's process stand still for so long.
-    pub(super) fn stop(&mut self, now: Time, gateway: u32, span: Span) {
+    fn stop(&mut self, now: Time, gateway: u32, span: Span) {
         let Some(incarnation) = self.site.gateways[gateway as usize].up else { return };
         self.open_gaps(&[Gap::Still(gateway)]);
         self.hold(gateway);
@@ -227,7 +255,7 @@
     }
 
     /// Lets it run one part of so many of the time.
-    pub(super) fn slow_gateway(&mut self, now: Time, gateway: u32, times: f64, span: Span) {
+    fn slow_gateway(&mut self, now: Time, gateway: u32, times: f64, span: Span) {
         let Some(incarnation) = self.site.gateways[gateway as usize].up else { return };
         let still = (SLICE as f64 * (1.0 - 1.0 / times)) as Span;
         self.slice(now, Slices { gateway, incarnation, still, until: now + span });
