--- a/crates/links/src/core.rs
+++ b/crates/links/src/core.rs
@@ -122,29 +122,40 @@
         self.count += 1;
         let number = self.count;
         self.last = Last::Connecting(number);
-        for index in self.moments.connection(number) {
+        // What lasts comes before anything is done with it, what is done at once needs it to be there.
+        let planned = self.moments.connection(number);
+        let (deeds, lasting): (Vec<_>, Vec<_>) =
+            planned.into_iter().partition(|index| self.moments.entry(*index).is_deed());
+        for index in lasting {
             self.begin_entry(now, index, Some(number));
         }
         let opening = self.faults.opening(now, number);
-        let phase = match opening {
-            Opening::Join => Phase::Joining,
-            Opening::Wait => Phase::Waiting,
-            Opening::Reset => {
-                self.note(now, number, None, What::TurnedAway, 0);
-                return (number, opening);
-            }
-        };
-        let what = if opening == Opening::Join { What::Accepted } else { What::Waits };
-        self.note(now, number, None, what, 0);
-        self.last = Last::Passed(Place { connection: number, way: Direction::Calls, bytes: 0 });
-        let flows = Direction::BOTH.map(|direction| self.new_flow(number, direction));
-        self.connections.insert(number, Connection { phase, flows, silenced: None });
+        match opening {
+            Opening::Reset => self.note(now, number, None, What::TurnedAway, 0),
+            Opening::Join => self.insert(now, number, Phase::Joining, What::Accepted),
+            Opening::Wait => self.insert(now, number, Phase::Waiting, What::Waits),
+        }
+        for index in deeds {
+            self.begin_entry(now, index, Some(number));
+        }
         for direction in Direction::BOTH {
             self.reach(now, number, direction);
         }
+        if opening != Opening::Reset && !self.connections.contains_key(&number) {
+            // It is over already; the target need not hear of it.
+            self.deeds.retain(|deed| *deed != Deed::Reset(number));
+            return (number, Opening::Reset);
+        }
         (number, opening)
     }
 
+    fn insert(&mut self, now: Time, number: u64, phase: Phase, what: What) {
+        self.note(now, number, None, what, 0);
+        self.last = Last::Passed(Place { connection: number, way: Direction::Calls, bytes: 0 });
+        let flows = Direction::BOTH.map(|direction| self.new_flow(number, direction));
+        self.connections.insert(number, Connection { phase, flows, silenced: None });
+    }
+
     fn new_flow(&mut self, number: u64, direction: Direction) -> Flow {
         // A stream of chance for each direction of each connection of each link.
         let part = (u64::from(self.id.0) << 40) ^ (number << 1) ^ direction as u64;
@@ -189,9 +200,11 @@
         self.flow(number, direction).map_or(0, |flow| flow.room(self.bound))
     }
 
-    /// Whether the sender of a direction may still send, as far as the link knows.
-    pub fn hears(&self, number: u64, direction: Direction) -> bool {
-        self.flow(number, direction).is_some_and(|flow| flow.tail == Tail::Open)
+    /// Whether an error of the sender's socket counts at once, and not only behind what can be read from it: what it
+    /// sends has ended already, or is lost, since nothing can pass.
+    pub fn breaks_at_once(&self, now: Time, number: u64, direction: Direction) -> bool {
+        let ended = self.flow(number, direction).is_some_and(|flow| flow.tail != Tail::Open);
+        ended || self.faults.cuts(now, number, direction)
     }
 
     /// Bytes came from the sender, no more than there was room for.
@@ -214,7 +227,7 @@
             return;
         }
         let due = now.saturating_add(self.faults.delay(number, direction, flow.rng()));
-        flow.tail = Tail::End(flow.queue.not_before(due));
+        flow.tail = Tail::End(due);
         if matches!(flow.head, Head::Ended | Head::Gone) {
             flow.tail = Tail::Passed;
         }
@@ -239,7 +252,7 @@
                 flow.queue.clear();
             }
             let due = now.saturating_add(self.faults.delay(number, direction, flow.rng()));
-            flow.tail = Tail::Reset(flow.queue.not_before(due));
+            flow.tail = Tail::Reset(due);
             let passed = flow.passed;
             self.note(now, number, Some(direction), What::Broke, passed);
         } else if flow.tail == Tail::Passed {
--- a/crates/links/src/runner.rs
+++ b/crates/links/src/runner.rs
@@ -26,7 +26,7 @@
 
 const WAKER: Token = Token(0);
 const ALARM: Token = Token(4);
-/// The poll, the waker, the alarm, and one for a connection that is accepted only to be reset.
+/// The poll, the waker, the alarm, and one that is closed at once: to reset a connection, or to fill a listener.
 const OWN: usize = 4;
 /// Bytes that are read at once.
 const PIECE: usize = 64 * 1024;
@@ -232,12 +232,14 @@
         if !socket.connected {
             return self.connected(key);
         }
-        // Who has ended what he sends is read no more; that he broke shows only here.
+        // Who has ended what he sends, or fills a link that is cut, is read no more; that he broke shows only here.
         let direction = Direction::BOTH[side];
+        let now = self.start.elapsed().as_nanos() as Time;
+        let breaks = |post: &&mut Post| post.link.breaks_at_once(now, number, direction);
         if event.is_error() && !socket.broken {
-            if let Some(post) = self.posts[link].as_mut().filter(|post| !post.link.hears(number, direction)) {
+            if let Some(post) = self.posts[link].as_mut().filter(breaks) {
                 socket.broken = true;
-                post.link.broke(self.start.elapsed().as_nanos() as Time, number, direction);
+                post.link.broke(now, number, direction);
             }
         }
         self.queue(key);
@@ -351,10 +353,7 @@
         // Who came before is taken; the fault concerns those after it.
         self.accept(id);
         let Some(post) = &mut self.posts[id] else { return };
-        self.descriptors -= post.listener.descriptors();
-        let done = post.listener.set(listening);
-        self.descriptors += post.listener.descriptors();
-        if let Err(error) = done {
+        if let Err(error) = post.listener.set(listening) {
             self.refused(id, &error);
         }
         self.accept(id);
@@ -368,7 +367,6 @@
             let stream = match post.listener.socket.accept() {
                 Ok((_, peer)) if post.listener.is_plug(peer) => {
                     post.listener.unplug();
-                    self.descriptors -= 1;
                     continue;
                 }
                 Ok((stream, _)) => stream,
@@ -521,7 +519,7 @@
             self.close(id, number, true);
         }
         if let Some(post) = self.posts[id].take() {
-            self.descriptors -= post.listener.descriptors();
+            self.descriptors -= 1;
             if let Some(wake) = post.wake {
                 self.wakes.remove(&(wake, id));
             }
