Let the worst of several slownesses count, and excuse no more than a gateway that does not listen yet

It also met a gateway that had been started and did not listen yet: links take connections in and can only break them then. The judge is told until when that lasts.

--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -5,7 +5,7 @@
 use crate::site::SiteOf;
 use crate::stage::{Post, Signal, Stage};
 use anyhow::Result;
-use faults::{Flapping, Gap, Slices};
+use faults::{Flapping, Gap};
 use fennelbeam_env::{Span, Time};
 use fennelbeam_model::agent::Notice;
 use fennelbeam_model::rng::Rng;
@@ -50,12 +50,14 @@
     Whole(Vec<Gap>),
     /// A building that was lost comes back: connections of clients to it are none.
     Drop(u32),
+    /// A gateway that has been started may listen by now.
+    Listens(u32),
     /// Links are cut again.
     Flap(Flapping),
     /// A gateway, in this process of it, has one reason less to stand still; true: the judge was told of it.
     GoOn(u32, u32, bool),
-    /// A slowed process stands still again.
-    Slice(Slices),
+    /// A slowed gateway, in this process of it, stands still again.
+    Slice(u32, u32),
     /// The counter comes back and knows nothing.
     Forget,
 }
@@ -140,9 +142,10 @@
             }
             Step::Whole(gaps) => self.close_gaps(&gaps),
             Step::Drop(building) => self.drop_connections(building)?,
+            Step::Listens(gateway) => self.listens(now, gateway),
             Step::Flap(flapping) => self.flap(now, flapping)?,
             Step::GoOn(gateway, incarnation, told) => self.go_on(gateway, incarnation, told),
-            Step::Slice(slices) => self.slice(now, slices),
+            Step::Slice(gateway, incarnation) => self.slice(now, gateway, incarnation),
             Step::Forget => self.site.counter.fail(CounterFault::Fresh, 0),
         }
         Ok(())
@@ -266,7 +269,13 @@
     fn start_gateway(&mut self, now: Time, gateway: u32) -> Result<()> {
         let post = &self.site.gateways[gateway as usize];
         match post.up {
-            None => self.site.start_gateway(gateway)?,
+            None => {
+                self.site.start_gateway(gateway)?;
+                if !self.site.stage.refuses_well(gateway) {
+                    self.open_gaps(&[Gap::Clients(gateway)]);
+                    self.plan(now + LOOK, Step::Listens(gateway));
+                }
+            }
             // A process that was killed may take a while to end.
             Some(_) if post.ending => self.plan(now + LOOK, Step::StartGateway(gateway)),
             Some(_) => {}
@@ -274,6 +283,17 @@
         Ok(())
     }
 
+    /// Until it listens, who comes to it by a link is taken in and broken off, which is not its doing.
+    fn listens(&mut self, now: Time, gateway: u32) {
+        let waits =
+            self.site.gateways[gateway as usize].up.is_some() && !self.site.stage.refuses_well(gateway);
+        if waits {
+            self.plan(now + LOOK, Step::Listens(gateway));
+        } else {
+            self.close_gaps(&[Gap::Clients(gateway)]);
+        }
+    }
+
     fn signal(&mut self, now: Time, gateway: u32, signal: Signal) {
         if matches!(signal, Signal::Terminate | Signal::Kill) {
             self.site.see(What::GatewaySignalled { gateway, kill: signal == Signal::Kill });
@@ -318,6 +338,7 @@
             }
             post.up = None;
             post.stops = 0;
+            post.slow.clear();
             let (meant, again) = (post.ending && exit.error.is_none(), post.again);
             self.site.see(What::GatewayDown { gateway, meant });
             if let Some(error) = exit.error {
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -18,15 +18,18 @@
 use std::collections::btree_map::{BTreeMap, Entry};
 use std::fs::File;
 use std::io::{self, Seek, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::process::{Child, Command};
 use wires::Wires;
 
+/// A gateway that listens is connected to sooner.
+const PROBE: Duration = Duration::from_millis(5);
 /// Links may hold one of so many of this process's descriptors; stand-ins have the rest.
 const LINKS_SHARE: usize = 2;
 
@@ -215,6 +218,12 @@
         Ok(())
     }
 
+    fn refuses_well(&self, gateway: u32) -> bool {
+        let address = &self.addresses[gateway as usize];
+        // On loopback it answers at once, whether or not it is scheduled: the system does.
+        self.wires.is_none() || TcpStream::connect_timeout(address, PROBE).is_ok()
+    }
+
     fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()> {
         self.write_config(gateway, document).map(drop)
     }
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -72,6 +72,12 @@
     /// Starts a gateway's process with this configuration document.
     fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()>;
 
+    /// Whether who connects to a gateway that does not listen yet would be told so. Links take connections in before
+    /// they have asked it, and can only break them then.
+    fn refuses_well(&self, _gateway: u32) -> bool {
+        true
+    }
+
     /// Puts another document in the place of a gateway's.
     fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()>;
 
