--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -298,10 +298,11 @@
         }
         if now >= looked + SECOND {
             let waits = director.site.stage.waits(now - looked);
-            waits
-                .into_iter()
-                .filter(|_| now > start + SECOND)
-                .for_each(|(gateway, share)| lag.waited(gateway, share));
+            for (gateway, share) in waits.into_iter().filter(|_| now > start + SECOND) {
+                // A slowed one has only a part of the time to wait in.
+                let slowness = director.site.gateways[gateway as usize].slowness(now);
+                lag.waited(gateway, share * slowness);
+            }
             looked = now;
         }
         director.step()?;
