--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -133,16 +133,22 @@
             Step::HostBack(host) => {
                 if self.site.hosts[host as usize].running.is_none() {
                     self.site.restart_host(host)?;
+                    let post = Post::Host(self.site.hosts[host as usize].place);
+                    self.site.stage.refuse(post, false)?;
                 }
             }
-            Step::NewAt(host) => drop(self.site.add_host(Some(host))?),
+            Step::NewAt(host) => {
+                self.site.add_host(Some(host))?;
+                let post = Post::Host(self.site.hosts[host as usize].place);
+                self.site.stage.refuse(post, false)?;
+            }
             Step::Heal(cut, gaps) => {
                 self.site.stage.heal(cut);
                 self.close_gaps(&gaps);
             }
             Step::Whole(gaps) => self.close_gaps(&gaps),
             Step::Drop(building) => self.drop_connections(building)?,
-            Step::Listens(gateway) => self.listens(now, gateway),
+            Step::Listens(gateway) => self.listens(now, gateway)?,
             Step::Flap(flapping) => self.flap(now, flapping)?,
             Step::GoOn(gateway, incarnation, told) => self.go_on(gateway, incarnation, told),
             Step::Slice(gateway, incarnation) => self.slice(now, gateway, incarnation),
@@ -271,7 +277,9 @@
         match post.up {
             None => {
                 self.site.start_gateway(gateway)?;
-                if !self.site.stage.refuses_well(gateway) {
+                if self.site.stage.refuses_well(gateway) {
+                    self.site.stage.refuse(Post::Gateway(gateway), false)?;
+                } else {
                     self.open_gaps(&[Gap::Clients(gateway)]);
                     self.plan(now + LOOK, Step::Listens(gateway));
                 }
@@ -284,14 +292,17 @@
     }
 
     /// Until it listens, who comes to it by a link is taken in and broken off, which is not its doing.
-    fn listens(&mut self, now: Time, gateway: u32) {
-        let waits =
-            self.site.gateways[gateway as usize].up.is_some() && !self.site.stage.refuses_well(gateway);
-        if waits {
+    fn listens(&mut self, now: Time, gateway: u32) -> Result<()> {
+        let is_up = self.site.gateways[gateway as usize].up.is_some();
+        if is_up && !self.site.stage.refuses_well(gateway) {
             self.plan(now + LOOK, Step::Listens(gateway));
-        } else {
-            self.close_gaps(&[Gap::Clients(gateway)]);
+            return Ok(());
+        }
+        self.close_gaps(&[Gap::Clients(gateway)]);
+        if is_up {
+            self.site.stage.refuse(Post::Gateway(gateway), false)?;
         }
+        Ok(())
     }
 
     fn signal(&mut self, now: Time, gateway: u32, signal: Signal) {
@@ -330,6 +341,7 @@
     }
 
     fn note_exits(&mut self, now: Time) {
+        let mut gone = Vec::new();
         for exit in self.site.stage.exits() {
             let gateway = exit.gateway;
             let post = &mut self.site.gateways[gateway as usize];
@@ -337,6 +349,7 @@
                 continue;
             }
             post.up = None;
+            gone.push(Post::Gateway(gateway));
             post.stops = 0;
             post.slow.clear();
             let (meant, again) = (post.ending && exit.error.is_none(), post.again);
@@ -348,6 +361,7 @@
                 self.plan(now + CHANGEOVER, Step::StartGateway(gateway));
             }
         }
+        gone.into_iter().for_each(|post| self.refuse(post));
     }
 
     // ---- Hosts
@@ -385,6 +399,14 @@
     fn end_host(&mut self, host: u32) {
         if let Some(running) = self.site.hosts[host as usize].running.take() {
             running.stop();
+            let post = Post::Host(self.site.hosts[host as usize].place);
+            self.refuse(post);
+        }
+    }
+
+    fn refuse(&mut self, post: Post) {
+        if let Err(error) = self.site.stage.refuse(post, true) {
+            self.troubles.push(format!("the links to {post:?}: {error}"));
         }
     }
 
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -218,6 +218,10 @@
         Ok(())
     }
 
+    fn refuse(&mut self, post: Post, gone: bool) -> io::Result<()> {
+        self.wires.as_ref().map_or(Ok(()), |wires| wires.refuse(post, gone))
+    }
+
     fn refuses_well(&self, gateway: u32) -> bool {
         let address = &self.addresses[gateway as usize];
         // On loopback it answers at once, whether or not it is scheduled: the system does.
--- a/crates/rehearse/src/real/wires.rs
+++ b/crates/rehearse/src/real/wires.rs
@@ -3,9 +3,11 @@
 
 use crate::stage::{lock, Post};
 use fennelbeam_env::Span;
-use fennelbeam_links::{Entry, Fault, LinkId, LinkSet, LinkSpec, Messages, Moment, Plan, Settings, Way, Who};
+use fennelbeam_links::{
+    Entry, Fault, FaultId, LinkId, LinkSet, LinkSpec, Messages, Moment, Plan, Settings, Way, Who,
+};
 use fennelbeam_model::scenario::{LinkFault, LinkWay, Site};
-use std::collections::BTreeMap;
+use std::collections::btree_map::{BTreeMap, Entry as Slot};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -30,6 +32,8 @@
     links: BTreeMap<(Pair, SocketAddr), (LinkId, SocketAddr)>,
     /// What is wrong, for links that come meanwhile.
     wrong: Vec<Wrong>,
+    /// Links that refuse, since nobody is there.
+    refusing: BTreeMap<LinkId, FaultId>,
 }
 
 struct Wrong {
@@ -107,6 +111,23 @@
         self.begin(pairs, &Fault::Reset, None)
     }
 
+    /// A process is no more, or is back: links to it refuse meanwhile, as its system would.
+    pub fn refuse(&self, to: Post, gone: bool) -> io::Result<()> {
+        let mut state = lock(&self.state);
+        let State { links, refusing, .. } = &mut *state;
+        let there = links.iter().filter(|(((a, b), _), _)| *b == to && a != b);
+        for link in there.map(|(_, (link, _))| *link) {
+            if gone {
+                if let Slot::Vacant(none) = refusing.entry(link) {
+                    none.insert(self.set.begin(link, Who::Every, Fault::Refuse).map_err(io::Error::other)?);
+                }
+            } else if let Some(fault) = refusing.remove(&link) {
+                self.set.end(link, fault).map_err(io::Error::other)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Parts two sides for so long.
     pub fn cut(&self, a: &[Post], b: &[Post], span: Span, reset: bool) -> io::Result<()> {
         let both = a.iter().flat_map(|a| b.iter().flat_map(|b| [(*a, *b), (*b, *a)]));
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -72,6 +72,11 @@
     /// Starts a gateway's process with this configuration document.
     fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()>;
 
+    /// A process that others connect to is no more, or is back: nobody is taken in for it meanwhile.
+    fn refuse(&mut self, _post: Post, _gone: bool) -> io::Result<()> {
+        Ok(())
+    }
+
     /// Whether who connects to a gateway that does not listen yet would be told so. Links take connections in before
     /// they have asked it, and can only break them then.
     fn refuses_well(&self, _gateway: u32) -> bool {
