--- a/crates/history/src/drains.rs
+++ b/crates/history/src/drains.rs
@@ -2,6 +2,7 @@
 //! has heard counts as told 6 s later, whether or not the gateway asked for it.
 
 use crate::downs::Downs;
+use crate::ears::Ears;
 use crate::finding::{Findings, Rule};
 use crate::news::{News, Pair};
 use crate::terms::Terms;
@@ -39,7 +40,7 @@
 pub(crate) fn check(
     (gateway, host): (u32, u32),
     pair: &Pair,
-    downs: &Downs,
+    (downs, ears): (&Downs, &Ears),
     terms: &Terms,
     found: &mut Findings,
 ) {
@@ -50,6 +51,7 @@
             place += 1;
         }
         let Some(since) = known.since(downs.up_since(gateway, sent.first_byte)) else { continue };
+        let since = ears.told(gateway, since);
         let is_back = known.back.is_some_and(|at| sent.first_byte >= at.saturating_add(LATEST));
         if is_back || sent.first_byte <= since.saturating_add(terms.drain_grace) {
             continue;
--- a/crates/history/src/history.rs
+++ b/crates/history/src/history.rs
@@ -1,6 +1,7 @@
 //! Takes what was seen, and goes over all of it at the end.
 
 use crate::downs::Downs;
+use crate::ears::Ears;
 use crate::finding::{Finding, Findings};
 use crate::news::{News, Pairs, Sent};
 use crate::tale::{Asked, Attempt, End, Tale, Through};
@@ -19,6 +20,7 @@
     tales: BTreeMap<u64, Tale>,
     pairs: Pairs,
     downs: Downs,
+    ears: Ears,
     unasked: Vec<(Time, u32)>,
     claims: Vec<Claim>,
 }
@@ -32,6 +34,7 @@
             tales: BTreeMap::new(),
             pairs: Pairs::new(),
             downs: Downs::default(),
+            ears: Ears::default(),
             unasked: Vec::new(),
             claims: Vec::new(),
         }
@@ -62,7 +65,10 @@
                 self.news(at, true, (gateway, host), state, started)
             }
             What::Unasked { gateway } => self.unasked.push((at, gateway)),
-            _ => self.downs.see(at, &seen.what),
+            _ => {
+                self.downs.see(at, &seen.what);
+                self.ears.see(at, &seen.what);
+            }
         }
     }
 
@@ -93,10 +99,11 @@
     pub fn check(mut self, end: Time) -> Vec<Finding> {
         let mut found = Findings::new(self.start);
         self.downs.settle();
+        self.ears.settle();
         self.unasked.iter().for_each(|(at, gateway)| answers::unasked(*at, *gateway, &mut found));
         let mut customers: BTreeMap<(u64, usize), Vec<Spent>> = BTreeMap::new();
         for (id, tale) in &mut self.tales {
-            tale.settle();
+            tale.settle(&self.ears);
             answers::check(*id, tale, &self.downs, &self.terms, end, &mut found);
             twice::check(*id, tale, &self.downs, &self.terms, &mut found);
             spend(*id, tale, customers.entry((tale.customer, tale.plan)).or_default());
@@ -107,9 +114,9 @@
             }
         }
         for (who, pair) in &mut self.pairs {
-            pair.settle();
-            drains::check(*who, pair, &self.downs, &self.terms, &mut found);
-            self.claims.extend(claims::of_starts(*who, pair, &self.downs));
+            pair.settle(*who, &self.ears);
+            drains::check(*who, pair, (&self.downs, &self.ears), &self.terms, &mut found);
+            self.claims.extend(claims::of_starts(*who, pair, &self.downs, &self.ears));
         }
         self.claims.iter().for_each(|claim| claims::check(claim, &mut found));
         found.finish()
--- a/crates/history/src/news.rs
+++ b/crates/history/src/news.rs
@@ -1,5 +1,6 @@
 //! What gateways and their agents were told of hosts, and when.
 
+use crate::ears::Ears;
 use fennelbeam_model::seen::Told;
 use fennelbeam_model::Time;
 use std::collections::BTreeMap;
@@ -33,7 +34,8 @@
 pub(crate) type Pairs = BTreeMap<(u32, u32), Pair>;
 
 impl Pair {
-    pub(crate) fn settle(&mut self) {
+    pub(crate) fn settle(&mut self, who: (u32, u32), ears: &Ears) {
+        self.sent.iter_mut().for_each(|sent| sent.first_byte = ears.sent(who, sent.first_byte));
         self.news.sort_by_key(|news| news.at);
         self.sent.sort_by_key(|sent| sent.first_byte);
     }
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -5,6 +5,7 @@
 use crate::ceilings::Ceilings;
 use crate::cold::Cold;
 use crate::drains::Drains;
+use crate::ears::Ears;
 use crate::effects::{self, Attempts, Effects};
 use crate::figures::{End, Figures};
 use crate::fleet::{Call, Fleet, News};
@@ -31,6 +32,7 @@
     /// The latest moment seen.
     now: Time,
     log: Log,
+    ears: Ears,
     gateways: Gateways,
     answers: Answers,
     effects: Effects,
@@ -56,6 +58,7 @@
             mean_units: Draws::new(0, traffic).mean_units(),
             now: 0,
             log: Log::new(start),
+            ears: Ears::default(),
             gateways: Gateways::new(site.gateways, longest),
             answers: Answers::new(site.rules.answer_slack),
             effects: Effects::new(site),
@@ -116,7 +119,10 @@
             What::GatewayUp { .. }
             | What::GatewayDown { .. }
             | What::GatewaySignalled { .. }
-            | What::ClientsCut { .. } => self.gateway(seen.at, &seen.what),
+            | What::ClientsCut { .. }
+            | What::GatewayStopped { .. }
+            | What::NewsCut { .. }
+            | What::CallsLate { .. } => self.gateway(seen.at, &seen.what),
             What::Counted { amount, answered, turned_away, took, .. } => {
                 self.figures.counted(seen.at);
                 let call =
@@ -145,7 +151,15 @@
         match *what {
             What::GatewayUp { gateway } => self.gateways.up(at, gateway),
             What::GatewaySignalled { gateway, kill } => self.gateways.signalled(at, gateway, kill),
-            What::ClientsCut { gateway, cut } => self.gateways.cut(at, gateway, cut),
+            What::ClientsCut { gateway, cut } => return self.gateways.cut(at, gateway, cut),
+            What::GatewayStopped { gateway, stopped } => {
+                self.gateways.stopped(at, gateway, stopped);
+                return self.ears.stopped(at, gateway, stopped);
+            }
+            What::NewsCut { gateway, cut } => return self.ears.news_cut(at, gateway, cut),
+            What::CallsLate { gateway, host, late, blind } => {
+                return self.ears.calls_late(at, (gateway, host), late, blind);
+            }
             What::GatewayDown { gateway, meant } => {
                 self.gateways.down(at, gateway);
                 if !meant {
@@ -359,11 +373,13 @@
     }
 
     fn received(&mut self, now: Time, id: u64, (host, gateway): (u32, u32), first_byte: Time, work: Span) {
+        let first_byte = self.ears.sent(gateway, host, first_byte);
         let Some(request) = self.tries.get_mut(&id) else { return };
         self.answers.sent(request, first_byte, host, &mut self.log);
         let up = self.gateways.up_since(gateway);
-        self.drains.received(id, (gateway, up), host, first_byte, &mut self.log);
-        self.cold.received(now, host, (gateway, up), first_byte, work);
+        let told = |since| self.ears.told(gateway, since);
+        self.drains.received(id, (gateway, up), host, first_byte, &told, &mut self.log);
+        self.cold.received(now, host, (gateway, up), first_byte, work, &told);
         self.figures.received(host);
         self.worth.received(request.thing);
         if self.effects.received(now, request, (host, gateway), first_byte, &mut self.log) {
@@ -407,7 +423,7 @@
 
     fn out(&mut self, now: Time, id: u64, host: u32, gateway: u32) -> bool {
         let Some(request) = self.tries.get_mut(&id) else { return false };
-        let known = effects::out(now, request, host, gateway, &mut self.log);
+        let known = effects::out(now, request, (host, gateway), &self.ears, &mut self.log);
         if known {
             self.quotas.back(request.customer);
         }
@@ -425,7 +441,7 @@
             }
         }
         self.effects.judge_doubts(Time::MAX, &self.gateways, &mut self.log);
-        self.tries.values().for_each(|request| effects::finish(end, request, &mut self.log));
+        self.tries.values().for_each(|request| effects::finish(end, request, &self.ears, &mut self.log));
         self.cold.finish(&mut self.log);
         self.note_unmatched();
         self.verdict(end)
--- a/crates/model/src/resize.rs
+++ b/crates/model/src/resize.rs
@@ -1,6 +1,6 @@
 //! The same day at a site of another size.
 
-use crate::scenario::{CounterSpec, Event, Scenario, Which};
+use crate::scenario::{CounterSpec, Event, LinkEnd, Scenario, Which};
 
 /// A customer's set is not scaled below this: fewer gateways would be another kind of customer.
 const LEAST_SPREAD: u32 = 3;
@@ -32,12 +32,12 @@
         }
         self.traffic.rate *= times;
         for timed in &mut self.events {
-            match &mut timed.event {
-                Event::AddHosts(count) => *count = scaled(*count),
-                event => {
-                    if let Some(Which::Count(count)) = which_mut(event) {
-                        *count = scaled(*count);
-                    }
+            if let Event::AddHosts(count) = &mut timed.event {
+                *count = scaled(*count);
+            }
+            for which in whiches(&mut timed.event) {
+                if let Which::Count(count) = which {
+                    *count = scaled(*count);
                 }
             }
         }
@@ -55,10 +55,14 @@
     counter.queue = (queue as u32).max(counter.queue.min(1));
 }
 
-/// The machines that an event hits, where it hits some.
-fn which_mut(event: &mut Event) -> Option<&mut Which> {
+/// The machines that an event hits, where it hits some; of links, those at both ends.
+fn whiches(event: &mut Event) -> Vec<&mut Which> {
     match event {
-        Event::KillGateways(which, _)
+        Event::Links(gateways, LinkEnd::Hosts(hosts), ..) => vec![gateways, hosts],
+        Event::Links(which, ..)
+        | Event::StopGateways(which, _)
+        | Event::SlowGateways(which, _, _)
+        | Event::KillGateways(which, _)
         | Event::RestartGateways(which, _)
         | Event::ReloadGateways(which)
         | Event::SlowHosts(which, _, _)
@@ -68,15 +72,15 @@
         | Event::RestartHosts(which)
         | Event::ReplaceHosts(which, _)
         | Event::Mishaps(_, _, which, _)
-        | Event::Stale(_, which, _) => Some(which),
-        _ => None,
+        | Event::Stale(_, which, _) => vec![which],
+        _ => Vec::new(),
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::scenario::{Site, Timed};
+    use crate::scenario::{LinkFault, Site, Timed};
 
     #[test]
     fn what_counts_goes_with_the_gateways_and_the_rest_stays() {
@@ -88,6 +92,7 @@
             timed(Event::AddHosts(15)),
             timed(Event::PauseHosts(Which::Count(10), 1)),
             timed(Event::ReloadGateways(Which::Share(0.1))),
+            timed(Event::Links(Which::Count(50), LinkEnd::Hosts(Which::Count(10)), LinkFault::Reset, 0)),
         ];
         let scenario = Scenario { site, events, ..Scenario::default() };
         let small = scenario.clone().with_gateways(60);
@@ -103,6 +108,8 @@
         assert_eq!(small.events[0].event, Event::AddHosts(3));
         assert_eq!(small.events[1].event, Event::PauseHosts(Which::Count(2), 1));
         assert_eq!(small.events[2].event, scenario.events[2].event);
+        let links = Event::Links(Which::Count(10), LinkEnd::Hosts(Which::Count(2)), LinkFault::Reset, 0);
+        assert_eq!(small.events[3].event, links);
         assert_eq!(small.site.host, scenario.site.host);
         let smallest = scenario.with_gateways(2);
         assert_eq!(smallest.site.plans.iter().map(|plan| plan.spread).collect::<Vec<_>>(), [2, 2]);
--- a/crates/rehearse/src/director.rs
+++ b/crates/rehearse/src/director.rs
@@ -1,12 +1,15 @@
 //! What happens to a site and when: the events of the scenario, and what follows from them later.
 
+mod faults;
+
 use crate::site::SiteOf;
 use crate::stage::{Post, Signal, Stage};
 use anyhow::Result;
+use faults::{Flapping, Gap};
 use fennelbeam_env::{Span, Time};
 use fennelbeam_model::agent::Notice;
 use fennelbeam_model::rng::Rng;
-use fennelbeam_model::scenario::{Event, Side, Which};
+use fennelbeam_model::scenario::{CounterFault, Event, Side, Which};
 use fennelbeam_model::seen::{Told, What};
 use fennelbeam_model::{MS, SECOND};
 use std::collections::BTreeMap;
@@ -43,8 +46,22 @@
     HostBack(u32),
     /// A new host comes at the addresses of this one.
     NewAt(u32),
-    /// A cut, and the gateways that clients were cut from.
-    Heal(u64, Vec<u32>),
+    /// A cut, and the gaps that it made.
+    Heal(u64, Vec<Gap>),
+    /// Gaps of links that are whole again.
+    Whole(Vec<Gap>),
+    /// A building that was lost comes back: connections of clients to it are none.
+    Drop(u32),
+    /// A gateway that has been started may listen by now.
+    Listens(u32),
+    /// Links are cut again.
+    Flap(Flapping),
+    /// A gateway, in this process of it, has one reason less to stand still; true: the judge was told of it.
+    GoOn(u32, u32, bool),
+    /// A slowed gateway, in this process of it, stands still again.
+    Slice(u32, u32),
+    /// The counter comes back and knows nothing.
+    Forget,
 }
 
 /// Plays a scenario's events on a site.
@@ -53,6 +70,8 @@
     pub site: SiteOf<S>,
     due: BTreeMap<(Time, u64), Step>,
     next: u64,
+    /// How many reasons there are for each.
+    gaps: BTreeMap<Gap, u32>,
     /// What went wrong with a process of a gateway, in words.
     pub troubles: Vec<String>,
     /// Gateways that ended themselves as arranged, and when.
@@ -63,8 +82,14 @@
     /// The events of the site's scenario, counted from `start`.
     pub fn new(site: SiteOf<S>, start: Time) -> Self {
         let ats: Vec<Time> = site.scenario.events.iter().map(|timed| start + timed.at).collect();
-        let mut director =
-            Director { site, due: BTreeMap::new(), next: 0, troubles: Vec::new(), died: Vec::new() };
+        let mut director = Director {
+            site,
+            due: BTreeMap::new(),
+            next: 0,
+            gaps: BTreeMap::new(),
+            troubles: Vec::new(),
+            died: Vec::new(),
+        };
         director.plan(start, Step::Open);
         for (place, at) in ats.into_iter().enumerate() {
             director.plan(at, Step::Event(place));
@@ -124,15 +149,26 @@
             Step::HostBack(host) => {
                 if self.site.hosts[host as usize].running.is_none() {
                     self.site.restart_host(host)?;
+                    let post = Post::Host(self.site.hosts[host as usize].place);
+                    self.site.stage.refuse(post, false)?;
                 }
             }
-            Step::NewAt(host) => drop(self.site.add_host(Some(host))?),
-            Step::Heal(cut, from_clients) => {
+            Step::NewAt(host) => {
+                self.site.add_host(Some(host))?;
+                let post = Post::Host(self.site.hosts[host as usize].place);
+                self.site.stage.refuse(post, false)?;
+            }
+            Step::Heal(cut, gaps) => {
                 self.site.stage.heal(cut);
-                for gateway in from_clients {
-                    self.site.see(What::ClientsCut { gateway, cut: false });
-                }
+                self.close_gaps(&gaps);
             }
+            Step::Whole(gaps) => self.close_gaps(&gaps),
+            Step::Drop(building) => self.drop_connections(building)?,
+            Step::Listens(gateway) => self.listens(now, gateway)?,
+            Step::Flap(flapping) => self.flap(now, flapping)?,
+            Step::GoOn(gateway, incarnation, told) => self.go_on(gateway, incarnation, told),
+            Step::Slice(gateway, incarnation) => self.slice(now, gateway, incarnation),
+            Step::Forget => self.site.counter.fail(CounterFault::Fresh, 0),
         }
         Ok(())
     }
@@ -235,7 +271,12 @@
                 }
             }
             Event::GarbleCounter(share, span) => self.site.counter.garble(share, span),
-            Event::Cut(a, b, span, reset) => self.cut(now, &a, &b, span, reset),
+            fault @ (Event::Cut(..)
+            | Event::CutOff(..)
+            | Event::LoseBuilding(..)
+            | Event::Links(..)
+            | Event::StopGateways(..)
+            | Event::SlowGateways(..)) => self.fault(now, fault, &mut rng)?,
             Event::Counter(fault, span) => self.site.counter.fail(fault, span),
             Event::Discovery(fault, span) => self.site.registry.fail(now, fault, span),
             Event::Impatient(share, span) => self.site.clients.set_impatient(share, span),
@@ -260,7 +301,15 @@
     fn start_gateway(&mut self, now: Time, gateway: u32) -> Result<()> {
         let post = &self.site.gateways[gateway as usize];
         match post.up {
-            None => self.site.start_gateway(gateway)?,
+            None => {
+                self.site.start_gateway(gateway)?;
+                if self.site.stage.refuses_well(gateway) {
+                    self.site.stage.refuse(Post::Gateway(gateway), false)?;
+                } else {
+                    self.open_gaps(&[Gap::Clients(gateway)]);
+                    self.plan(now + LOOK, Step::Listens(gateway));
+                }
+            }
             // A process that was killed may take a while to end.
             Some(_) if post.ending => self.plan(now + LOOK, Step::StartGateway(gateway)),
             Some(_) => {}
@@ -273,8 +322,22 @@
         self.plan(at + self.site.start_delay(gateway), Step::StartGateway(gateway));
     }
 
+    /// Until it listens, who comes to it by a link is taken in and broken off, which is not its doing.
+    fn listens(&mut self, now: Time, gateway: u32) -> Result<()> {
+        let is_up = self.site.gateways[gateway as usize].up.is_some();
+        if is_up && !self.site.stage.refuses_well(gateway) {
+            self.plan(now + LOOK, Step::Listens(gateway));
+            return Ok(());
+        }
+        self.close_gaps(&[Gap::Clients(gateway)]);
+        if is_up {
+            self.site.stage.refuse(Post::Gateway(gateway), false)?;
+        }
+        Ok(())
+    }
+
     fn signal(&mut self, now: Time, gateway: u32, signal: Signal) {
-        if signal != Signal::Reload {
+        if matches!(signal, Signal::Terminate | Signal::Kill) {
             self.site.see(What::GatewaySignalled { gateway, kill: signal == Signal::Kill });
             self.site.gateways[gateway as usize].ending = true;
         }
@@ -296,7 +359,7 @@
     fn reload_gateway(&mut self, now: Time, gateway: u32) -> Result<()> {
         self.site.move_agent(gateway)?;
         let incarnation = self.site.gateways[gateway as usize].up.unwrap_or(0);
-        let document = self.site.document(gateway, incarnation, self.site.known(gateway).as_ref());
+        let document = self.site.document(gateway, incarnation, self.site.known(gateway).as_ref())?;
         self.site.stage.replace_document(gateway, &document)?;
         self.signal(now, gateway, Signal::Reload);
         Ok(())
@@ -309,6 +372,7 @@
     }
 
     fn note_exits(&mut self, now: Time) {
+        let mut gone = Vec::new();
         for exit in self.site.stage.exits() {
             let gateway = exit.gateway;
             let post = &mut self.site.gateways[gateway as usize];
@@ -316,6 +380,9 @@
                 continue;
             }
             post.up = None;
+            gone.push(Post::Gateway(gateway));
+            post.stops = 0;
+            post.slow.clear();
             // One that killed itself as arranged was killed by the scenario, unless that has done so just now.
             let died = exit.arranged.filter(|_| !post.ending || post.again);
             let meant = (post.ending || died.is_some()) && exit.error.is_none();
@@ -332,6 +399,7 @@
                 self.plan(now + after, Step::StartGateway(gateway));
             }
         }
+        gone.into_iter().for_each(|post| self.refuse(post));
     }
 
     // ---- Hosts
@@ -370,6 +438,14 @@
     fn end_host(&mut self, host: u32) {
         if let Some(running) = self.site.hosts[host as usize].running.take() {
             running.stop();
+            let post = Post::Host(self.site.hosts[host as usize].place);
+            self.refuse(post);
+        }
+    }
+
+    fn refuse(&mut self, post: Post) {
+        if let Err(error) = self.site.stage.refuse(post, true) {
+            self.troubles.push(format!("the links to {post:?}: {error}"));
         }
     }
 
@@ -404,26 +480,6 @@
 
     // ---- The network
 
-    fn cut(&mut self, now: Time, a: &Side, b: &Side, span: Span, reset: bool) {
-        let (a, b) = (self.posts(a), self.posts(b));
-        let cut = self.site.stage.cut(&a, &b, reset);
-        let clients = |side: &[Post]| side.contains(&Post::Clients);
-        let others = match (clients(&a), clients(&b)) {
-            (true, _) => b,
-            (_, true) => a,
-            _ => Vec::new(),
-        };
-        let gateway = |post: Post| match post {
-            Post::Gateway(gateway) => Some(gateway),
-            _ => None,
-        };
-        let from_clients: Vec<u32> = others.into_iter().filter_map(gateway).collect();
-        for gateway in &from_clients {
-            self.site.see(What::ClientsCut { gateway: *gateway, cut: true });
-        }
-        self.plan(now + span, Step::Heal(cut, from_clients));
-    }
-
     fn posts(&self, side: &Side) -> Vec<Post> {
         let site = &self.site.scenario.site;
         let places = self.site.hosts.iter().map(|host| host.place);
@@ -435,8 +491,7 @@
                 places.sort_unstable();
                 places.dedup();
                 posts.extend(places.into_iter().map(Post::Host));
-                // The counter stands in the first one.
-                posts.extend((*number == 1).then_some(Post::Counter));
+                posts.extend((*number == site.counter.building).then_some(Post::Counter));
                 posts
             }
             Side::Gateway(number) => vec![Post::Gateway(number - 1)],
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use deaths::Death;
 pub use play::{play_real, play_virtual, Checked, OnPacket, Played, Progress, RealOptions, VirtualOptions};
-pub use real::Special;
+pub use real::{become_gateway, Special};
 pub use stated::stated;
-pub use swarm::{only, random_scenario, shrink, Found, Swarm};
+pub use swarm::{only, random_fleet, random_scenario, shrink, Found, Ground, Swarm};
 pub use virtual_time::{Document, GatewayMaker, GatewayStart, GatewayTask};
--- a/crates/rehearse/src/real.rs
+++ b/crates/rehearse/src/real.rs
@@ -1,34 +1,38 @@
 //! The real stage: the release program once per gateway, on loopback sockets, in real time. What the network
-//! does on the virtual stage, the stand-ins do here: they take the way's time into their own (`lag`), and say
-//! nothing to gateways that they are cut off from.
+//! does on the virtual stage, links between the processes do here ([`wires`]); without them the stand-ins do: they
+//! take the way's time into their own (`lag`), and say nothing to gateways that they are cut off from.
 
+mod lag;
+mod launch;
+mod wires;
+
+pub(crate) use lag::Lag;
+pub use launch::become_gateway;
+
+use crate::play::RealOptions;
 use crate::stage::{lock, Exit, Post, Signal, Stage};
 use fennelbeam_env::{Env, Real, Span, Time};
-use fennelbeam_model::scenario::Site;
+use fennelbeam_model::scenario::{LinkFault, Site};
 use rustix::process::{kill_process, Pid, Signal as UnixSignal};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::btree_map::{BTreeMap, Entry};
 use std::fs::File;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io::{self, Seek, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use tempfile::TempDir;
+use std::time::Duration;
 use tokio::process::{Child, Command};
+use wires::Wires;
 
-/// Stages that this process has put up.
-static STAGES: AtomicU32 = AtomicU32::new(0);
-
-/// A loopback address for the gateways of one stage. Their ports are free while no gateway runs, and a connection that
-/// goes out from the usual address must not take one meanwhile.
-fn own_loopback() -> Ipv4Addr {
-    let [_, a, b, c] =
-        (std::process::id().wrapping_mul(64) + STAGES.fetch_add(1, Ordering::Relaxed) % 64).to_be_bytes();
-    Ipv4Addr::new(127, 64 | a & 63, b, c)
-}
+/// A gateway that listens is connected to sooner.
+const PROBE: Duration = Duration::from_millis(5);
+/// Links may hold one of so many of this process's descriptors; stand-ins have the rest.
+const LINKS_SHARE: usize = 2;
 
 /// What a cut parts: stand-ins and the gateways that they are silent to.
 type CutOff = Vec<(Post, u32)>;
@@ -38,6 +42,8 @@
     pid: Pid,
     /// CPU that it had taken when it was last looked at, in clock ticks.
     cpu: u64,
+    /// Nanoseconds that it had waited for a core then.
+    waited: u64,
 }
 
 /// A gateway whose first process is another program, or has a world of its own; its later ones are as all others.
@@ -58,8 +64,12 @@
     env: Real,
     program: PathBuf,
     special: Option<Special>,
+    launcher: Option<PathBuf>,
+    limits: launch::Limits,
     logs: Option<PathBuf>,
-    folder: TempDir,
+    /// Configuration documents, in files without a name: nothing is left of them whoever is killed.
+    documents: BTreeMap<u32, File>,
+    wires: Option<Wires>,
     lag: Span,
     addresses: Vec<SocketAddr>,
     running: BTreeMap<u32, Running>,
@@ -86,25 +96,33 @@
 }
 
 impl RealStage {
-    /// A stage that starts `program` for each gateway, with logs in a folder if one is given.
-    pub fn new(site: &Site, program: &Path, logs: Option<PathBuf>) -> io::Result<RealStage> {
-        let own = own_loopback();
-        let loopback =
-            || TcpListener::bind((own, 0)).or_else(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)));
-        // All are held until all are known, so that no two are the same.
-        let held = (0..site.gateways).map(|_| loopback()).collect::<io::Result<Vec<_>>>()?;
-        let addresses = held.iter().map(TcpListener::local_addr).collect::<io::Result<Vec<_>>>()?;
-        if let Some(folder) = &logs {
+    /// A stage that starts the program for each gateway, with logs in a folder if one is given.
+    pub fn new(site: &Site, seed: u64, options: &RealOptions<'_>) -> io::Result<RealStage> {
+        let addresses: Vec<SocketAddr> = (0..site.gateways).map(|_| own_address()).collect();
+        // One that somebody else has is told of here, and not by a gateway that ends.
+        for address in &addresses {
+            let free = TcpListener::bind(address);
+            free.map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
+        }
+        if let Some(folder) = &options.logs {
             std::fs::create_dir_all(folder)?;
         }
+        let descriptors = launch::most_descriptors();
+        let wires = options.links.then(|| Wires::new(site, seed, descriptors / LINKS_SHARE)).transpose()?;
         Ok(RealStage {
             env: Real::start(),
-            program: program.to_owned(),
-            special: None,
-            logs,
-            folder: tempfile::tempdir()?,
+            program: options.program.clone(),
+            special: options.special.clone(),
+            launcher: options.launcher.clone(),
+            limits: launch::Limits {
+                descriptors: u64::from(site.sockets),
+                memory_mb: u64::from(site.memory_mb),
+            },
+            logs: options.logs.clone(),
+            documents: BTreeMap::new(),
+            wires,
             // Two of three hosts are in another building, as gateways and hosts are dealt out in turn.
-            lag: mean_way(site),
+            lag: if options.links { 0 } else { mean_way(site) },
             addresses,
             running: BTreeMap::new(),
             spent: 0,
@@ -115,12 +133,6 @@
         })
     }
 
-    /// With a gateway that is not as the others.
-    pub fn with_special(mut self, special: Option<Special>) -> RealStage {
-        self.special = special;
-        self
-    }
-
     /// The world of the stand-ins.
     pub fn env(&self) -> Real {
         self.env
@@ -135,15 +147,38 @@
         ticks as f64 / ticks_per_s()
     }
 
-    fn config(&self, gateway: u32) -> PathBuf {
-        self.folder.path().join(format!("gateway-{}.json", gateway + 1))
+    /// How long gateways have waited for a core, as a share of the time since this was last asked, which is `span`.
+    pub fn waits(&mut self, span: Span) -> Vec<(u32, f64)> {
+        let mut shares = Vec::new();
+        for (gateway, running) in &mut self.running {
+            let Some(waited) = waited(running.pid) else { continue };
+            shares.push((*gateway, waited.saturating_sub(running.waited) as f64 / span.max(1) as f64));
+            running.waited = waited;
+        }
+        shares
     }
 
-    /// Replaced whole, as a deployment does.
-    fn write_config(&self, gateway: u32, document: &Value) -> io::Result<()> {
-        let (path, new) = (self.config(gateway), self.folder.path().join("new.json"));
-        std::fs::write(&new, document.to_string())?;
-        std::fs::rename(new, path)
+    /// Writes a gateway's document, and says where the gateway finds it.
+    fn write_config(&mut self, gateway: u32, document: &Value) -> io::Result<PathBuf> {
+        let file = match self.documents.entry(gateway) {
+            Entry::Occupied(there) => there.into_mut(),
+            Entry::Vacant(none) => none.insert(tempfile::tempfile()?),
+        };
+        file.set_len(0)?;
+        file.rewind()?;
+        file.write_all(document.to_string().as_bytes())?;
+        Ok(PathBuf::from(format!("/proc/{}/fd/{}", std::process::id(), file.as_raw_fd())))
+    }
+
+    fn wires(&self) -> io::Result<&Wires> {
+        self.wires.as_ref().ok_or_else(|| io::Error::other("links fail only with --links"))
+    }
+
+    fn command(&self, program: &Path) -> Command {
+        let Some(launcher) = &self.launcher else { return Command::new(program) };
+        let mut command = Command::new(launcher);
+        command.args(launch::words(program, self.limits));
+        command
     }
 
     fn log(&self, gateway: u32, incarnation: u32) -> io::Result<Stdio> {
@@ -167,7 +202,7 @@
     }
 
     fn address(&self, _post: Post) -> SocketAddr {
-        SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0)
+        own_address()
     }
 
     fn gateway_address(&self, gateway: u32) -> SocketAddr {
@@ -183,13 +218,13 @@
     }
 
     fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()> {
-        self.write_config(gateway, document)?;
+        let config = self.write_config(gateway, document)?;
         let special = self.special.as_ref().filter(|one| one.gateway == gateway && incarnation == 0);
-        let mut command = Command::new(special.map_or(&self.program, |one| &one.program));
         let environment = special.map_or(&[][..], |one| &one.environment);
-        let child = command
+        let child = self
+            .command(special.map_or(&self.program, |one| &one.program))
             .envs(environment.iter().map(|(name, value)| (name, value)))
-            .env("ROUTER_CONFIG", self.config(gateway))
+            .env("ROUTER_CONFIG", config)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(self.log(gateway, incarnation)?)
@@ -197,14 +232,24 @@
             .spawn()?;
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         let pid = pid.ok_or_else(|| io::Error::other("ended at once"))?;
-        self.running.insert(gateway, Running { pid, cpu: 0 });
+        self.running.insert(gateway, Running { pid, cpu: 0, waited: 0 });
         let dies = special.and_then(|one| one.dies);
         self.env.spawn(wait(child, (gateway, incarnation), dies, self.exits.clone()));
         Ok(())
     }
 
+    fn refuse(&mut self, post: Post, gone: bool) -> io::Result<()> {
+        self.wires.as_ref().map_or(Ok(()), |wires| wires.refuse(post, gone))
+    }
+
+    fn refuses_well(&self, gateway: u32) -> bool {
+        let address = &self.addresses[gateway as usize];
+        // On loopback it answers at once, whether or not it is scheduled: the system does.
+        self.wires.is_none() || TcpStream::connect_timeout(address, PROBE).is_ok()
+    }
+
     fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()> {
-        self.write_config(gateway, document)
+        self.write_config(gateway, document).map(drop)
     }
 
     fn signal(&mut self, gateway: u32, signal: Signal) {
@@ -214,6 +259,8 @@
             Signal::Reload => UnixSignal::HUP,
             Signal::Terminate => UnixSignal::TERM,
             Signal::Kill => UnixSignal::KILL,
+            Signal::Stop => UnixSignal::STOP,
+            Signal::Continue => UnixSignal::CONT,
         };
         // It may have ended just now.
         let _ = kill_process(running.pid, told);
@@ -227,12 +274,17 @@
         exits
     }
 
-    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64 {
+    fn cut(&mut self, a: &[Post], b: &[Post], span: Span, reset: bool) -> io::Result<u64> {
+        if let Some(wires) = &self.wires {
+            wires.cut(a, b, span, reset)?;
+            self.next_cut += 1;
+            return Ok(self.next_cut);
+        }
         let cut: CutOff = pairs(a, b).chain(pairs(b, a)).collect();
         self.silence(&cut, true, reset);
         self.next_cut += 1;
         self.cuts.insert(self.next_cut, cut);
-        self.next_cut
+        Ok(self.next_cut)
     }
 
     fn heal(&mut self, cut: u64) {
@@ -241,11 +293,40 @@
         }
     }
 
+    fn fail_links(&mut self, pairs: &[(Post, Post)], fault: &LinkFault, span: Span) -> io::Result<()> {
+        self.wires()?.fail(pairs, fault, span)
+    }
+
+    fn reset_links(&mut self, pairs: &[(Post, Post)]) -> io::Result<()> {
+        self.wires()?.reset(pairs)
+    }
+
+    fn reach(&self, from: Post, to: Post, address: SocketAddr) -> io::Result<SocketAddr> {
+        self.wires.as_ref().map_or(Ok(address), |wires| wires.reach((from, to), address))
+    }
+
+    fn knows_when_sent(&self) -> bool {
+        false
+    }
+
     fn now(&self) -> Time {
         self.env.now()
     }
 }
 
+/// Where one process of the site listens: at a loopback address that no other rehearsal takes, and at a port that the
+/// system picks for nobody. So each finds its own free when it comes back.
+fn own_address() -> SocketAddr {
+    /// Rehearsals of one process take their ports in turn.
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    /// The first, and how many: below those that the system picks.
+    const PORTS: (u32, u32) = (10_000, 22_000);
+    let port = PORTS.0 + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS.1;
+    // A process id has 22 bits at the most.
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    SocketAddr::new(Ipv4Addr::new(127, 64 | a, b, c).into(), port as u16)
+}
+
 /// Stand-ins of one side with the gateways of the other.
 fn pairs<'a>(standins: &'a [Post], gateways: &'a [Post]) -> impl Iterator<Item = (Post, u32)> + 'a {
     let gateways = gateways.iter().filter_map(|post| match post {
@@ -293,6 +374,12 @@
     Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
 }
 
+/// Nanoseconds that a process could have run and waited for a core.
+fn waited(pid: Pid) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{}/schedstat", pid.as_raw_nonzero())).ok()?;
+    stat.split_whitespace().nth(1)?.parse().ok()
+}
+
 fn ticks_per_s() -> f64 {
     rustix::param::clock_ticks_per_second() as f64
 }
--- a/crates/rehearse/src/stage.rs
+++ b/crates/rehearse/src/stage.rs
@@ -2,6 +2,7 @@
 //! in one process; the real one starts the release program once per gateway on loopback sockets.
 
 use fennelbeam_env::{Env, Span, Time};
+use fennelbeam_model::scenario::LinkFault;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
@@ -42,6 +43,10 @@
     Terminate,
     /// SIGKILL.
     Kill,
+    /// SIGSTOP.
+    Stop,
+    /// SIGCONT.
+    Continue,
 }
 
 /// Where a site is played.
@@ -58,12 +63,28 @@
     /// Where a gateway listens, the same after each start.
     fn gateway_address(&self, gateway: u32) -> SocketAddr;
 
+    /// Where the first of two machines reaches the second, which listens at this address.
+    fn reach(&self, _from: Post, _to: Post, address: SocketAddr) -> io::Result<SocketAddr> {
+        Ok(address)
+    }
+
     /// The way that messages of a stand-in at this machine take beside what the network does by itself.
     fn lag(&self, post: Post) -> Span;
 
     /// Starts a gateway's process with this configuration document.
     fn start_gateway(&mut self, gateway: u32, incarnation: u32, document: &Value) -> io::Result<()>;
 
+    /// A process that others connect to is no more, or is back: nobody is taken in for it meanwhile.
+    fn refuse(&mut self, _post: Post, _gone: bool) -> io::Result<()> {
+        Ok(())
+    }
+
+    /// Whether who connects to a gateway that does not listen yet would be told so. Links take connections in before
+    /// they have asked it, and can only break them then.
+    fn refuses_well(&self, _gateway: u32) -> bool {
+        true
+    }
+
     /// Puts another document in the place of a gateway's.
     fn replace_document(&mut self, gateway: u32, document: &Value) -> io::Result<()>;
 
@@ -73,12 +94,22 @@
     /// Processes of gateways that have ended since this was last asked.
     fn exits(&mut self) -> Vec<Exit>;
 
-    /// Parts two sides from one another; true: with resets. Gives a number to heal it by.
-    fn cut(&mut self, a: &[Post], b: &[Post], reset: bool) -> u64;
+    /// Parts two sides from one another; true: with resets. Gives a number to heal it by, so long after now.
+    fn cut(&mut self, a: &[Post], b: &[Post], span: Span, reset: bool) -> io::Result<u64>;
 
     /// Takes a cut away.
     fn heal(&mut self, cut: u64);
 
+    /// Something that lasts goes wrong for so long with the links on which each first opens connections to each
+    /// second. Flapping is not among it.
+    fn fail_links(&mut self, pairs: &[(Post, Post)], fault: &LinkFault, span: Span) -> io::Result<()>;
+
+    /// Resets the connections that each first has opened to each second.
+    fn reset_links(&mut self, pairs: &[(Post, Post)]) -> io::Result<()>;
+
+    /// Whether stand-ins know when what they read was sent.
+    fn knows_when_sent(&self) -> bool;
+
     /// Now.
     fn now(&self) -> Time;
 }
--- a/crates/rehearse/src/stated.rs
+++ b/crates/rehearse/src/stated.rs
@@ -8,7 +8,10 @@
 //! - one for each spell in which the counter fails or gateways are cut off from it; at most what gateways could let in
 //!   that each took all of the quota for themselves,
 //! - for each process of a gateway that ends, a burst and a block: what it alone knew of its customers dies with it,
-//!   and none of them can gain more by that than one full store,
+//!   and none of them can gain more by that than one full store; as much for one that stands still for a while, which
+//!   goes on with what it knew before,
+//! - for each spell in which what gateways sent may come to hosts late, the quota of that time: hosts may see all of it
+//!   at once at the end,
 //! - on sockets, one for a counter lost from begin to end: a machine that is slow by other work makes the counter's
 //!   time-out pass, and no scenario says when.
 //!
@@ -16,7 +19,7 @@
 //! hosts make that worth more than it costs.
 
 use fennelbeam_history::{Bound, Terms};
-use fennelbeam_model::scenario::{CounterFault, Event, PlanSpec, Scenario, Side};
+use fennelbeam_model::scenario::{CounterFault, Event, LinkEnd, PlanSpec, Scenario, Side, Site};
 use fennelbeam_model::Span;
 use fennelbeam_quota::bound::{beyond, Failure, Quota, BLOCK_S};
 
@@ -35,19 +38,20 @@
 
 /// Units beyond a plan's quota that are stated for all that fails.
 fn allowance(scenario: &Scenario, plan: &PlanSpec, on_sockets: bool) -> f64 {
-    let gateways = scenario.site.gateways;
     let quota = Quota {
         rate: plan.rate,
         burst: plan.burst,
-        spread: plan.spread.min(gateways),
+        spread: plan.spread.min(scenario.site.gateways),
         most_units: f64::from(scenario.traffic.most_units),
     };
     let none = Failure { span_s: 0.0, sides: 1, answers: true, replaced: 0 };
     let mut units = beyond(&quota, &none, true);
     for timed in &scenario.events {
-        units += failure(&timed.event, &quota).map_or(0.0, |failure| at_most(&quota, &failure));
         units +=
-            f64::from(ends(&timed.event, gateways)) * (quota.burst + BLOCK_S * quota.rate + quota.most_units);
+            failure(&timed.event, &scenario.site, &quota).map_or(0.0, |failure| at_most(&quota, &failure));
+        units += f64::from(ends(&timed.event, &scenario.site))
+            * (quota.burst + BLOCK_S * quota.rate + quota.most_units);
+        units += quota.rate * seconds(held_back(&timed.event));
     }
     if on_sockets {
         units += at_most(&quota, &Failure::lost(seconds(scenario.length), &quota));
@@ -65,8 +69,10 @@
 }
 
 /// What an event is to the counter's callers.
-fn failure(event: &Event, quota: &Quota) -> Option<Failure> {
+fn failure(event: &Event, site: &Site, quota: &Quota) -> Option<Failure> {
     let lost = |span: Span| Some(Failure::lost(seconds(span), quota));
+    // Some are without the counter, and it goes on answering the others.
+    let apart = |span: Span| Some(Failure { answers: true, ..Failure::lost(seconds(span), quota) });
     match event {
         Event::Counter(CounterFault::Fresh, _) => {
             Some(Failure { span_s: 0.0, sides: 1, answers: true, replaced: 1 })
@@ -80,9 +86,19 @@
             Some(Failure { answers: true, ..Failure::lost(seconds(*span), quota) })
         }
         Event::Counter(_, span) | Event::GarbleCounter(_, span) => lost(*span),
-        Event::Cut(a, b, span, _) if [a, b].iter().any(|side| reaches_counter(side)) => {
-            Some(Failure { answers: true, ..Failure::lost(seconds(*span), quota) })
+        Event::Cut(a, b, span, _) if [a, b].iter().any(|side| reaches_counter(side)) => apart(*span),
+        // The counter is in it, or its gateways are parted from the counter.
+        Event::CutOff(_, span) => apart(*span),
+        // Some gateways may be heard and not answered, and others be whole all the while.
+        Event::Links(_, LinkEnd::Counter, _, span) => apart(*span),
+        // With all that it knew, and its gateways with it.
+        Event::LoseBuilding(building, span) if *building == site.counter.building => {
+            Some(Failure { replaced: 1, ..Failure::lost(seconds(*span), quota) })
         }
+        // Others take over from one that stands still. When it goes on its calls have run out of time.
+        Event::StopGateways(..) => apart(0),
+        // It may have no turn while an answer is in time.
+        Event::SlowGateways(_, _, span) => apart(*span),
         _ => None,
     }
 }
@@ -92,10 +108,27 @@
     matches!(side, Side::Counter | Side::Building(_))
 }
 
-/// Processes of gateways that an event ends.
-fn ends(event: &Event, gateways: u32) -> u32 {
+/// Processes of gateways that an event ends, or lets stand still.
+fn ends(event: &Event, site: &Site) -> u32 {
+    match event {
+        Event::KillGateways(which, _)
+        | Event::RestartGateways(which, _)
+        | Event::StopGateways(which, _)
+        | Event::SlowGateways(which, ..) => which.count(site.gateways),
+        Event::LoseBuilding(building, _) => {
+            let buildings = site.buildings.max(1);
+            (0..site.gateways).filter(|gateway| gateway % buildings + 1 == *building).count() as u32
+        }
+        _ => 0,
+    }
+}
+
+/// For how long what gateways send may wait on its way to hosts.
+fn held_back(event: &Event) -> Span {
+    let reaches_hosts = |side: &Side| matches!(side, Side::Building(_) | Side::Host(_));
     match event {
-        Event::KillGateways(which, _) | Event::RestartGateways(which) => which.count(gateways),
+        Event::Links(_, LinkEnd::Hosts(_), _, span) | Event::CutOff(_, span) => *span,
+        Event::Cut(a, b, span, _) if reaches_hosts(a) || reaches_hosts(b) => *span,
         _ => 0,
     }
 }
