--- a/crates/history/src/claims.rs
+++ b/crates/history/src/claims.rs
@@ -6,6 +6,7 @@
 //! has heard of a newer one, that is too old.
 
 use crate::downs::Downs;
+use crate::ears::Ears;
 use crate::finding::{Findings, Rule};
 use crate::news::{News, Pair};
 use crate::{after, ms, nth, ALLOWANCE, LATEST};
@@ -45,7 +46,12 @@
 }
 
 /// The oldest news of a host's start that a gateway acted on, if any was overtaken by what its agent had heard.
-pub(crate) fn of_starts((gateway, host): (u32, u32), pair: &Pair, downs: &Downs) -> Option<Claim> {
+pub(crate) fn of_starts(
+    (gateway, host): (u32, u32),
+    pair: &Pair,
+    downs: &Downs,
+    ears: &Ears,
+) -> Option<Claim> {
     let mut place = 0;
     let (mut told, mut heard): (Option<News>, Option<News>) = (None, None);
     let mut oldest: Option<Claim> = None;
@@ -65,7 +71,9 @@
         let Some(newer) = heard.filter(|newer| newer.started > told.map_or(0, |told| told.started)) else {
             continue;
         };
-        let made = newer.at.max(downs.up_since(gateway, sent.first_byte));
+        let heard = newer.at.max(downs.up_since(gateway, sent.first_byte));
+        // Of what it could not hear it is told as late after the gap.
+        let made = ears.told(gateway, heard.saturating_add(LATEST)) - LATEST;
         if oldest.as_ref().is_none_or(|oldest| after(sent.first_byte, made) > after(oldest.used, oldest.made))
         {
             oldest = Some(Claim {
--- a/crates/history/src/downs.rs
+++ b/crates/history/src/downs.rs
@@ -14,6 +14,7 @@
     Down,
     Told { kill: bool },
     Cut(bool),
+    Still(bool),
 }
 
 /// What happened to gateways' processes and to the way to their clients.
@@ -29,6 +30,7 @@
             What::GatewayDown { gateway, .. } => (gateway, Change::Down),
             What::GatewaySignalled { gateway, kill } => (gateway, Change::Told { kill }),
             What::ClientsCut { gateway, cut } => (gateway, Change::Cut(cut)),
+            What::GatewayStopped { gateway, stopped } => (gateway, Change::Still(stopped)),
             _ => return,
         };
         self.changes.entry(gateway).or_default().push((at, change));
@@ -37,7 +39,7 @@
     pub(crate) fn settle(&mut self) {
         // Of one instant: what it was told, then its end, then the next start.
         let rank = |change: &Change| match change {
-            Change::Told { .. } | Change::Cut(_) => 0,
+            Change::Told { .. } | Change::Cut(_) | Change::Still(_) => 0,
             Change::Down => 1,
             Change::Up => 2,
         };
@@ -62,9 +64,10 @@
     }
 
     /// Whether something that was not the gateway's fault kept an answer from a client in this time: an end out of
-    /// the blue (what it held is the clients' to repeat), or a cut on the way.
+    /// the blue (what it held is the clients' to repeat), a cut on the way, or a process that stood still.
     pub(crate) fn excuse(&self, gateway: u32, from: Time, to: Time, longest: Span) -> bool {
-        let (mut terminated, mut killed, mut cut) = (None, None, None);
+        let (mut terminated, mut killed) = (None, None);
+        let (mut cut, mut still) = (None, None);
         for (at, change) in self.of(gateway) {
             match change {
                 Change::Up => (terminated, killed) = (None, None),
@@ -78,14 +81,16 @@
                     }
                 }
                 Change::Cut(true) => cut = cut.or(Some(*at)),
-                Change::Cut(false) => {
-                    if cut.take().is_some_and(|since| since <= to && from <= *at) {
+                Change::Still(true) => still = still.or(Some(*at)),
+                Change::Cut(false) | Change::Still(false) => {
+                    let gap = if matches!(change, Change::Cut(_)) { &mut cut } else { &mut still };
+                    if gap.take().is_some_and(|since| since <= to && from <= *at) {
                         return true;
                     }
                 }
             }
         }
-        cut.is_some_and(|since| since <= to)
+        cut.into_iter().chain(still).any(|since: Time| since <= to)
     }
 }
 
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -4,7 +4,8 @@
 //! A [`History`] takes the judge's [sightings](fennelbeam_model::seen::Seen), in any order, and [`Claim`]s. It does no
 //! I/O and reads no clock. [`History::check`] goes over the whole of it at the end:
 //!
-//! 1. `tale` holds what was seen of each request, `downs` which gateways ran, `news` who was told what of hosts.
+//! 1. `tale` holds what was seen of each request, `downs` which gateways ran, `news` who was told what of hosts,
+//!    `ears` what could not be heard or came late meanwhile.
 //! 2. `answers`: each request got one final answer at most, and one that a running gateway had taken got one.
 //! 3. `twice`: nothing that may have run was sent again, or refused, where the class forbids it.
 //! 4. `units`: what a customer was sent on keeps to `rate * span + burst + allowance` in *every* window.
@@ -39,6 +40,7 @@
 mod claims;
 mod downs;
 mod drains;
+mod ears;
 mod finding;
 mod history;
 mod news;
--- a/crates/history/src/tale.rs
+++ b/crates/history/src/tale.rs
@@ -1,5 +1,6 @@
 //! What was seen of one request.
 
+use crate::ears::Ears;
 use fennelbeam_model::seen::{Dealt, Got};
 use fennelbeam_model::{Span, Time};
 
@@ -62,7 +63,10 @@
 
 impl Tale {
     /// Puts everything in the order of time, and each end to its attempt: sightings of one instant come in any order.
-    pub fn settle(&mut self) {
+    pub fn settle(&mut self, ears: &Ears) {
+        for attempt in &mut self.attempts {
+            attempt.first_byte = ears.sent((attempt.gateway, attempt.host), attempt.first_byte);
+        }
         self.asked.sort_by_key(|asked| asked.at);
         self.ends.sort_by_key(|(at, _)| *at);
         self.attempts.sort_by_key(|attempt| attempt.came);
--- a/crates/rehearse/src/deaths.rs
+++ b/crates/rehearse/src/deaths.rs
@@ -14,8 +14,6 @@
 
 /// A gateway that has died is back after this.
 const BACK: Span = 700 * MS;
-/// The rules' allowance for sockets: a machine that keeps a process waiting for longer cannot be judged on time.
-const HELD_UP: Span = 50 * MS;
 /// A run that was held up is played so often at the most.
 const TURNS: u32 = 4;
 
@@ -59,16 +57,16 @@
     /// # Errors
     /// Where it cannot be played, or the machine was too slow each time.
     pub fn play(&self, program: &Path, seed: u64) -> Result<Played> {
-        let mut slowest = 0;
+        let mut too_slow = String::new();
         for _ in 0..TURNS {
             let played = self.play_once(program, seed)?;
             let well = played.verdict.breaches.is_empty() && played.history.findings.is_empty();
-            if well || played.held_up <= HELD_UP {
-                return Ok(played);
+            match played.too_slow.clone().filter(|_| !well) {
+                None => return Ok(played),
+                Some(why) => too_slow = why,
             }
-            slowest = played.held_up;
         }
-        bail!("too slow to judge: the machine held a rehearsal up for {} ms", slowest / MS)
+        bail!("{too_slow}")
     }
 
     fn play_once(&self, program: &Path, seed: u64) -> Result<Played> {
@@ -79,7 +77,14 @@
             environment: vec![("FENNELBEAM_CRASH".into(), switch)],
             dies: Some(BACK),
         });
-        let options = RealOptions { program: program.to_owned(), logs: None, special, progress: None };
+        let options = RealOptions {
+            program: program.to_owned(),
+            launcher: None,
+            links: false,
+            logs: None,
+            special,
+            progress: None,
+        };
         play_real(&self.scenario(), seed, options)
     }
 }
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::director::Director;
 use crate::explain::Explain;
-use crate::real::{RealStage, Special};
+use crate::real::{Lag, RealStage, Special};
 use crate::site::{SiteOf, HEAD_START};
 use crate::stage::{lock, Post, Stage};
 use crate::stated::stated;
@@ -28,6 +28,8 @@
 const TAIL: Span = 5 * SECOND;
 /// In a real rehearsal, sightings are judged this often.
 const REAL_BEAT: Span = SECOND / 100;
+/// A real gateway gets this long beside to be started, since all are started one after another.
+const START_EACH: Span = SECOND / 25;
 /// See [`VirtualOptions::stuck`].
 const STUCK: Duration = Duration::from_secs(20);
 
@@ -63,8 +65,10 @@
     pub troubles: Vec<String>,
     /// Gateways that ended themselves as arranged (see [`Special`]), and at which second.
     pub died: Vec<(u32, f64)>,
-    /// On real sockets: for how long the machine kept this process from what was due, at the worst.
-    pub held_up: Span,
+    /// Why the run cannot be judged, if it cannot: the machine was too slow.
+    pub too_slow: Option<String>,
+    /// The longest that the thread of the stand-ins came late, in seconds, on real sockets.
+    pub late_s: Option<f64>,
     /// Seconds of CPU that all gateways took, on real sockets.
     pub gateway_cpu_s: Option<f64>,
     /// Tries that came to gateways.
@@ -121,6 +125,12 @@
 pub struct RealOptions<'a> {
     /// The gateway's program.
     pub program: PathBuf,
+    /// A program whose `main` begins with [`become_gateway`](crate::become_gateway): by way of it gateways end with
+    /// the one that plays, also where that is killed, and are held to the site's descriptors and memory by the
+    /// system. Without one they only end where it ends in order.
+    pub launcher: Option<PathBuf>,
+    /// Each connection between clients, gateways, hosts, counter and discovery goes through a link that can fail.
+    pub links: bool,
     /// Where its logs go.
     pub logs: Option<PathBuf>,
     /// A gateway whose first process is not as the others.
@@ -198,7 +208,8 @@
             digest: None,
             troubles: Vec::new(),
             died: Vec::new(),
-            held_up: 0,
+            too_slow: None,
+            late_s: None,
             gateway_cpu_s: None,
             tries: self.offered,
             explained: self.explain.map_or_else(Vec::new, Explain::lines),
@@ -273,30 +284,53 @@
 /// Where the site cannot be put up, the program cannot be started, or the scenario cuts clients off.
 pub fn play_real(scenario: &Scenario, seed: u64, options: RealOptions<'_>) -> Result<Played> {
     for timed in &scenario.events {
-        if matches!(&timed.event, Event::Cut(a, b, ..) if [a, b].contains(&&Side::Clients)) {
+        if !options.links && needs_links(&timed.event) {
             let at_s = timed.at as f64 / SECOND as f64;
-            bail!("the event at {at_s} s cuts clients off, which cannot be played on real sockets");
+            bail!("the event at {at_s} s needs links between the processes: play it with --links");
         }
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(real(scenario, seed, options))
 }
 
+/// Whether stand-ins that fall silent cannot do what the event asks for.
+fn needs_links(event: &Event) -> bool {
+    match event {
+        Event::Cut(a, b, ..) => [a, b].contains(&&Side::Clients),
+        Event::Links(..) | Event::CutOff(..) | Event::LoseBuilding(..) => true,
+        _ => false,
+    }
+}
+
 async fn real(scenario: &Scenario, seed: u64, mut options: RealOptions<'_>) -> Result<Played> {
-    let stage = RealStage::new(&scenario.site, &options.program, options.logs)?.with_special(options.special);
+    let stage = RealStage::new(&scenario.site, seed, &options)?;
     let env = stage.env();
-    let start = env.now() + HEAD_START;
+    let start = env.now() + HEAD_START + START_EACH * u64::from(scenario.site.gateways);
     let mut bench = Bench::new(scenario, start, true, None);
     let site = SiteOf::put_up(scenario.clone(), seed, stage, start, bench.recorder.clone())?;
     let done = Arc::new(AtomicBool::new(false));
     site.watch_clients(&done);
+    if env.now() > start {
+        bail!("too slow to judge: the site was not up when its clients were to begin");
+    }
     let mut director = Director::new(site, start);
     let last = end(scenario, start);
-    let mut held_up = 0;
+    let (mut lag, mut looked) = (Lag::default(), env.now());
     while !done.load(Ordering::Relaxed) && env.now() < last {
-        let due = director.next_due().min(env.now() + REAL_BEAT);
-        env.sleep_until(due).await;
-        held_up = held_up.max(env.now().saturating_sub(due));
+        env.sleep_until(director.next_due().min(env.now() + REAL_BEAT)).await;
+        let now = env.now();
+        if now >= start {
+            lag.beat(now, REAL_BEAT);
+        }
+        if now >= looked + SECOND {
+            let waits = director.site.stage.waits(now - looked);
+            for (gateway, share) in waits.into_iter().filter(|_| now > start + SECOND) {
+                // A slowed one has only a part of the time to wait in.
+                let slowness = director.site.gateways[gateway as usize].slowness(now);
+                lag.waited(gateway, share * slowness);
+            }
+            looked = now;
+        }
         director.step()?;
         director.be_silent();
         bench.judge();
@@ -306,7 +340,19 @@
     let troubles = std::mem::take(&mut director.troubles);
     let seconds = |at: Time| at.saturating_sub(start) as f64 / SECOND as f64;
     let died = director.died.iter().map(|(gateway, at)| (*gateway, seconds(*at))).collect();
-    Ok(Played { troubles, died, held_up, gateway_cpu_s: Some(cpu), ..bench.finish(env.now()) })
+    let played = bench.finish(env.now());
+    let broken = !(played.verdict.breaches.is_empty()
+        && played.verdict.notes.is_empty()
+        && played.history.findings.is_empty()
+        && troubles.is_empty());
+    Ok(Played {
+        troubles,
+        died,
+        too_slow: lag.too_slow(broken),
+        late_s: Some(lag.late() as f64 / SECOND as f64),
+        gateway_cpu_s: Some(cpu),
+        ..played
+    })
 }
 
 impl Director<RealStage> {
--- a/crates/rehearse/src/site.rs
+++ b/crates/rehearse/src/site.rs
@@ -18,6 +18,7 @@
 use fennelbeam_standins::Recorder;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -31,6 +32,8 @@
     pub id: String,
     /// The machine that it stands on: the number of the host that first stood there.
     pub place: u32,
+    /// Where it listens for each gateway.
+    pub listen: Arc<[SocketAddr]>,
     /// Where each gateway reaches it.
     pub addrs: Arc<[SocketAddr]>,
     /// The running stand-in; `None`: it is gone.
@@ -48,11 +51,16 @@
 impl<E: Env> Machine<E> {
     /// How many times slower it works now: of several reasons the worst counts. 1: as usual.
     pub fn slowness(&self, now: Time) -> f64 {
-        let active = self.slow.iter().filter(|(_, until)| *until > now).map(|(times, _)| *times);
-        active.reduce(f64::max).unwrap_or(1.0)
+        worst(&self.slow, now)
     }
 }
 
+/// Of several reasons that each last until then, the worst now; 1: none.
+fn worst(slow: &[(f64, Time)], now: Time) -> f64 {
+    let active = slow.iter().filter(|(_, until)| *until > now).map(|(times, _)| *times);
+    active.reduce(f64::max).unwrap_or(1.0)
+}
+
 /// A gateway of the site.
 pub struct GatewayPost<E: Env> {
     /// Its agent of discovery.
@@ -65,6 +73,17 @@
     pub ending: bool,
     /// It is to be started again as soon as it has ended.
     pub again: bool,
+    /// Reasons for its process to stand still.
+    pub stops: u32,
+    /// It runs one part of so many of the time for reasons that each last until then.
+    pub slow: Vec<(f64, Time)>,
+}
+
+impl<E: Env> GatewayPost<E> {
+    /// It runs one part of so many of the time now: of several reasons the worst counts. 1: as usual.
+    pub fn slowness(&self, now: Time) -> f64 {
+        worst(&self.slow, now)
+    }
 }
 
 /// What is at work for a while, also on hosts that come meanwhile.
@@ -129,7 +148,7 @@
             CounterConfig {
                 spec: site.counter.clone(),
                 seed,
-                listen: vec![stage.address(Post::Counter); site.gateways as usize],
+                listen: (0..site.gateways).map(|_| stage.address(Post::Counter)).collect(),
                 recorder: recorder.clone(),
                 lag: stage.lag(Post::Counter),
             },
@@ -138,8 +157,21 @@
         let mut gateways = Vec::new();
         for gateway in 0..site.gateways {
             let agent = start_agent(&stage, &registry, gateway)?;
-            gateways.push(GatewayPost { agent, up: None, starts: 0, ending: false, again: false });
+            gateways.push(GatewayPost {
+                agent,
+                up: None,
+                starts: 0,
+                ending: false,
+                again: false,
+                stops: 0,
+                slow: Vec::new(),
+            });
         }
+        let doors = (0..site.gateways).map(|gateway| {
+            let listens = stage.gateway_address(gateway);
+            stage.reach(Post::Clients, Post::Gateway(gateway), listens)
+        });
+        let doors = doors.collect::<io::Result<Vec<_>>>()?;
         let clients = Clients::start(
             stage.process(Post::Clients, "clients"),
             ClientConfig {
@@ -147,7 +179,7 @@
                 traffic: scenario.traffic.clone(),
                 draws: draws.clone(),
                 seed,
-                gateways: (0..site.gateways).map(|gateway| stage.gateway_address(gateway)).collect(),
+                gateways: doors,
                 scales: Scale::of(&scenario.events),
                 leans: Lean::of(&scenario.events),
                 start,
@@ -192,10 +224,11 @@
         post.up = Some(incarnation);
         post.ending = false;
         post.again = false;
+        post.stops = 0;
         let known = self.known(gateway);
         // The list in its configuration tells a gateway of hosts as discovery does.
         known.iter().for_each(|known| self.registry.told(self.stage.now(), gateway, known));
-        let document = self.document(gateway, incarnation, known.as_ref());
+        let document = self.document(gateway, incarnation, known.as_ref())?;
         self.stage
             .start_gateway(gateway, incarnation, &document)
             .with_context(|| format!("cannot start gateway {}", gateway + 1))?;
@@ -216,18 +249,19 @@
     }
 
     /// The configuration document of a gateway that knows this list.
-    pub fn document(&self, gateway: u32, incarnation: u32, known: Option<&Line>) -> Value {
+    pub fn document(&self, gateway: u32, incarnation: u32, known: Option<&Line>) -> Result<Value> {
         let known = known.and_then(|list| serde_json::from_str(&list.text).ok());
         let mut rng = Rng::stream(self.seed, "gateway", u64::from(gateway) << 32 | u64::from(incarnation));
+        let post = Post::Gateway(gateway);
         let start = Start {
             name: format!("n{gateway}"),
             listen: self.stage.gateway_address(gateway),
-            discovery: self.gateways[gateway as usize].agent.addr(),
-            counter: self.counter.addrs()[gateway as usize],
+            discovery: self.stage.reach(post, post, self.gateways[gateway as usize].agent.addr())?,
+            counter: self.stage.reach(post, Post::Counter, self.counter.addrs()[gateway as usize])?,
             seed: rng.bits(),
             known: known.unwrap_or_else(|| json!({"generation": 0, "reset": true, "instances": []})),
         };
-        document(&self.scenario, gateway, &start)
+        Ok(document(&self.scenario, gateway, &start))
     }
 
     /// Moves a gateway's agent to another address; the old one closes a while later.
@@ -241,10 +275,10 @@
     /// A new host comes, cold; at a place where another was, or at one of its own.
     pub fn add_host(&mut self, place: Option<u32>) -> Result<u32> {
         let number = self.hosts.len() as u32;
-        let addrs: Arc<[SocketAddr]> =
-            place.map_or_else(|| [].into(), |old| self.hosts[old as usize].addrs.clone());
+        let listen: Arc<[SocketAddr]> =
+            place.map_or_else(|| [].into(), |old| self.hosts[old as usize].listen.clone());
         let place = place.map_or(number, |old| self.hosts[old as usize].place);
-        let host = self.maker().host(&self.stage, number, place, &addrs, true)?;
+        let host = self.maker().host(&self.stage, number, place, &listen, true)?;
         self.hosts.push(host);
         self.weather_on(number);
         self.tell(number, Told::InService, Notice::Given);
@@ -254,7 +288,7 @@
     /// A host's process starts anew where it was, cold.
     pub fn restart_host(&mut self, number: u32) -> Result<()> {
         let old = &self.hosts[number as usize];
-        let (place, addrs, id) = (old.place, old.addrs.clone(), old.id.clone());
+        let (place, addrs, id) = (old.place, old.listen.clone(), old.id.clone());
         let mut host = self.maker().host(&self.stage, number, place, &addrs, true)?;
         host.id = id;
         self.hosts[number as usize] = host;
@@ -320,7 +354,7 @@
         let site = &self.scenario.site;
         let post = Post::Host(place);
         let listen = match addrs {
-            [] => vec![stage.address(post); site.gateways as usize],
+            [] => (0..site.gateways).map(|_| stage.address(post)).collect(),
             old => old.to_vec(),
         };
         let config = HostConfig {
@@ -338,10 +372,12 @@
         };
         let started_ms = if cold { stage.now() / MS } else { 0 };
         let running = HostStandIn::start(stage.process(post, &format!("host {}", number + 1)), config)?;
-        let addrs = running.addrs();
+        let listen = running.addrs();
+        let reached = |(gateway, at): (u32, &SocketAddr)| stage.reach(Post::Gateway(gateway), post, *at);
+        let addrs = (0..).zip(listen.iter()).map(reached).collect::<io::Result<Arc<[_]>>>()?;
         let id = format!("s-{:08x}", Rng::stream(self.seed, "host id", u64::from(number)).bits() as u32);
         let (draining, missed, slow) = (false, false, Vec::new());
-        Ok(Machine { id, place, addrs, running: Some(running), draining, missed, slow, started_ms })
+        Ok(Machine { id, place, listen, addrs, running: Some(running), draining, missed, slow, started_ms })
     }
 }
 
