--- a/crates/gateway/src/keep.rs
+++ b/crates/gateway/src/keep.rs
@@ -50,6 +50,13 @@
             longest
         }
     }
+
+    /// After a connection that had stood for so long was found alive.
+    fn proven(self, now: Time, stood: Span, longest: Span) -> Limit {
+        let span = self.now(now, longest);
+        let grown = if stood > span / 2 { (span as f64 * GROWS) as Span } else { span };
+        Limit { span: grown.min(longest), at: now }
+    }
 }
 
 impl Keep {
@@ -75,16 +82,9 @@
     /// One that had stood for so long carried its request.
     pub fn alive(&mut self, now: Time, host: &mut Trust, stood: Span) {
         let longest = self.longest;
-        let grown = |limit: Limit| {
-            let span = limit.now(now, longest);
-            Limit {
-                span: if stood > span / 2 { (span as f64 * GROWS) as Span } else { span }.min(longest),
-                at: now,
-            }
-        };
-        self.all = grown(self.all);
+        self.all = self.all.proven(now, stood, longest);
         // One that is like the others again needs no figure of its own.
-        host.0 = host.0.map(grown).filter(|limit| limit.span < longest);
+        host.0 = host.0.map(|limit| limit.proven(now, stood, longest)).filter(|limit| limit.span < longest);
     }
 
     /// One that had stood for so long was found dead by a request.
