--- a/crates/quota/src/hearing.rs
+++ b/crates/quota/src/hearing.rs
@@ -82,7 +82,8 @@
 /// After so long one of so many gateways is missed at the latest by one that shares a leased customer's set of
 /// `spread` with it, once it is dead or on the other side of a split.
 pub fn missed(gateways: u32, spread: u32) -> Span {
-    let groups = gateways.div_ceil(MEMBERS).min(spread.div_ceil(MEMBERS) + 1);
+    let all = gateways.div_ceil(MEMBERS);
+    let groups = if all as usize <= FEW { all } else { all.min(spread.div_ceil(MEMBERS) + 1) };
     within(beat(gateways), Span::from(groups - 1)) + beat(gateways)
 }
 
@@ -325,6 +326,12 @@
         assert_eq!(site.counts(), [2, 2]);
     }
 
+    #[test]
+    fn how_long_a_split_goes_unnoticed_grows_with_the_fleet_up_to_a_bound() {
+        let tenths = |gateways| (missed(gateways, 3) + S / 20) * 10 / S;
+        assert_eq!([3, 16, 30, 60, 150, 1_000].map(tenths), [33, 78, 89, 178, 380, 380]);
+    }
+
     #[test]
     fn a_few_groups_are_heard_in_turn() {
         let mut site = Site::new(16);
