Listen for a leased customer's gateways at its calls, not at each of its requests

Cause, seen in reading the change: in a fleet of more than 16 each request of a leased customer went through its set. And a test had let the guard pass that keeps a small fleet listening for good.

Change: the set is gone through when a block is leased (quotas.rs); the test listens in a small fleet too, and fails without the guard. A pool's stretch of slots is said to be fixed.

--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -13,6 +13,7 @@
 /// Pools and limited routes, as far as they say what may go out now.
 pub struct Pools {
     gateways: f64,
+    /// As it begins: the slots of single pools do not follow what answers show.
     strain: Strain,
     /// Slots of this gateway at the hosts that take work.
     slots: [f64; POOLS],
--- a/crates/policy/src/quotas.rs
+++ b/crates/policy/src/quotas.rs
@@ -105,7 +105,6 @@
             }
             a.refill(now, &self.contact);
         }
-        c.stores.iter().for_each(|a| self.contact.leased(now, &a.store.terms().set));
         let mut calls: smallvec::SmallVec<[(usize, f64); 2]> = smallvec::SmallVec::new();
         let free = |a: &Account| !down && !a.is_calling() && now >= a.next_call;
         // In the dark nothing waits for an answer.
@@ -132,6 +131,9 @@
             }
             calls.push((i, a.call(&self.contact, epoch, units, HORIZON)));
         }
+        if let Some((i, _)) = calls.first() {
+            self.contact.leased(now, &c.stores[*i].store.terms().set);
+        }
         calls.into_iter().for_each(|(i, amount)| self.call(now, (customer, i, epoch), amount));
         (inside, wait)
     }
--- a/crates/quota/src/hearing.rs
+++ b/crates/quota/src/hearing.rs
@@ -337,6 +337,10 @@
         let mut site = Site::new(16);
         (0..16).for_each(|_| site.beat(|_| true));
         assert!(site.counts().iter().all(|count| *count == 16), "{:?}", site.counts());
+        // A lease is no reason to stop: a small fleet hears itself for good.
+        let set = Set { first: 0, spread: 16, me: 0, gateways: 16 };
+        site.all[0].listen(site.now, &set);
+        assert_eq!(site.all[0].beat(site.now + 2 * LISTENS).len(), 2);
     }
 
     #[test]
