Look whether a client has gone before its request is taken up and before each attempt

Cause: the word that a client has left (Input::Left) stands in one queue with requests, answers and counted calls, so under a burst it is read after attempts that were decided meanwhile; nothing else was looked at.

The receiving half of a connection's answers is dropped the moment the connection ends, so ReplyTo::is_gone knows at once. A request whose client has gone is not taken up; an attempt is not made but ends once as moot, and the request is left then. Attempts of a request that is over are not handed to an idle connection any more either.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -249,6 +249,9 @@
     fn on_request(&mut self, incoming: Incoming) {
         let Incoming { at, mut request, call, reply } = incoming;
         self.speak_of_lag(at);
+        if reply.is_gone() {
+            return;
+        }
         // Two requests of one id could not be told apart at a host.
         if !self.open.insert(call.client_id) {
             return reply.answer(Answer::Failed);
@@ -342,23 +345,26 @@
     /// Tells the module of the attempts that have ended; the first value goes to the client on its own.
     fn report_finished(&mut self) {
         while let Some(finished) = self.hosts.finished() {
-            let Finished { mut ended, sent, stood, until, value } = finished;
-            let id = ended.id;
-            self.timers.cancel(until, Timer::Attempt((id, ended.attempt)));
-            ended.took = self.env.now().saturating_sub(sent);
-            if let Some(call) =
-                self.requests.get_mut(&id).filter(|call| call.reply.is_some() && value.is_none())
-            {
-                let Ended { host, outcome, took, .. } = ended;
-                call.tried.push(Tried { host, outcome, took, stood });
-            }
-            ended.closed = self.served(id, value);
-            self.sites.on_ended(self.env.now(), &ended);
-            self.tell(Event::Ended(ended));
-            self.forget(id);
+            self.report(finished);
         }
     }
 
+    fn report(&mut self, finished: Finished) {
+        let Finished { mut ended, sent, stood, until, value } = finished;
+        let id = ended.id;
+        self.timers.cancel(until, Timer::Attempt((id, ended.attempt)));
+        ended.took = self.env.now().saturating_sub(sent);
+        if let Some(call) = self.requests.get_mut(&id).filter(|call| call.reply.is_some() && value.is_none())
+        {
+            let Ended { host, outcome, took, .. } = ended;
+            call.tried.push(Tried { host, outcome, took, stood });
+        }
+        ended.closed = self.served(id, value);
+        self.sites.on_ended(self.env.now(), &ended);
+        self.tell(Event::Ended(ended));
+        self.forget(id);
+    }
+
     /// One attempt less is out. Whether the request is over.
     fn served(&mut self, id: RequestId, value: Option<Bytes>) -> bool {
         if let Some((value, reply)) = value.and_then(|value| Some((value, self.take_reply(id)?))) {
@@ -549,24 +555,34 @@
         }
     }
 
-    /// Each attempt that the module starts ends once, also one that comes too late to be made.
+    /// Each attempt that the module starts ends once, also one that comes too late to be made: the request is over,
+    /// or its client has gone and the word of that still waits behind other input.
     fn send(&mut self, id: RequestId, host: HostId, until: Time) {
         let Some(call) = self.requests.get_mut(&id) else {
             debug_assert!(false, "an attempt of a request that is not held");
             return;
         };
         let (key, until) = ((id, call.attempts), until.min(call.deadline));
-        let over = call.reply.is_none();
         call.attempts += 1;
         call.out += 1;
+        match &call.reply {
+            Some(reply) if !reply.is_gone() => {}
+            _ => {
+                self.on_left(id);
+                return self.end_unsent(key, host, until);
+            }
+        }
         let effect = self.settings.classes.get(call.class).map_or(Effect::Unsafe, |class| class.effect);
         self.hosts.start(key, host, until, call.call.clone(), effect != Effect::Safe);
-        if over {
-            return self.hosts.drop_unsent(key);
-        }
         self.set_timer(until, Timer::Attempt(key));
     }
 
+    fn end_unsent(&mut self, (id, attempt): AttemptKey, host: HostId, until: Time) {
+        let (outcome, used, true_units, report) = (Outcome::Moot, None, None, None);
+        let ended = Ended { id, attempt, host, outcome, took: 0, closed: false, used, true_units, report };
+        self.report(Finished { ended, sent: self.env.now(), stood: None, until, value: None });
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer, why: Option<Why>) {
         if let Some(reply) = self.take_reply(id) {
             reply.answer(answer);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -58,6 +58,11 @@
 }
 
 impl ReplyTo {
+    /// Whether the client's connection has ended: known at once, before the word of it has had its turn in the queue.
+    pub fn is_gone(&self) -> bool {
+        self.answers.is_closed()
+    }
+
     /// Gives the answer; a connection that has ended takes none.
     pub fn answer(self, answer: Answer) {
         let _ = self.answers.send((self.slot, answer));
