Read clients all the time, linger at every close, and take what came before the listener closes

Client gone: a connection was not read while an answer waited to be written, nor with 16 commands and 16 KiB in hand, nor after a protocol error; a client that left then was not noticed. In the room, 20 pipelined orders of 60 KB with one answer untaken and a close: 7 were sent on more than 0.1 s later. Now commands behind the pipeline are read ahead up to 128 KiB within the common room, whole ones beyond are refused in their order, 1,024 without an answer are the end of it, and after a protocol error 256 KiB are dropped; a client that sends on gets its answers as failed at once. leaving.rs fails without it (run on the code before: failed at that case).

Close: a connection that made room for another was dropped without an end of its sending, and a lingering one told to leave was closed over what it had not read. Both go on lingering without a place, eight at the most, the oldest cut first. Before a close at rest the system is asked once whether bytes lie there.

Stop: the listener was aborted with its backlog. It takes what has come before it closes. Commands on busy connections were taken up to the end, with deadlines past it; 0.5 s after SIGTERM they are refused, so that each one taken has all of its time and 0.1 s for its answer.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -8,7 +8,7 @@
 use crate::outage::Outage;
 use bytes::{Buf, Bytes, BytesMut};
 use bytes_utils::SegmentedBuf;
-use fennelbeam_env::{Env, Listener, Stream};
+use fennelbeam_env::{Env, Listener, Stream, Writer};
 use fennelbeam_policy::api::{RequestId, Span, Time};
 use fennelbeam_resp::{self as resp, Frame, RespError};
 use fennelbeam_settings::Site;
@@ -25,10 +25,14 @@
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 const MS: Span = 1_000_000;
-/// Commands of one connection that may wait for their answers; then no more are taken.
+/// Commands of one connection that may wait for their answers. Those behind them are read ahead: a connection is read
+/// all the time, or the end of its client would not be noticed.
 const MAX_PIPELINE: usize = 16;
-/// Bytes that are read of the commands behind those: so that a client's end is noticed.
-const READ_AHEAD: usize = 16 * 1024;
+/// Bytes that are read ahead. Beyond them, whole commands are refused.
+const READ_AHEAD: usize = 128 * 1024;
+/// Commands of one connection without an answer that has left, refused ones counted in. A client that sends more
+/// is given up.
+const MAX_UNANSWERED: usize = 1024;
 /// A connection owes its first command, and the rest of a begun one, within this.
 const OWED: Span = 2_000 * MS;
 /// Bytes of commands that a connection may hold without a share of the common room.
@@ -44,8 +48,11 @@
 /// A client that has said nothing for this long after it connected is not about to.
 const FRESH: Span = 100 * MS;
 const LINGER: Span = 500 * MS;
-/// Bytes read and dropped of a client that goes on sending after its last answer.
+/// Connections that linger though another has their place: small, since each holds a descriptor beyond the places.
+pub(crate) const MAX_LINGERERS: u64 = 8;
+/// Bytes read and dropped of a client that goes on sending after its last answer, or after what cannot be followed.
 const MAX_SCRAP: usize = 256 * 1024;
+const READ: usize = 16 * 1024;
 const BACKLOG: u32 = 1024;
 /// Values up to this long are copied behind their header.
 const COPIED: usize = 4 * 1024;
@@ -68,6 +75,24 @@
     full: Arc<AtomicBool>,
     /// One that was asked to leave has a request again.
     stays: Arc<Notify>,
+    /// How many have gone on lingering without a place, ever.
+    lingerers: Arc<watch::Sender<u64>>,
+}
+
+impl Crowd {
+    /// Lingers without a place, until too many that came later do.
+    async fn linger<F: Future>(&self, lingering: F) {
+        let (mut number, mut last) = (0, self.lingerers.subscribe());
+        self.lingerers.send_modify(|count| {
+            *count += 1;
+            number = *count;
+        });
+        tokio::select! {
+            biased;
+            _ = lingering => {}
+            _ = last.wait_for(|last| *last >= number + MAX_LINGERERS) => {}
+        }
+    }
 }
 
 /// How many connections there may be.
@@ -154,8 +179,8 @@
     env.listen(address, BACKLOG)
 }
 
-/// Accepts until it is dropped. With all places taken, another connection makes room for the next: what waits
-/// in the backlog may have sent a request, which would be lost there.
+/// Accepts until connections close, and then what has come by that moment. With all places taken, another connection
+/// makes room for the next: what waits in the backlog may have sent a request, which would be lost there.
 pub(crate) async fn accept<E: Env>(mut listener: E::Listener, limits: Limits, context: Context<E>) {
     let permits = Arc::new(Semaphore::new(limits.connections));
     let mut seats: Vec<Arc<Seat>> = Vec::new();
@@ -175,7 +200,8 @@
         };
         let Ok(permit) = permit else { return };
         context.crowd.full.store(false, Ordering::Relaxed);
-        match listener.accept().await {
+        let Some(accepted) = next_connection(&mut listener, &context.phase).await else { return };
+        match accepted {
             Ok((stream, _)) => {
                 crash::here(CrashPoint::Accepted);
                 outage.back(env.now());
@@ -194,6 +220,26 @@
     }
 }
 
+/// `None`: connections close, and none has come that still waits.
+async fn next_connection<L: Listener>(
+    listener: &mut L,
+    phase: &watch::Receiver<Phase>,
+) -> Option<io::Result<(L::Stream, SocketAddr)>> {
+    let mut phase = phase.clone();
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => return Some(accepted),
+        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
+    }
+    // The system may know of one that the runtime has not been told of.
+    tokio::task::yield_now().await;
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => Some(accepted),
+        () = std::future::ready(()) => None,
+    }
+}
+
 /// Sends away the caller that has been idle longest, if there are too many.
 fn limit_callers(seats: &[Arc<Seat>], most: usize) {
     let callers = || seats.iter().filter(|seat| matches!(seat.get().0, Use::Idle | Use::Busy));
@@ -248,6 +294,16 @@
     MadeRoom,
 }
 
+/// What becomes of the bytes that a client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Intake {
+    Commands,
+    /// It has sent what cannot be followed: so many more are dropped, then it is given up.
+    Scrap(usize),
+    /// Nothing is read, and nothing waits.
+    Ended,
+}
+
 struct Connection<E> {
     context: Context<E>,
     seat: Arc<Seat>,
@@ -261,8 +317,7 @@
     slots: VecDeque<Slot>,
     first_slot: u64,
     answers: UnboundedSender<(u64, Answer)>,
-    /// Nothing more is read: the client has sent what cannot be followed.
-    broken: bool,
+    intake: Intake,
     /// Permits for the commands whose answers have not left yet.
     places: Option<OwnedSemaphorePermit>,
     /// Permits for bytes beyond the free ones, and the bytes of calls on their way.
@@ -278,10 +333,10 @@
     stream: E::Stream,
     context: Context<E>,
     seat: Arc<Seat>,
-    _permit: OwnedSemaphorePermit,
+    permit: OwnedSemaphorePermit,
 ) {
     // Kept to the end: a gateway that stops waits for all who hold one, also for those that linger.
-    let (env, _stop) = (context.env.clone(), context.phase.clone());
+    let (env, crowd, _stop) = (context.env.clone(), context.crowd.clone(), context.phase.clone());
     let (mut reader, mut writer) = stream.into_split();
     let (answers, inbox) = mpsc::unbounded_channel();
     let mut connection = Connection {
@@ -294,7 +349,7 @@
         slots: VecDeque::new(),
         first_slot: 0,
         answers,
-        broken: false,
+        intake: Intake::Commands,
         places: None,
         share: None,
         in_hand: 0,
@@ -304,33 +359,39 @@
     let ended = connection.run(&mut reader, &mut writer, inbox).await;
     connection.leave();
     drop(connection);
-    if matches!(ended, Ok(End::Answered)) {
+    let Ok(ended) = ended else { return };
+    let mut lingering = pin!(env.timeout(LINGER, linger(&mut reader, &mut writer)));
+    if matches!(ended, End::Answered) {
         seat.set(Use::Lingering, env.now());
         tokio::select! {
             biased;
-            _ = env.timeout(LINGER, linger(&mut reader, &mut writer)) => {}
+            _ = lingering.as_mut() => return,
             () = seat.leave.notified() => {}
         }
     }
+    drop((seat, permit));
+    crowd.linger(lingering).await;
 }
 
-/// Ends sending and waits for the client's end, so that the last answer is not lost to a reset.
+/// Ends sending and waits for the client's end: a close over bytes that it has sent meanwhile would be a reset, which
+/// takes the last answer along.
 async fn linger<R, W>(reader: &mut R, writer: &mut W) -> io::Result<()>
 where
     R: AsyncRead + Unpin + Send,
     W: AsyncWrite + Unpin + Send,
 {
-    let mut scrap = BytesMut::with_capacity(READ_AHEAD);
+    let mut scrap = BytesMut::with_capacity(READ);
     writer.shutdown().await?;
     let mut left = MAX_SCRAP;
     while left > 0 {
         scrap.clear();
         match reader.read_buf(&mut scrap).await? {
-            0 => break,
+            0 => return Ok(()),
             n => left = left.saturating_sub(n),
         }
     }
-    Ok(())
+    // What does not stop is held up by the system, while the last answer is taken.
+    std::future::pending().await
 }
 
 impl<E: Env> Connection<E> {
@@ -343,7 +404,7 @@
     ) -> Result<End, RespError>
     where
         R: AsyncRead + Unpin + Send,
-        W: AsyncWrite + Unpin + Send,
+        W: Writer,
     {
         let (env, seat) = (self.context.env.clone(), self.seat.clone());
         let mut phase = self.context.phase.clone();
@@ -360,8 +421,11 @@
             let writing = self.output.has_remaining();
             // A command that has come in part is a request that has begun.
             let idle = self.slots.is_empty() && !writing && self.input.is_empty();
-            let closing = self.broken || *phase.borrow_and_update() == Phase::Closing;
-            if closing && idle {
+            let now = *phase.borrow_and_update();
+            let closing = self.intake != Intake::Commands || now >= Phase::Closing;
+            // What lies with the system is a request that has come, as long as any are taken.
+            let taking = self.intake == Intake::Commands && now < Phase::Refusing;
+            if closing && idle && (!taking || writer.is_quiet()) {
                 return Ok(End::Answered);
             }
             let used = match (self.slots.is_empty() && !writing, self.called) {
@@ -373,12 +437,12 @@
                 seat.set(used, env.now());
                 noted = used;
             }
-            if used == Use::Idle && self.context.crowd.full.swap(false, Ordering::Relaxed) {
+            let is_full = || self.context.crowd.full.load(Ordering::Relaxed);
+            let was_full = || self.context.crowd.full.swap(false, Ordering::Relaxed);
+            if used == Use::Idle && is_full() && writer.is_quiet() && was_full() {
                 return Ok(End::MadeRoom);
             }
-            // A client that is slow to read its answers is not read from either.
-            let ahead = self.unanswered() < MAX_PIPELINE || self.input.len() < READ_AHEAD;
-            let (reading, owed) = (!self.broken && !writing && ahead, self.owed);
+            let (reading, owed) = (self.intake != Intake::Ended, self.owed);
             taken_by = writing.then(|| taken_by.unwrap_or_else(|| env.now() + TAKEN));
             // Only what it takes renews this: not the answers to its other commands.
             stalled_by = writing.then(|| stalled_by.unwrap_or_else(|| env.now() + STALLED));
@@ -400,24 +464,28 @@
                 }
                 read = resp::fill(reader, &mut self.input), if reading => {
                     read?;
-                    self.take_commands();
+                    self.take_in();
                 }
                 () = env.sleep_until(owed.unwrap_or(0)), if owed.is_some() => {
                     // Nothing has come at all: an error would pass for the answer to a command that crosses it,
                     // while a plain end makes the client send that one again.
-                    if self.input.is_empty() && self.slots.is_empty() {
-                        return Ok(End::MadeRoom);
+                    match self.input.is_empty() && self.slots.is_empty() {
+                        true if writer.is_quiet() => return Ok(End::MadeRoom),
+                        // It has just come, and is read next.
+                        true => self.owed = None,
+                        false => self.refuse_protocol("command not whole in time"),
                     }
-                    self.refuse_protocol("command not whole in time");
                 }
-                () = leave.as_mut() => match used {
-                    Use::Busy => {
-                        self.context.crowd.stays.notify_one();
-                        leave.set(seat.leave.notified());
+                () = leave.as_mut() => {
+                    if used != Use::Busy && writer.is_quiet() {
+                        return Ok(End::MadeRoom);
                     }
-                    _ => return Ok(End::MadeRoom),
-                },
-                next = changed.as_mut(), if !closing => {
+                    self.context.crowd.stays.notify_one();
+                    leave.set(seat.leave.notified());
+                    // Noted anew it is the newest, and another is asked first.
+                    noted = Use::Busy;
+                }
+                next = changed.as_mut(), if now < Phase::Refusing => {
                     changed.set(next_phase(next.ok_or(RespError::Closed)?));
                 }
             }
@@ -528,14 +596,46 @@
         extend(&mut self.share, &self.context.room.bytes, want.saturating_sub(held) as u32)
     }
 
+    /// Whether too much lies here behind a full pipeline: more than one connection may read ahead, or so much that
+    /// too little of the room would be left to others.
+    fn is_far_ahead(&self) -> bool {
+        let held = self.share.as_ref().map_or(0, |share| share.num_permits());
+        let much = held > 0 && held * PLACES_LEFT >= self.context.room.bytes.available_permits();
+        self.unanswered() >= MAX_PIPELINE && (much || self.input.len() > READ_AHEAD)
+    }
+
+    /// What has been read is taken, kept, refused or dropped: it is bounded, and the end of the client is seen.
+    fn take_in(&mut self) {
+        match self.intake {
+            Intake::Commands => self.take_commands(),
+            Intake::Scrap(left) if self.input.len() < left => {
+                self.intake = Intake::Scrap(left - self.input.len());
+                self.input.clear();
+            }
+            Intake::Scrap(_) | Intake::Ended => self.give_up(),
+        }
+    }
+
+    /// The client sends without an end: all that it still waits for has failed, and nothing more is read.
+    fn give_up(&mut self) {
+        for slot in &mut self.slots {
+            if let Slot::Waiting(id, bytes) = *slot {
+                let _ = self.context.gateway.send(Input::Left(id));
+                self.in_hand -= bytes;
+                *slot = Slot::Ready(Answer::Failed.into());
+            }
+        }
+        (self.intake, self.owed, self.input) = (Intake::Ended, None, BytesMut::new());
+    }
+
     fn take_commands(&mut self) {
-        if !self.fits() {
+        if !self.fits() || self.is_far_ahead() {
             self.refuse_whole_commands();
-            if !self.broken && !self.fits() {
+            if self.intake == Intake::Commands && !self.fits() {
                 self.refuse_protocol("no room for so long a command");
             }
         }
-        while !self.broken && self.unanswered() < MAX_PIPELINE && !self.input.is_empty() {
+        while self.intake == Intake::Commands && self.unanswered() < MAX_PIPELINE && !self.input.is_empty() {
             match resp::decode(&mut self.input) {
                 Ok(None) => {
                     self.owed = self.owed.or_else(|| Some(self.context.env.now() + OWED));
@@ -551,7 +651,10 @@
     /// There is no room for what lies here: each command that has come whole gets an answer of its own, and
     /// what is left may fit.
     fn refuse_whole_commands(&mut self) {
-        while !self.broken && !self.input.is_empty() {
+        while self.intake == Intake::Commands && !self.input.is_empty() {
+            if self.unanswered() >= MAX_UNANSWERED {
+                return self.give_up();
+            }
             match resp::decode(&mut self.input) {
                 Ok(None) => return,
                 Ok(Some(Frame::Array(words))) if !words.is_empty() => {
@@ -568,8 +671,7 @@
     /// The stream cannot be followed any more: says so, answers what came before, then closes.
     fn refuse_protocol(&mut self, error: impl std::fmt::Display) {
         self.slots.push_back(Slot::Ready(Reply::error(format_args!("protocol error: {error}"))));
-        (self.broken, self.owed) = (true, None);
-        self.input = BytesMut::new();
+        (self.intake, self.owed, self.input) = (Intake::Scrap(MAX_SCRAP), None, BytesMut::new());
     }
 
     fn take_command(&mut self, words: &[Frame]) {
@@ -585,7 +687,7 @@
         match *self.context.phase.borrow() {
             Phase::Starting => Reply::error("starting"),
             Phase::Ready => Reply::Text(Bytes::from_static(b"+PONG\r\n")),
-            Phase::Stopping | Phase::Closing => Reply::error("stopping"),
+            Phase::Stopping | Phase::Closing | Phase::Refusing => Reply::error("stopping"),
         }
     }
 
@@ -595,7 +697,7 @@
             Ok(call) => call,
             Err(error) => return Slot::Ready(Reply::error(error)),
         };
-        if !self.reserve() {
+        if *self.context.phase.borrow() == Phase::Refusing || !self.reserve() {
             return Slot::Ready(Answer::Busy(None).into());
         }
         let bytes = call.size();
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -70,7 +70,7 @@
 }
 
 /// How far the gateway is with starting and stopping.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     #[default]
     Starting,
@@ -79,6 +79,8 @@
     Stopping,
     /// Connections close when they are between requests.
     Closing,
+    /// Commands that still come are refused: there may not be the time to answer them.
+    Refusing,
 }
 
 /// An attempt of a request.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,20 +10,25 @@
 use crate::routing::Routing;
 use crate::unanswered::Unanswered;
 use anyhow::{Context as _, Result};
-use fennelbeam_env::{Env, Listener, Span, Task};
+use fennelbeam_env::{Env, Listener, Span};
 use fennelbeam_policy::policy::Policy;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 
 const MS: Span = 1_000_000;
-/// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
+/// Descriptors for the listener, discovery, the runtime, standard streams, [`clients::MAX_LINGERERS`] and what is just
+/// closing.
 const SPARE_SOCKETS: usize = 24;
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const STILL_ACCEPTING: Span = 450 * MS;
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
 const AFTER_DEADLINE: Span = 600 * MS;
+/// Commands are taken for so long after SIGTERM: each has all of its time, and 0.1 s remain for its answer to be written
+/// and read.
+const STILL_TAKING: Span = 500 * MS;
 
 /// What the process is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,7 +91,7 @@
         room: Room::within(&config.budget()),
     };
     let limits = Limits { connections: sockets - for_hosts, callers: config.sockets / 4 };
-    let accepting = env.spawn(clients::accept(listener, limits, context));
+    env.spawn(clients::accept(listener, limits, context));
     tracing::info!("{} listens on {address}", config.name);
 
     let reloading = until_terminated(&mut signals, &again, &agent, &tell);
@@ -94,7 +99,7 @@
     // Signals go on coming while the gateway stops.
     env.spawn(async move { until_terminated(&mut signals, &again, &agent, &tell).await });
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let stopping = stop(env.clone(), accepting, phase, unanswered);
+    let stopping = stop(env.clone(), phase, unanswered);
     if env.timeout(longest + AFTER_DEADLINE, stopping).await.is_err() {
         tracing::warn!("stopped with requests unanswered");
     }
@@ -126,15 +131,20 @@
 }
 
 /// Accepts a while longer, then answers what was taken and lets connections close between requests.
-async fn stop<E: Env>(env: E, accepting: E::Task, phase: watch::Sender<Phase>, unanswered: Unanswered) {
+async fn stop<E: Env>(env: E, phase: watch::Sender<Phase>, unanswered: Unanswered) {
     phase.send_replace(Phase::Stopping);
     env.sleep(STILL_ACCEPTING).await;
-    accepting.abort();
     crash::here(CrashPoint::Stopping);
     phase.send_replace(Phase::Closing);
-    // No request is unanswered, then no connection is left.
-    unanswered.until_none().await;
-    phase.closed().await;
+    let mut over = pin!(async {
+        // No request is unanswered, then no connection is left.
+        unanswered.until_none().await;
+        phase.closed().await;
+    });
+    if env.timeout(STILL_TAKING - STILL_ACCEPTING, over.as_mut()).await.is_err() {
+        phase.send_replace(Phase::Refusing);
+        over.await;
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod drain;
 mod hosts;
+mod leaving;
 mod repeat;
 mod routes;
 mod stop;
--- a/crates/gateway/tests/room/support.rs
+++ b/crates/gateway/tests/room/support.rs
@@ -2,7 +2,7 @@
 //! pass in turns; what peers read is noted with its moment.
 
 use bytes::{Bytes, BytesMut};
-use fennelbeam_env::{Env, Listener, Reader, Span, Stream, Time};
+use fennelbeam_env::{Env, Listener, Reader, Span, Stream, Time, Writer};
 use fennelbeam_gateway::{serve, Config, Signal};
 use fennelbeam_lang::{load, loader::Memory};
 use fennelbeam_model::scenario::NetworkSpec;
@@ -91,6 +91,7 @@
     Say(Bytes),
     Read(usize),
     Close,
+    Reset,
 }
 
 /// What all connections of a peer share.
@@ -152,6 +153,7 @@
                 order = orders.recv() => match order {
                     Some(Order::Say(bytes)) => output.extend_from_slice(&bytes),
                     Some(Order::Read(more)) => self.reads = self.reads.saturating_add(more),
+                    Some(Order::Reset) => return writer.reset(),
                     Some(Order::Close) | None => return,
                 },
                 wrote = writer.write_buf(&mut output), if !output.is_empty() => if wrote.is_err() {
@@ -341,6 +343,10 @@
     pub fn close(&self) {
         self.shared.order(0, Order::Close);
     }
+
+    pub fn reset(&self) {
+        self.shared.order(0, Order::Reset);
+    }
 }
 
 /// What a room is like before it starts.
