Test closes that cross a request, floods behind a full pipeline, and TCP_NODELAY on both sides

A request that only the system knows of when a connection at rest is about to close (another needs its place, it is told to leave, the gateway stops) is answered: with the look at the system taken out, the test fails. Bytes that come after the shutdown are dropped and make no reset, while the place is free already: with the lingering without a place taken out, it fails with a broken pipe. Of those that linger so, the oldest are cut. A client that sends without an end is given up with its answers in order; commands far behind a full pipeline are refused in theirs.

TCP_NODELAY: ruled out as a fault, it is set for accepted and for opened connections; the test holds it there.

--- a/crates/env/src/real/tests.rs
+++ b/crates/env/src/real/tests.rs
@@ -41,3 +41,9 @@
     assert_eq!(env.timeout(1_000_000, std::future::pending::<()>()).await, Err(crate::Elapsed));
     assert_eq!(env.timeout(Span::MAX / 2, async { 7 }).await, Ok(7));
 }
+
+#[tokio::test]
+async fn small_writes_are_not_held_back_on_either_side() {
+    let (near, far) = pair(Real::start()).await;
+    assert!(near.nodelay().unwrap() && far.nodelay().unwrap());
+}
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -178,3 +178,206 @@
     };
     assert_eq!(refused, b'-');
 }
+
+/// One connection that has had its first answer, with all that its task shares with others.
+struct Served {
+    client: TcpStream,
+    phase: watch::Sender<Phase>,
+    crowd: Crowd,
+    seat: Arc<Seat>,
+    places: Arc<Semaphore>,
+    inbox: UnboundedReceiver<Input>,
+}
+
+impl Served {
+    async fn start() -> Served {
+        let (phase, phases) = watch::channel(Phase::Ready);
+        let (context, inbox) = context(4, phases);
+        let mut listener = listen(&context.env, "127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let (seat, places) = (Arc::new(Seat::new(context.env.now())), Arc::new(Semaphore::new(1)));
+        let (crowd, permit) = (context.crowd.clone(), places.clone().try_acquire_owned().unwrap());
+        tokio::spawn(serve(stream, context, seat.clone(), permit));
+        let mut inbox = inbox;
+        client.write_all(&a_call()).await.unwrap();
+        request(&mut inbox).await.reply.answer(Answer::Failed);
+        expect(&mut client, b"-ERR failed\r\n").await;
+        Served { client, phase, crowd, seat, places, inbox }
+    }
+
+    /// Sends a request that only the system knows of: until the test waits, nobody is told.
+    fn send_unseen(&self, what: &[u8]) {
+        assert_eq!(self.client.try_write(what).unwrap(), what.len());
+    }
+
+    /// Why it is to close: now, or (`full`) after its next answer.
+    fn close_for(&self, reason: Reason) {
+        match reason {
+            Reason::Full => self.crowd.full.store(true, Ordering::Relaxed),
+            Reason::Told => self.seat.leave.notify_one(),
+            Reason::Stop => drop(self.phase.send_replace(Phase::Closing)),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reason {
+    Full,
+    Told,
+    Stop,
+}
+
+const REASONS: [Reason; 3] = [Reason::Full, Reason::Told, Reason::Stop];
+
+// These run on one thread: between two waits of the test nobody reads.
+
+#[tokio::test]
+async fn a_request_that_lies_with_the_system_before_a_close_is_answered() {
+    for reason in REASONS {
+        let mut served = Served::start().await;
+        if reason == Reason::Full {
+            served.send_unseen(&a_call());
+            let first = request(&mut served.inbox).await;
+            served.send_unseen(&a_call());
+            served.close_for(reason);
+            first.reply.answer(Answer::Failed);
+            expect(&mut served.client, b"-ERR failed\r\n").await;
+        } else {
+            served.send_unseen(&a_call());
+            served.close_for(reason);
+        }
+        request(&mut served.inbox).await.reply.answer(Answer::Failed);
+        expect(&mut served.client, b"-ERR failed\r\n").await;
+    }
+}
+
+#[tokio::test]
+async fn bytes_that_come_after_a_close_are_dropped_and_make_it_no_reset() {
+    for reason in REASONS {
+        let mut served = Served::start().await;
+        served.send_unseen(&a_call());
+        let last = request(&mut served.inbox).await;
+        match reason {
+            // Its place is free before its client has ended.
+            Reason::Full => served.close_for(reason),
+            Reason::Told | Reason::Stop => {}
+        }
+        last.reply.answer(Answer::Served(Bytes::from_static(b"last")));
+        // The answer has left, and nobody has read it.
+        served.client.readable().await.unwrap();
+        served.close_for(reason);
+        if reason == Reason::Stop {
+            // It lingers, and is told to make room.
+            while served.seat.get().0 != Use::Lingering {
+                tokio::task::yield_now().await;
+            }
+            served.close_for(Reason::Told);
+        }
+        let place = timeout(Duration::from_secs(20), served.places.acquire()).await;
+        drop(place.expect("its place stays taken").unwrap());
+        for _ in 0..3 {
+            served.send_unseen(&a_call());
+            tokio::task::yield_now().await;
+        }
+        let mut all = Vec::new();
+        let read = timeout(Duration::from_secs(20), served.client.read_to_end(&mut all)).await;
+        assert!(read.expect("no end").is_ok(), "{reason:?}: a reset, behind {all:?}");
+        assert_eq!(all, b"$4\r\nlast\r\n", "{reason:?}");
+        assert!(served.inbox.try_recv().is_err(), "{reason:?}: read after the shutdown and sent on");
+    }
+}
+
+#[tokio::test]
+async fn of_those_that_linger_without_a_place_the_oldest_are_cut() {
+    let crowd = Crowd::default();
+    let linger = |crowd: Crowd| tokio::spawn(async move { crowd.linger(std::future::pending::<()>()).await });
+    let mut lingering: Vec<_> = (0..MAX_LINGERERS + 2).map(|_| linger(crowd.clone())).collect();
+    for cut in lingering.drain(..2) {
+        timeout(Duration::from_secs(20), cut).await.expect("too many linger").unwrap();
+    }
+    assert!(lingering.iter().all(|task| !task.is_finished()));
+}
+
+/// A client that floods gets its answers in order, then an end; what it waits for is let go.
+#[tokio::test]
+async fn a_client_that_sends_without_an_end_is_given_up() {
+    let ping = b"*1\r\n$4\r\nPING\r\n";
+    for (what, flood) in
+        [("nonsense", vec![b'x'; 2 * MAX_SCRAP]), ("commands", ping.repeat(16 * MAX_UNANSWERED))]
+    {
+        let mut served = Served::start().await;
+        let (mut from, mut to) = served.client.split();
+        let sending = async {
+            to.write_all(&a_call()).await.unwrap();
+            // At last it is closed in the middle of it.
+            let _ = to.write_all(&flood).await;
+        };
+        let reading = async {
+            let waiting = request(&mut served.inbox).await;
+            let left =
+                timeout(Duration::from_secs(20), served.inbox.recv()).await.expect("it is not given up");
+            assert!(matches!(left, Some(Input::Left(id)) if id == waiting.request.id), "{what}: {left:?}");
+            waiting.reply.answer(Answer::Served(Bytes::from_static(b"late")));
+            let mut first = [0; 13];
+            from.read_exact(&mut first).await.unwrap();
+            assert_eq!(&first, b"-ERR failed\r\n", "{what}");
+        };
+        timeout(Duration::from_secs(20), async { tokio::join!(sending, reading) }).await.expect(what);
+    }
+}
+
+#[tokio::test]
+async fn commands_far_behind_a_full_pipeline_are_refused_in_their_order() {
+    let (_phase, phases) = watch::channel(Phase::Ready);
+    let (mut context, mut inbox) = context(2, phases);
+    context.room = Room { places: Arc::new(Semaphore::new(512)), bytes: Arc::new(Semaphore::new(64 << 20)) };
+    let (mut from, mut to) = TcpStream::connect(accepting(context)).await.unwrap().into_split();
+    // A word that means nothing makes a call long.
+    let long = |length: usize| {
+        let list = "c=read,t=team,d=900,units=1,spread=1,first=0";
+        let words = ["CALL.GET", "0000000000000001", "0000000000000002", list];
+        let mut call = BytesMut::new();
+        resp::put_header(&mut call, b'*', words.len() + usize::from(length > 0));
+        words.iter().for_each(|word| resp::put_bulk(&mut call, word.as_bytes()));
+        if length > 0 {
+            resp::put_bulk(&mut call, &vec![b'x'; length]);
+        }
+        call
+    };
+    // Far more than systems hold: when all of it has been written, most of it has been read.
+    let behind = 500;
+    let all: Vec<u8> = std::iter::repeat_n(long(0), MAX_PIPELINE)
+        .chain(std::iter::repeat_n(long(60_000), behind))
+        .flatten()
+        .collect();
+    let writing =
+        async { timeout(Duration::from_secs(20), to.write_all(&all)).await.expect("not read").unwrap() };
+    let mut taken = Vec::new();
+    let taking = async {
+        for _ in 0..MAX_PIPELINE {
+            taken.push(request(&mut inbox).await);
+        }
+    };
+    tokio::join!(writing, taking);
+    for (number, incoming) in (0..).zip(taken.drain(..).rev()) {
+        incoming.reply.answer(if number % 2 == 0 { Answer::Failed } else { Answer::Busy(Some(MS)) });
+    }
+    let mut answers = Vec::new();
+    let mut lines = tokio::io::BufReader::new(&mut from);
+    for _ in 0..MAX_PIPELINE + behind {
+        let mut line = String::new();
+        let read = tokio::io::AsyncBufReadExt::read_line(&mut lines, &mut line);
+        timeout(Duration::from_secs(20), read).await.expect("starved").unwrap();
+        answers.push(line);
+    }
+    let (pipeline, refused) = answers.split_at(MAX_PIPELINE);
+    let alternate = |(number, line): (usize, &String)| {
+        line == if number % 2 == 0 { "-BUSY 1\r\n" } else { "-ERR failed\r\n" }
+    };
+    assert!(pipeline.iter().enumerate().all(alternate), "{pipeline:?}");
+    // Long ones would be an error of their own if they were taken: so are the last, which still lay here.
+    let far = refused.iter().take_while(|line| *line == "-BUSY\r\n").count();
+    assert!(far >= behind / 2 && far < behind, "{far} are refused");
+    assert!(refused[far..].iter().all(|line| line.starts_with("-ERR wrong number")), "{refused:?}");
+}
