--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -826,6 +826,27 @@
     assert!(gateway.exit().success());
 }
 
+#[test]
+fn signals_during_a_stop_change_nothing() {
+    let host = Peers::start(1);
+    let (mut gateway, _discovery) = before(settings(), &host);
+    let (mut client, mut idle) = (gateway.client(), gateway.client());
+    idle.call(&["PING"]);
+    idle.answer();
+    client.post(1, "body");
+    let mut seen = host.command();
+    gateway.terminate();
+    gateway.terminate();
+    gateway.hang_up();
+    assert!(idle.ended(), "a connection between requests closes");
+    gateway.hang_up();
+    gateway.terminate();
+    seen.serve("served");
+    assert_eq!(client.answer(), "served");
+    assert!(client.ended());
+    assert!(gateway.exit().success());
+}
+
 #[test]
 fn a_client_stuck_within_a_command_does_not_hold_up_the_stop() {
     let mut settings = settings();
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -361,7 +361,8 @@
     drop(connection);
     let Ok(ended) = ended else { return };
     let mut lingering = pin!(env.timeout(LINGER, linger(&mut reader, &mut writer)));
-    if matches!(ended, End::Answered) {
+    let is_waited_for = crowd.full.swap(false, Ordering::Relaxed);
+    if matches!(ended, End::Answered) && !is_waited_for {
         seat.set(Use::Lingering, env.now());
         tokio::select! {
             biased;
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -288,6 +288,16 @@
     }
 }
 
+#[tokio::test]
+async fn one_that_closes_by_itself_gives_its_place_to_whoever_waits_for_one() {
+    let served = Served::start().await;
+    served.close_for(Reason::Full);
+    served.close_for(Reason::Stop);
+    let place = timeout(Duration::from_secs(20), served.places.acquire()).await;
+    drop(place.expect("its place stays taken").unwrap());
+    assert!(!served.crowd.full.load(Ordering::Relaxed), "another would go for it as well");
+}
+
 #[tokio::test]
 async fn of_those_that_linger_without_a_place_the_oldest_are_cut() {
     let crowd = Crowd::default();
@@ -381,3 +391,35 @@
     assert!(far >= behind / 2 && far < behind, "{far} are refused");
     assert!(refused[far..].iter().all(|line| line.starts_with("-ERR wrong number")), "{refused:?}");
 }
+
+/// What is in the backlog as connections begin to close has been taken by the machine: it is not reset.
+#[tokio::test]
+async fn what_waits_to_be_accepted_as_connections_close_is_answered() {
+    let (phase, phases) = watch::channel(Phase::Ready);
+    let (context, mut inbox) = context(8, phases);
+    let address = accepting(context);
+    let mut early = TcpStream::connect(address).await.unwrap();
+    early.write_all(&a_call()).await.unwrap();
+    let held = request(&mut inbox).await;
+    // From here on nobody is told of anything until the test waits.
+    let mut late: Vec<std::net::TcpStream> =
+        (0..3).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    late.iter_mut().for_each(|client| std::io::Write::write_all(client, &a_call()).unwrap());
+    phase.send_replace(Phase::Closing);
+    for _ in &late {
+        request(&mut inbox).await.reply.answer(Answer::Failed);
+    }
+    held.reply.answer(Answer::Failed);
+    let tokio_of = |client: std::net::TcpStream| {
+        client.set_nonblocking(true).unwrap();
+        TcpStream::from_std(client).unwrap()
+    };
+    for mut client in late.into_iter().map(tokio_of).chain([early]) {
+        let mut all = String::new();
+        let read = timeout(Duration::from_secs(20), client.read_to_string(&mut all)).await;
+        read.expect("no end").expect("a reset");
+        assert_eq!(all, "-ERR failed\r\n");
+    }
+    let refused = async { while TcpStream::connect(address).await.is_ok() {} };
+    timeout(Duration::from_secs(20), refused).await.expect("it goes on listening");
+}
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -10,4 +10,5 @@
 mod repeat;
 mod routes;
 mod stop;
+mod stopping;
 mod support;
