--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -249,6 +249,9 @@
     fn on_request(&mut self, incoming: Incoming) {
         let Incoming { at, mut request, call, reply } = incoming;
         self.speak_of_lag(at);
+        if reply.is_gone() {
+            return;
+        }
         // Two requests of one id could not be told apart at a host.
         if !self.open.insert(call.client_id) {
             return reply.answer(Answer::Failed);
@@ -342,23 +345,26 @@
     /// Tells the module of the attempts that have ended; the first value goes to the client on its own.
     fn report_finished(&mut self) {
         while let Some(finished) = self.hosts.finished() {
-            let Finished { mut ended, sent, stood, until, value } = finished;
-            let id = ended.id;
-            self.timers.cancel(until, Timer::Attempt((id, ended.attempt)));
-            ended.took = self.env.now().saturating_sub(sent);
-            if let Some(call) =
-                self.requests.get_mut(&id).filter(|call| call.reply.is_some() && value.is_none())
-            {
-                let Ended { host, outcome, took, .. } = ended;
-                call.tried.push(Tried { host, outcome, took, stood });
-            }
-            ended.closed = self.served(id, value);
-            self.sites.on_ended(self.env.now(), &ended);
-            self.tell(Event::Ended(ended));
-            self.forget(id);
+            self.report(finished);
         }
     }
 
+    fn report(&mut self, finished: Finished) {
+        let Finished { mut ended, sent, stood, until, value } = finished;
+        let id = ended.id;
+        self.timers.cancel(until, Timer::Attempt((id, ended.attempt)));
+        ended.took = self.env.now().saturating_sub(sent);
+        if let Some(call) = self.requests.get_mut(&id).filter(|call| call.reply.is_some() && value.is_none())
+        {
+            let Ended { host, outcome, took, .. } = ended;
+            call.tried.push(Tried { host, outcome, took, stood });
+        }
+        ended.closed = self.served(id, value);
+        self.sites.on_ended(self.env.now(), &ended);
+        self.tell(Event::Ended(ended));
+        self.forget(id);
+    }
+
     /// One attempt less is out. Whether the request is over.
     fn served(&mut self, id: RequestId, value: Option<Bytes>) -> bool {
         if let Some((value, reply)) = value.and_then(|value| Some((value, self.take_reply(id)?))) {
@@ -549,24 +555,34 @@
         }
     }
 
-    /// Each attempt that the module starts ends once, also one that comes too late to be made.
+    /// Each attempt that the module starts ends once, also one that comes too late to be made: the request is over,
+    /// or its client has gone and the word of that still waits behind other input.
     fn send(&mut self, id: RequestId, host: HostId, until: Time) {
         let Some(call) = self.requests.get_mut(&id) else {
             debug_assert!(false, "an attempt of a request that is not held");
             return;
         };
         let (key, until) = ((id, call.attempts), until.min(call.deadline));
-        let over = call.reply.is_none();
         call.attempts += 1;
         call.out += 1;
+        match &call.reply {
+            Some(reply) if !reply.is_gone() => {}
+            _ => {
+                self.on_left(id);
+                return self.end_unsent(key, host, until);
+            }
+        }
         let effect = self.settings.classes.get(call.class).map_or(Effect::Unsafe, |class| class.effect);
         self.hosts.start(key, host, until, call.call.clone(), effect != Effect::Safe);
-        if over {
-            return self.hosts.drop_unsent(key);
-        }
         self.set_timer(until, Timer::Attempt(key));
     }
 
+    fn end_unsent(&mut self, (id, attempt): AttemptKey, host: HostId, until: Time) {
+        let (outcome, used, true_units, report) = (Outcome::Moot, None, None, None);
+        let ended = Ended { id, attempt, host, outcome, took: 0, closed: false, used, true_units, report };
+        self.report(Finished { ended, sent: self.env.now(), stood: None, until, value: None });
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer, why: Option<Why>) {
         if let Some(reply) = self.take_reply(id) {
             reply.answer(answer);
@@ -614,70 +630,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::call;
-    use fennelbeam_env::Real;
-    use fennelbeam_resp::Frame;
-    use serde_json::json;
-    use tokio::sync::mpsc;
-
-    /// Decides nothing, and tells what it was told of, in order.
-    struct Told(mpsc::UnboundedSender<&'static str>);
-
-    thread_local! {
-        static TELLS: std::cell::RefCell<Option<mpsc::UnboundedSender<&'static str>>> = const { std::cell::RefCell::new(None) };
-    }
-
-    impl Decisions for Told {
-        fn start(_: Settings, _: u64) -> Self {
-            Told(TELLS.with_borrow_mut(Option::take).expect("one gateway"))
-        }
-        fn handle(&mut self, _: Time, event: Event, _: &mut Vec<Action>) {
-            let what = match event {
-                Event::Request(_) => "request",
-                Event::Hosts { .. } => "hosts",
-                _ => "other",
-            };
-            let _ = self.0.send(what);
-        }
-    }
-
-    #[tokio::test]
-    async fn a_drain_goes_before_all_requests_that_came_earlier() {
-        let document = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "settings": crate::config::sample("safe", 8_000_000_000, 9_000_000_000),
-        });
-        let config = Config::parse(document.to_string().as_bytes()).unwrap();
-        let site = Arc::new(config.site.clone());
-        let routing = Routing::new(site.clone(), &config.operators).unwrap();
-        let (tell, mut told) = mpsc::unbounded_channel();
-        TELLS.set(Some(tell));
-        let (inputs, inbox) = mpsc::unbounded_channel();
-        let (news, binding) = mpsc::unbounded_channel();
-        let (phase, _) = watch::channel(Phase::Starting);
-        let gateway: Gateway<Real, Told> =
-            Gateway::new(Real::start(), &config, site.clone(), routing, &inputs, 16, phase);
-        assert_eq!(told.recv().await, Some("hosts"), "the list known before the start");
-        // Far more than a batch lies there before the news does.
-        let (answers, _answered) = mpsc::unbounded_channel();
-        for id in 1..=5_000_u64 {
-            let words = ["CALL.GET", "0000000000000001", &format!("{id:016x}")].map(str::to_owned);
-            let list = "c=read,t=team,d=900,units=1,spread=1,first=0".to_owned();
-            let frame = |word: &String| Frame::Bulk(Bytes::from(word.clone()));
-            let words: Vec<Frame> = words.iter().chain([&list]).map(frame).collect();
-            let (request, call) = call::parse(&site, RequestId(id), &words).unwrap();
-            let reply = ReplyTo { slot: id, answers: answers.clone() };
-            let incoming = Incoming { at: 1, request, call, reply };
-            inputs.send(Input::Request(Box::new(incoming))).unwrap();
-        }
-        news.send(News::Hosts(Membership::default())).unwrap();
-        tokio::spawn(gateway.run(binding, inbox));
-        assert_eq!(told.recv().await, Some("hosts"));
-        for _ in 0..5_000 {
-            while told.recv().await.expect("it runs") != "request" {}
-        }
-    }
-}
+mod tests;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -58,6 +58,11 @@
 }
 
 impl ReplyTo {
+    /// Whether the client's connection has ended: known at once, before the word of it has had its turn in the queue.
+    pub fn is_gone(&self) -> bool {
+        self.answers.is_closed()
+    }
+
     /// Gives the answer; a connection that has ended takes none.
     pub fn answer(self, answer: Answer) {
         let _ = self.answers.send((self.slot, answer));
@@ -65,7 +70,7 @@
 }
 
 /// How far the gateway is with starting and stopping.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     #[default]
     Starting,
@@ -74,6 +79,8 @@
     Stopping,
     /// Connections close when they are between requests.
     Closing,
+    /// Commands that still come are refused: there may not be the time to answer them.
+    Refusing,
 }
 
 /// An attempt of a request.
