Keep what may still go out for a request to the moment in which it is written

Seen by tests that failed first, in a room with one gateway: - A connection whose host had answered without reading took no byte of the next request, which lay with the connection's task until the host read: 100 ms after a drain was told, its first byte went out. Such a connection is of no use now (Unusable::Full), and another takes the request. It says nothing of how long connections may stand. - A request of which a part was written when its client left, and whose connection then broke, was written again in whole on a new connection. An attempt that is not whole with its host when its request is over ends there and then. - An attempt that waited for a connection looked at nothing when that came up. It looks at the time, the window and at the client's own channel, which is closed before the gateway reads of it. - A repeat of a keyed request that waited for a connection or for room went out up to 0.9 s after its window. The module gives each attempt a moment by which its last byte has to be written: the window from the first attempt that may have run, less a tenth, 100 ms at the least, for the way. Windows up to 100 ms mean no repeat. What is not whole by then ends as never sent, and the client is answered at once. - A dial that failed after its request had gone failed a request that had come to wait since. It fails its own now, and another is made for those that wait.

Measured: the five tests of host_crossings.rs on these failed on the code before (the client that left: with its part of the mend taken out), hosts::tests with the look at the client taken out.

The test of bytes that lie on a line took the line's writer away and dropped it in its loop, so that it passed whatever lay there. It keeps the writer now, and wants the reason as well.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::counter::Counter;
 use crate::counter_log::{quotas, CounterLog, Line};
 use crate::crash::{self, CrashPoint};
-use crate::hosts::{Finished, Hosts};
+use crate::hosts::{Finished, Hosts, Order};
 use crate::lag::{Lag, Said};
 use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
@@ -27,7 +27,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 
 const MS: Span = 1_000_000;
@@ -70,6 +70,8 @@
 enum Timer {
     Module(u32),
     Attempt(AttemptKey),
+    /// What is not whole with its host by then is not sent any more.
+    WriteBy(AttemptKey),
     Overdue(RequestId),
     Call(CallId),
     Sites,
@@ -532,7 +534,7 @@
 
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { id, host, until } => self.send(id, host, until),
+            Action::Send { id, host, until, write_by } => self.send(id, host, until, write_by),
             Action::Withdraw { id, attempt } => self.hosts.stop((id, attempt), true),
             Action::Refuse { id, retry_after, why } => self.answer(id, Answer::Busy(retry_after), Some(why)),
             Action::Fail { id, why } => self.answer(id, Answer::Failed, Some(why)),
@@ -550,21 +552,23 @@
     }
 
     /// Each attempt that the module starts ends once, also one that comes too late to be made.
-    fn send(&mut self, id: RequestId, host: HostId, until: Time) {
+    fn send(&mut self, id: RequestId, host_id: HostId, until: Time, write_by: Time) {
         let Some(call) = self.requests.get_mut(&id) else {
             debug_assert!(false, "an attempt of a request that is not held");
             return;
         };
         let (key, until) = ((id, call.attempts), until.min(call.deadline));
-        let over = call.reply.is_none();
         call.attempts += 1;
         call.out += 1;
         let effect = self.settings.classes.get(call.class).map_or(Effect::Unsafe, |class| class.effect);
-        self.hosts.start(key, host, until, call.call.clone(), effect != Effect::Safe);
-        if over {
-            return self.hosts.drop_unsent(key);
-        }
+        // Of a request that is over nobody is there to take the answer, and nothing goes out.
+        let client = call.reply.as_ref().map_or_else(|| unbounded_channel().0, |reply| reply.answers.clone());
+        let (call, once) = (call.call.clone(), effect != Effect::Safe);
+        self.hosts.start(key, Order { host_id, until, write_by, call, once, client });
         self.set_timer(until, Timer::Attempt(key));
+        if write_by < until {
+            self.set_timer(write_by, Timer::WriteBy(key));
+        }
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer, why: Option<Why>) {
@@ -589,6 +593,7 @@
             match timer {
                 Timer::Module(token) => self.tell(Event::Timer { token }),
                 Timer::Attempt(key) => self.hosts.stop(key, false),
+                Timer::WriteBy(key) => self.hosts.drop_unsent(key),
                 Timer::Overdue(id) => self.overdue(id),
                 Timer::Call(call) => {
                     if let Some(counted) = self.counter.give_up(call) {
--- a/crates/gateway/src/host_line.rs
+++ b/crates/gateway/src/host_line.rs
@@ -77,36 +77,48 @@
     (Line { shared, writer: None, rests }, task)
 }
 
+/// Why a connection did not take a request, of which nothing has gone whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unusable {
+    /// It has ended, or something lies there unread, which would pass for the answer.
+    Dead,
+    /// It takes no byte now: its host answered before it had read the last request. When one would go out, and
+    /// whether anybody wanted it by then, nobody could say.
+    Full,
+}
+
 impl<E: Env> Line<E> {
     /// Whether the last byte of the request on it has been written.
     pub fn is_sent(&self) -> bool {
         self.shared.sent.load(Ordering::Relaxed)
     }
 
-    /// Writes a request; false: the connection is of no use, and none of it has gone whole. What lies there unread
-    /// would pass for the answer.
-    pub fn write(&mut self, mut text: Text) -> bool {
-        let Some(mut writer) = self.writer.take().or_else(|| self.shared.take()) else { return false };
+    /// Writes a request. Its first byte has gone when this returns, or none ever goes.
+    pub fn write(&mut self, mut text: Text) -> Result<(), Unusable> {
+        // While the rest of the last request still waits, its task has the writer.
+        let mut writer = self.writer.take().or_else(|| self.shared.take()).ok_or(Unusable::Full)?;
         if self.rests.is_closed() || !writer.is_quiet() {
-            return false;
+            return Err(Unusable::Dead);
         }
         self.shared.sent.store(false, Ordering::Relaxed);
         self.shared.asked.store(true, Ordering::Relaxed);
+        let length = text.remaining();
         match write_now(&mut writer, &mut text) {
-            Ok(true) => {
+            Ok(()) if text.has_remaining() && text.remaining() == length => Err(Unusable::Full),
+            Ok(()) if text.has_remaining() => self.rests.send((writer, text)).map_err(|_| Unusable::Dead),
+            Ok(()) => {
                 crash::here(CrashPoint::AttemptWritten);
                 self.shared.sent.store(true, Ordering::Relaxed);
                 self.writer = Some(writer);
-                true
+                Ok(())
             }
-            Ok(false) => self.rests.send((writer, text)).is_ok(),
-            Err(_) => false,
+            Err(_) => Err(Unusable::Dead),
         }
     }
 }
 
-/// Writes what goes at once; whether that is all.
-fn write_now<W: Writer>(writer: &mut W, text: &mut Text) -> io::Result<bool> {
+/// Writes what goes at once.
+fn write_now<W: Writer>(writer: &mut W, text: &mut Text) -> io::Result<()> {
     while text.has_remaining() {
         // Whoever has to wait for room is the connection's own task: nobody need be woken here.
         let write = pin!(unconstrained(writer.write_buf(text)));
@@ -114,10 +126,10 @@
             Poll::Ready(Ok(1..)) => {}
             Poll::Ready(Ok(_)) => return Err(io::ErrorKind::WriteZero.into()),
             Poll::Ready(Err(error)) => return Err(error),
-            Poll::Pending => return Ok(false),
+            Poll::Pending => return Ok(()),
         }
     }
-    Ok(true)
+    Ok(())
 }
 
 /// The task's side.
--- a/crates/gateway/src/host_line/tests.rs
+++ b/crates/gateway/src/host_line/tests.rs
@@ -21,11 +21,13 @@
 async fn bytes_that_lie_there_are_no_answer_to_the_next_request() {
     let (mut line, mut host, mut events) = pair().await;
     host.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").await.unwrap();
+    line.writer = line.shared.take();
     // Whether the task has been told of it, or only the system knows.
-    while line.writer.as_ref().or(line.shared.take().as_ref()).is_some_and(Writer::is_quiet) {
+    while line.writer.as_ref().is_some_and(Writer::is_quiet) && !line.rests.is_closed() {
         tokio::task::yield_now().await;
     }
-    assert!(!line.write(text(0)) && !line.is_sent());
+    assert_eq!(line.write(text(0)), Err(Unusable::Dead));
+    assert!(!line.is_sent());
     assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Down(7)))));
     drop(line);
     // Closed with bytes unread, it may end as a reset.
@@ -39,7 +41,8 @@
     let (mut line, mut host, mut events) = pair().await;
     // More than the system takes of what nobody reads.
     let body = 32 << 20;
-    assert!(line.write(text(body)) && !line.is_sent());
+    assert_eq!(line.write(text(body)), Ok(()));
+    assert!(!line.is_sent());
     let mut got = vec![0; body + 7];
     host.read_exact(&mut got).await.unwrap();
     while !line.is_sent() {
@@ -49,5 +52,6 @@
     let Some(Input::Host(HostEvent::Answered { clean: true, .. })) = events.recv().await else {
         panic!("no answer")
     };
-    assert!(line.write(text(0)) && line.is_sent(), "it can carry another");
+    assert_eq!(line.write(text(0)), Ok(()));
+    assert!(line.is_sent(), "it can carry another");
 }
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -2,11 +2,11 @@
 //! behind a slow one would wait for it and giving one up means closing.
 
 use crate::call::Call;
-use crate::host_line::{self, Limits, Line};
+use crate::host_line::{self, Limits, Line, Unusable};
 use crate::keep::{Keep, Trust};
 use crate::losses::AT_ONCE;
 use crate::membership::{Lifecycle, Membership};
-use crate::messages::{AttemptKey, ConnId, HostEvent, Input};
+use crate::messages::{Answer, AttemptKey, ConnId, HostEvent, Input};
 use crate::routing::Routing;
 use bytes::Bytes;
 use fennelbeam_env::{Env, Task};
@@ -37,13 +37,23 @@
     pub value: Option<Bytes>,
 }
 
+/// What is to be sent, and how.
+pub(crate) struct Order {
+    pub host_id: HostId,
+    /// When to give it up.
+    pub until: Time,
+    /// By when its last byte has to be written.
+    pub write_by: Time,
+    pub call: Arc<Call>,
+    /// It may not run twice, so that a dead connection would lose it.
+    pub once: bool,
+    /// Where the answer goes: closed once the client has gone, which may be long before the gateway hears of it.
+    pub client: UnboundedSender<(u64, Answer)>,
+}
+
 struct Attempt {
-    host_id: HostId,
+    order: Order,
     sent: Time,
-    until: Time,
-    call: Arc<Call>,
-    /// It may not run twice, so that a dead connection would lose it.
-    once: bool,
     conn: Option<ConnId>,
     /// How long that had stood idle when it was written to.
     stood: Option<Span>,
@@ -93,6 +103,8 @@
     idle_since: Time,
     rested: Span,
     busy: Option<AttemptKey>,
+    /// The attempt that it was opened for.
+    opened_for: AttemptKey,
     line: Line<E>,
     task: E::Task,
 }
@@ -245,61 +257,86 @@
     }
 
     /// Starts an attempt: on the newest idle connection, or on the first that comes free or up.
-    pub fn start(&mut self, key: AttemptKey, host_id: HostId, until: Time, call: Arc<Call>, once: bool) {
-        let sent = self.env.now();
-        self.attempts.insert(key, Attempt { host_id, sent, until, call, once, conn: None, stood: None });
-        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready) else {
+    pub fn start(&mut self, key: AttemptKey, order: Order) {
+        let (host_id, sent) = (order.host_id, self.env.now());
+        let is_over = sent >= order.until.min(order.write_by) || order.client.is_closed();
+        self.attempts.insert(key, Attempt { order, sent, conn: None, stood: None });
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| host.ready && !is_over) else {
             return self.finish(key, Outcome::Moot);
         };
         host.waiting.push_back(key);
         self.serve_waiting(host_id);
-        let Some(host) = self.hosts.get(&host_id) else { return };
-        if host.dialing < host.waiting.len() {
-            self.dial(host_id, key);
-        }
+        self.redial(host_id);
     }
 
-    /// Gives waiting attempts the idle connections that there are, each to one that it is trusted with.
+    /// Gives waiting attempts the idle connections that there are.
     fn serve_waiting(&mut self, host_id: HostId) {
-        while let Some(host) =
-            self.hosts.get_mut(&host_id).filter(|host| host.ready && !host.waiting.is_empty())
-        {
-            let Some(conn) = host.idle.last().copied() else { return };
-            let stood = self.conns.get(&conn).filter(|c| c.used);
-            let now = self.env.now();
-            let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
-            let is_trusted = |once| stood == 0 || stood < self.keep.limit(now, host.trust, once);
-            if !is_trusted(false) {
-                // The others have stood for longer still.
-                let old: Vec<ConnId> = host.idle.drain(..).collect();
-                old.into_iter().for_each(|conn| drop(self.close(conn)));
-                return;
-            }
-            let will_do = |key: &&AttemptKey| is_trusted(self.attempts.get(key).is_some_and(|a| a.once));
-            let Some(key) = host.waiting.iter().find(will_do).copied() else { return };
-            host.idle.pop();
-            if self.write(conn, key) {
-                self.unqueue(host_id, key);
-            } else if let Some(conn) = self.close(conn) {
-                // Nothing was sent, and that says nothing of the host: another connection takes it.
-                self.found_dead(host_id, conn.used, self.env.now().saturating_sub(conn.idle_since));
+        while self.serve_one(host_id) {}
+    }
+
+    /// Gives a waiting attempt an idle connection that is trusted with it; false: there are no such two.
+    fn serve_one(&mut self, host_id: HostId) -> bool {
+        let now = self.env.now();
+        let Some(host) = self.hosts.get(&host_id).filter(|host| host.ready) else { return false };
+        let Some(place) = host.idle.len().checked_sub(1) else { return false };
+        let (conn, trust) = (host.idle[place], host.trust);
+        let stood = self.conns.get(&conn).filter(|c| c.used);
+        let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
+        let is_trusted = |once| stood == 0 || stood < self.keep.limit(now, trust, once);
+        let will_do =
+            |key: &&AttemptKey| self.attempts.get(key).is_some_and(|attempt| is_trusted(attempt.order.once));
+        let key = host.waiting.iter().find(will_do).copied();
+        let is_old = !is_trusted(false);
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| !host.waiting.is_empty()) else {
+            return false;
+        };
+        if is_old {
+            // Those before it have stood for longer still.
+            let old: Vec<ConnId> = host.idle.drain(..=place).collect();
+            old.into_iter().for_each(|conn| drop(self.close(conn)));
+            return false;
+        }
+        let Some(key) = key else { return false };
+        if !self.may_go_out(key) {
+            return true;
+        }
+        if let Some(host) = self.hosts.get_mut(&host_id) {
+            host.idle.remove(place);
+        }
+        match self.write(conn, key) {
+            Ok(()) => self.unqueue(host_id, key),
+            // Nothing was sent, and that says nothing of the host: another connection takes it.
+            Err(why) => {
+                if let Some(conn) = self.close(conn).filter(|_| why == Unusable::Dead) {
+                    self.found_dead(host_id, conn.used, now.saturating_sub(conn.idle_since));
+                }
             }
         }
+        true
     }
 
-    /// Hands a connection its request; false: it has ended.
-    fn write(&mut self, id: ConnId, key: AttemptKey) -> bool {
+    /// Hands a connection its request.
+    fn write(&mut self, id: ConnId, key: AttemptKey) -> Result<(), Unusable> {
         let (Some(conn), Some(attempt)) = (self.conns.get_mut(&id), self.attempts.get_mut(&key)) else {
-            return false;
+            return Err(Unusable::Full);
         };
         let now = self.env.now();
-        if !conn.line.write(attempt.call.for_host(attempt.until.saturating_sub(now))) {
-            return false;
-        }
+        conn.line.write(attempt.order.call.for_host(attempt.order.until.saturating_sub(now)))?;
         conn.rested = now.saturating_sub(conn.idle_since);
         (conn.busy, attempt.conn) = (Some(key), Some(id));
         attempt.stood = Some(if conn.used { conn.rested } else { 0 });
-        true
+        Ok(())
+    }
+
+    /// Whether a waiting attempt may still be written. One that may not ends: its client has gone, or its time is over.
+    fn may_go_out(&mut self, key: AttemptKey) -> bool {
+        let now = self.env.now();
+        match self.attempts.get(&key).map(|attempt| &attempt.order) {
+            Some(order) if now >= order.until => self.stop(key, false),
+            Some(order) if now >= order.write_by || order.client.is_closed() => self.stop(key, true),
+            found => return found.is_some(),
+        }
+        false
     }
 
     fn dial(&mut self, host_id: HostId, key: AttemptKey) {
@@ -323,6 +360,7 @@
             idle_since: 0,
             rested: 0,
             busy: None,
+            opened_for: key,
             line,
             task,
         };
@@ -347,7 +385,7 @@
     /// connection is what tells the host.
     pub fn stop(&mut self, key: AttemptKey, withdrawn: bool) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        let (host_id, attempt_sent) = (attempt.host_id, attempt.sent);
+        let (host_id, attempt_sent) = (attempt.order.host_id, attempt.sent);
         let conn = attempt.conn.and_then(|id| self.close(id));
         let sent = conn.is_some_and(|conn| conn.line.is_sent());
         self.unqueue(host_id, key);
@@ -363,12 +401,12 @@
         self.finish(key, outcome);
     }
 
-    /// Lets go of an attempt that still waits for a connection.
+    /// Lets go of an attempt that is not whole with its host: it never runs.
     pub fn drop_unsent(&mut self, key: AttemptKey) {
-        let unsent = self.attempts.get(&key).filter(|attempt| attempt.conn.is_none());
-        if let Some(host_id) = unsent.map(|attempt| attempt.host_id) {
-            self.unqueue(host_id, key);
-            self.finish(key, Outcome::Moot);
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let conn = attempt.conn.and_then(|id| self.conns.get(&id));
+        if conn.is_none_or(|conn| !conn.line.is_sent()) {
+            self.stop(key, true);
         }
     }
 
@@ -440,12 +478,13 @@
             return;
         }
         host.dialing -= 1;
-        // Each dial was made for one of those that wait.
-        if host.waiting.len() > host.dialing {
-            if let Some(key) = host.waiting.pop_front() {
-                self.finish(key, Outcome::NoConnection);
-            }
+        // It fails the attempt that it was made for, and none that came to wait while it was on its way.
+        let key = conn.opened_for;
+        if host.waiting.len() > host.dialing && host.waiting.contains(&key) {
+            self.unqueue(conn.host_id, key);
+            self.finish(key, Outcome::NoConnection);
         }
+        self.redial(conn.host_id);
     }
 
     /// A connection that had stood idle for so long was of no use any more: others are trusted for less.
@@ -484,11 +523,14 @@
         self.redial(host_id);
     }
 
-    /// An attempt whose dial went to an address that is no more needs another.
+    /// Each that waits has a dial on its way: an attempt that has just come, or one whose own dial went to an address
+    /// that is no more.
     fn redial(&mut self, host_id: HostId) {
-        let Some(host) = self.hosts.get(&host_id) else { return };
-        if let Some(key) = host.waiting.back().copied().filter(|_| host.dialing < host.waiting.len()) {
-            self.dial(host_id, key);
+        let needy = |host: &Host| host.waiting.back().copied().filter(|_| host.dialing < host.waiting.len());
+        while let Some(key) = self.hosts.get(&host_id).filter(|host| host.ready).and_then(needy) {
+            if self.may_go_out(key) {
+                return self.dial(host_id, key);
+            }
         }
     }
 
@@ -517,7 +559,7 @@
         let ended = Ended {
             id: key.0,
             attempt: key.1,
-            host: attempt.host_id,
+            host: attempt.order.host_id,
             outcome,
             took: 0,
             closed: false,
@@ -525,7 +567,7 @@
             true_units: None,
             report: None,
         };
-        Finished { ended, sent: attempt.sent, stood: attempt.stood, until: attempt.until, value: None }
+        Finished { ended, sent: attempt.sent, stood: attempt.stood, until: attempt.order.until, value: None }
     }
 
     fn served(&mut self, site: &Site, parts: Vec<Frame>) -> bool {
@@ -588,3 +630,6 @@
 fn position(names: &[String], name: &str) -> u32 {
     names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -0,0 +1,270 @@
+//! Events at hosts that cross: an answer and the next request, a drain and a request that waits, a window that ends and
+//! a connection that comes up late.
+
+use crate::support::{
+    command, entry, get, list, name, post, served, Client, Manner, Peer, Plan, Room, Seen, CLIENT, END, HERE,
+    HOST,
+};
+use fennelbeam_env::Span;
+use fennelbeam_model::{MS, SECOND};
+use fennelbeam_sim::Cut;
+
+fn calls(host: &Peer) -> Vec<Seen> {
+    host.seen().into_iter().filter(|seen| seen.text.starts_with("CALL")).collect()
+}
+
+/// How long a call for a host is that has four digits of time left.
+fn length_at_host(id: u64) -> usize {
+    command(&["CALL.GET", &name(1), &name(id), "c=read,t=team,d=7999,units=1,spread=1,first=0"]).len()
+}
+
+/// Sent so that it comes to the gateway then, and to a host that it has a connection to one way later.
+fn ask_at(room: &Room, client: &Client, at: Span, call: bytes::Bytes) {
+    room.run_to(at - CLIENT);
+    client.say(call);
+}
+
+/// The host answers without having read, so the next request finds no room for a byte.
+#[test]
+fn a_line_that_takes_no_byte_does_not_hold_a_request_up_past_a_drain() {
+    let mut plan = Plan::default();
+    plan.network.window = length_at_host(1) as u32;
+    let room = Room::start(plan);
+    let (host, client) = (&room.hosts[0], room.client());
+    host.deaf(0);
+    client.get(1);
+    room.run_to(10 * MS);
+    room.discovery.open_watch(0);
+    host.say(0, served("first"));
+    room.run(100 * MS);
+    assert_eq!(client.heard(), ["first"]);
+    client.get(2);
+    room.run(10 * MS);
+    let told = room.now() + HERE;
+    room.discovery.tell(0, &list(2, false, &[entry(&room.hosts, 0, "terminating")]));
+    room.run(100 * MS);
+    host.manner(Manner::serve(1, 0));
+    host.hear();
+    room.run(SECOND);
+    let late: Vec<_> = calls(host).into_iter().filter(|seen| seen.sent > told).collect();
+    assert!(late.is_empty(), "told at {told}: {late:?}");
+    assert_eq!(client.heard(), [name(2)], "another connection took it before");
+}
+
+/// A room whose connections take so much of a request and no more.
+fn narrow(window: usize) -> Room {
+    let mut plan = Plan::default();
+    plan.network.window = window as u32;
+    Room::start(plan)
+}
+
+/// A kept connection has a part of a request when its client leaves and then the connection breaks.
+#[test]
+fn a_request_that_its_connection_lost_goes_nowhere_once_its_client_has_left() {
+    for is_left_first in [false, true] {
+        let room = narrow(length_at_host(1) - 10);
+        let (host, client, leaver) = (&room.hosts[0], room.client(), room.client());
+        host.manner(Manner::serve(1, 0));
+        // It reads the first request and no more.
+        host.deaf(length_at_host(1));
+        client.get(1);
+        room.run_to(100 * MS);
+        assert_eq!(client.heard(), [name(1)]);
+        host.seen();
+        leaver.get(2);
+        room.run(10 * MS);
+        if is_left_first {
+            leaver.close();
+            room.run(10 * MS);
+        }
+        host.deaf(usize::MAX);
+        let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Reset);
+        room.sim.heal(cut);
+        room.run(100 * MS);
+        let again: Vec<_> = calls(host).into_iter().map(|seen| seen.line).collect();
+        assert_eq!(again, if is_left_first { vec![] } else { vec![1] }, "left first: {is_left_first}");
+    }
+}
+
+/// A room with two hosts, and the keyed class in place of the unsafe one.
+fn keyed(window: Span) -> Room {
+    let mut plan = Plan { hosts: 2, ..Plan::default() };
+    plan.settings["allowed"]["dial-timeout"] = (4 * SECOND).into();
+    let order = &mut plan.settings["services"][1];
+    order["semantics"] = "keyed".into();
+    order["dedup-scope"] = "all".into();
+    order["key-ttl"] = window.into();
+    Room::start(plan)
+}
+
+/// The window, and whether the repeat is made where the other host is reached a second after the first failed.
+const WINDOWS: [(Span, bool); 4] =
+    [(100 * MS, false), (SECOND, false), (2 * SECOND, true), (5 * SECOND, true)];
+
+#[test]
+fn a_keyed_request_is_not_written_again_after_its_window() {
+    for (window, is_repeated) in WINDOWS {
+        let room = keyed(window);
+        let client = room.client();
+        client.post(1);
+        room.run_to(10 * MS);
+        let first = room.hosts.iter().position(|host| host.lines() == 1).unwrap();
+        let (host, other) = (&room.hosts[first], &room.hosts[1 - first]);
+        let sent = host.one().sent;
+        other.manner(Manner::serve(1, 0));
+        let cut = room.sim.cut(vec![other.machine.id()], vec![room.gateway()], Cut::Silent);
+        host.say(0, "-ERR failed\r\n");
+        room.run(500 * MS);
+        room.sim.heal(cut);
+        room.run(7 * SECOND);
+        let again = calls(other);
+        assert_eq!(again.len(), usize::from(is_repeated), "{window}: {again:?}");
+        assert!(again.iter().all(|seen| seen.at < sent + window), "{window}");
+        let heard = client.seen();
+        let [(at, answer)] = &heard[..] else { panic!("{window}: {heard:?}") };
+        if is_repeated {
+            assert_eq!(*answer, name(1));
+        } else {
+            assert_eq!(answer, "-BUSY", "hosts drop repeats: to try again is harmless");
+            assert!(
+                *at < sent + window + 10 * MS,
+                "{window}: it is told when the window ends, not later: {at}"
+            );
+        }
+    }
+}
+
+/// What of it could not be written within the window stays unwritten.
+#[test]
+fn a_keyed_request_that_waits_for_room_is_not_finished_after_its_window() {
+    let window = SECOND;
+    let mut plan = Plan { hosts: 2, ..Plan::default() };
+    plan.network.window = 64;
+    let order = &mut plan.settings["services"][1];
+    order["semantics"] = "keyed".into();
+    order["dedup-scope"] = "all".into();
+    order["key-ttl"] = window.into();
+    let room = Room::start(plan);
+    let client = room.client();
+    client.post(1);
+    room.run_to(10 * MS);
+    let first = room.hosts.iter().position(|host| host.lines() == 1).unwrap();
+    let (host, other) = (&room.hosts[first], &room.hosts[1 - first]);
+    let sent = host.one().sent;
+    other.deaf(0);
+    host.say(0, "-ERR failed\r\n");
+    room.run_to(sent + 950 * MS);
+    other.hear();
+    room.run(SECOND);
+    assert!(calls(other).is_empty());
+    assert_eq!(client.heard(), ["-BUSY"]);
+}
+
+/// It dialed for a request that was given up long before.
+#[test]
+fn a_connection_that_comes_up_late_serves_the_next_request() {
+    let mut plan = Plan::default();
+    plan.settings["allowed"]["dial-timeout"] = (4 * SECOND).into();
+    let room = Room::start(plan);
+    let (host, client, leaver) = (&room.hosts[0], room.client(), room.client());
+    host.manner(Manner::serve(1, 0));
+    let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Silent);
+    leaver.post(1);
+    room.run_to(100 * MS);
+    leaver.close();
+    room.run_to(500 * MS);
+    room.sim.heal(cut);
+    room.run_to(2 * SECOND);
+    assert_eq!((host.lines(), host.seen()), (1, vec![]));
+    client.post(2);
+    room.run(100 * MS);
+    assert_eq!(client.heard(), [name(2)]);
+    assert_eq!(host.one().line, 0);
+}
+
+/// The failure of a dial is that of the request it was made for, not of one that came just before its end.
+#[test]
+fn a_dial_whose_request_has_gone_fails_no_other() {
+    let mut plan = Plan::default();
+    plan.settings["allowed"]["max-attempts"] = 1.into();
+    let room = Room::start(plan);
+    let (host, client, leaver) = (&room.hosts[0], room.client(), room.client());
+    host.manner(Manner::serve(1, 0));
+    let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Silent);
+    leaver.post(1);
+    room.run_to(100 * MS);
+    leaver.close();
+    room.run_to(240 * MS);
+    room.sim.heal(cut);
+    client.post(2);
+    room.run_to(2 * SECOND);
+    assert_eq!(client.heard(), [name(2)]);
+    let seen = host.one();
+    assert!(seen.at < 255 * MS, "at once when the dial had failed: {seen:?}");
+}
+
+/// The host's end of an idle connection and a request on it cross on the way.
+#[test]
+fn a_request_that_crosses_the_hosts_close_of_an_idle_connection() {
+    for (call, is_repeated) in [(get(2), true), (post(2, 1, 1.0), false)] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.get(1);
+        room.run_to(500 * MS);
+        host.seen();
+        client.heard();
+        // Half a way before the request leaves the gateway, so that each is on its way when the other is.
+        room.run_to(SECOND - CLIENT);
+        client.say(call);
+        room.run_to(SECOND - HOST / 2);
+        host.close(0);
+        room.run(SECOND);
+        let seen = calls(host);
+        assert_eq!(seen.len(), usize::from(is_repeated), "{seen:?}");
+        let answer = if is_repeated { name(2) } else { "-ERR failed".to_owned() };
+        assert_eq!(client.heard(), [answer], "it may have run, as far as anybody can tell");
+    }
+}
+
+/// Our own close of an idle connection at its age, and requests just before, at and after that instant.
+#[test]
+fn a_request_that_crosses_our_close_of_an_idle_connection_goes_out_once() {
+    for offset in [-1_i64, 0, 1] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.post(1);
+        room.run_to(SECOND);
+        let answered = client.seen()[0].0 - CLIENT;
+        host.seen();
+        let at = (answered + 5 * SECOND).saturating_add_signed(offset);
+        ask_at(&room, &client, at, post(2, 1, 1.0));
+        room.run(SECOND);
+        assert_eq!(client.heard(), [name(2)], "{offset}");
+        assert_eq!(calls(host).len(), 1, "{offset}");
+        assert!(host.lines() <= 2, "{offset}");
+    }
+}
+
+/// Half a line lies there, or comes when the connection has stood idle for long: it ends, and nothing is lost.
+#[test]
+fn half_a_line_on_an_idle_connection_ends_it_and_no_request() {
+    for before in [1, MS, SECOND] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.post(1);
+        room.run_to(2 * SECOND - before - HOST);
+        host.seen();
+        client.heard();
+        host.say(0, served("nobody asked").slice(..9));
+        ask_at(&room, &client, 2 * SECOND, post(2, 1, 1.0));
+        room.run(10 * MS);
+        host.say(0, served("nobody asked").slice(9..));
+        room.run(SECOND);
+        assert_eq!(client.heard(), [name(2)], "{before}");
+        let seen: Vec<_> = host.seen().into_iter().filter(|seen| seen.text != END).collect();
+        assert_eq!(seen.iter().map(|seen| seen.line).collect::<Vec<_>>(), [1], "{before}");
+    }
+}
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -5,6 +5,7 @@
 mod counter;
 mod discovery;
 mod drain;
+mod host_crossings;
 mod hosts;
 mod repeat;
 mod routes;
--- a/crates/gateway/tests/room/support.rs
+++ b/crates/gateway/tests/room/support.rs
@@ -285,6 +285,11 @@
         self.shared.order(line, Order::Say(bytes.into()));
     }
 
+    /// Closes a connection: with bytes unread that is a reset.
+    pub fn close(&self, line: usize) {
+        self.shared.order(line, Order::Close);
+    }
+
     /// Begins the answer to a watch.
     pub fn open_watch(&self, line: usize) {
         self.say(line, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -401,6 +401,8 @@
         host: HostId,
         /// When to give it up.
         until: Time,
+        /// By when its last byte has to be written; else none of it is to go out any more, and it ends as moot.
+        write_by: Time,
     },
     /// Withdraw an attempt.
     Withdraw {
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -14,6 +14,7 @@
         let (class, is_first, queued) = (r.class, r.attempts.is_empty(), r.queued);
         let c = &self.s.classes[class];
         let until = if c.late_worth > 0.0 || c.stream { r.deadline } else { r.aim_at };
+        let write_by = r.write_by(c.effect);
         r.stage = Stage::Out;
         s.send();
         let used = s.used(self.s.gateways);
@@ -26,7 +27,7 @@
         self.unqueue(class, queued);
         let Some(r) = self.requests.get(&id) else { return };
         self.dues.put(self.hangs_at(r, host, now), Due::Watch(id, attempt));
-        self.actions.push(Action::Send { id, host, until });
+        self.actions.push(Action::Send { id, host, until, write_by });
     }
 
     /// Why there is no other attempt: it may not run again, it would be late, the limit, or the budget.
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -95,8 +95,7 @@
         match self.s.classes[r.class].effect {
             Effect::Safe => Some(anyone),
             Effect::Unsafe => None,
-            // The send takes a moment to arrive: keep a tenth of the span clear.
-            Effect::Keyed(_, ttl) if now >= first.sent + (ttl - ttl / 10) => None,
+            keyed @ Effect::Keyed(..) if now >= r.write_by(keyed) => None,
             Effect::Keyed(Scope::All, _) => Some(anyone),
             Effect::Keyed(Scope::Zone, _) => Some(Reach::Cell(there.0, None)),
             Effect::Keyed(Scope::Cell, _) => Some(Reach::Cell(there.0, Some(there.1))),
--- a/crates/policy/src/pending.rs
+++ b/crates/policy/src/pending.rs
@@ -2,10 +2,13 @@
 
 use crate::api::*;
 use crate::due::STEP;
-use crate::pace::SECOND;
+use crate::pace::{MS, SECOND};
 use fennelbeam_odds::Left;
 use smallvec::SmallVec;
 
+/// Time that the last bytes of a further attempt have to reach its host, at the least; of a long window a tenth.
+const WAY: Span = 100 * MS;
+
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum Stage {
     #[default]
@@ -65,6 +68,16 @@
     pub fn ran(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| !a.harmless)
     }
+    /// By when the last byte of another attempt has to be written: hosts drop repeats of a keyed request for a window,
+    /// which begins with the first attempt that may have run, and the bytes take a moment to arrive.
+    pub fn write_by(&self, effect: Effect) -> Time {
+        match (effect, self.ran()) {
+            (Effect::Keyed(_, window), Some(first)) => {
+                first.sent.saturating_add(window.saturating_sub(WAY.max(window / 10)))
+            }
+            _ => Time::MAX,
+        }
+    }
     /// Whether an attempt is out.
     pub fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.open)
--- a/crates/policy/tests/answers.rs
+++ b/crates/policy/tests/answers.rs
@@ -50,6 +50,35 @@
     }
 }
 
+#[test]
+fn a_keyed_request_is_repeated_only_while_its_bytes_can_arrive_within_the_window() {
+    // The window, when the first attempt fails, and by when the next has to be written, both from the first one.
+    let cases = [
+        (100, 0, None),
+        (150, 40, Some(50)),
+        (150, 50, None),
+        (1_000, 800, Some(900)),
+        (1_000, 900, None),
+        (3_000, 100, Some(2_700)),
+    ];
+    for (window, fails, write_by) in cases {
+        let mut settings = open();
+        settings.classes[1].effect = Effect::Keyed(Scope::All, window * MS);
+        settings.classes[1].aim = 4_000 * MS;
+        let mut g = Harness::new(settings, 2);
+        let (_, host) = sends(&g.request(1, 1, 1, 1.0))[0];
+        let sent = g.now;
+        g.now += fails * MS;
+        let again = g.ended(1, 0, host, Outcome::Error);
+        let bound = again.iter().find_map(|action| match action {
+            Action::Send { write_by, .. } => Some((write_by - sent) / MS),
+            _ => None,
+        });
+        assert_eq!(bound, write_by, "window {window}, fails after {fails}");
+        assert!(bound.is_some() || refused(&again, 1), "hosts drop repeats, so to try again does no harm");
+    }
+}
+
 #[test]
 fn nothing_new_goes_to_a_draining_or_removed_host() {
     let mut g = Harness::new(open(), 3);
--- a/crates/policy/tests/common/cold.rs
+++ b/crates/policy/tests/common/cold.rs
@@ -287,7 +287,7 @@
         self.gateways[gateway].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, host, until } => self.send(id, host, until),
+                Action::Send { id, host, until, .. } => self.send(id, host, until),
                 Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     let open = self.open.remove(&id).expect("one final answer");
                     assert!(self.now <= open.deadline + 16 * MS, "in time");
--- a/crates/policy/tests/common/world.rs
+++ b/crates/policy/tests/common/world.rs
@@ -86,7 +86,7 @@
         self.policy.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, host, until } => self.send(id.0, host, until),
+                Action::Send { id, host, until, .. } => self.send(id.0, host, until),
                 Action::Withdraw { id, attempt } => self.ends.push(Reverse((self.now, id.0, attempt, false))),
                 _ => {}
             }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -87,7 +87,7 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, host, until } => {
+            Action::Send { id, host, until, write_by } => {
                 let to = self.hosts.get(&host).expect("a listed host");
                 assert_eq!(to.state, HostState::Ready, "drains are kept");
                 let r = self.requests.get_mut(&id).expect("a known request");
@@ -99,7 +99,10 @@
                         Effect::Safe => {}
                         Effect::Unsafe => panic!("an unsafe request may have run twice"),
                         Effect::Keyed(scope, ttl) => {
-                            assert!(self.now < first.1 + ttl);
+                            assert!(
+                                self.now < write_by && write_by < first.1 + ttl,
+                                "the last byte is bound too"
+                            );
                             let there = &self.hosts[&first.0];
                             assert!(scope == Scope::All || there.cell == to.cell);
                         }
--- a/crates/policy/tests/session.rs
+++ b/crates/policy/tests/session.rs
@@ -140,7 +140,7 @@
 
     fn carry_out(&mut self, action: &Action) {
         match *action {
-            Action::Send { id, host, until } => self.attempt(id, host, until),
+            Action::Send { id, host, until, .. } => self.attempt(id, host, until),
             Action::Count { name, amount, .. } => self.count(name, amount),
             Action::Refuse { id, .. } | Action::Fail { id, .. } => drop(self.over.insert(id)),
             Action::Timer { after, token } => self.plan(after, Due::Told(Event::Timer { token })),
@@ -204,7 +204,7 @@
 /// FNV-1a (64 bits) over the words of all actions, each word as eight bytes, the lowest first.
 fn digest(actions: &[(Time, Action)]) -> u64 {
     let words = |(at, action): &(Time, Action)| match *action {
-        Action::Send { id, host, until } => [*at, 1, id.0, host.0, until],
+        Action::Send { id, host, until, .. } => [*at, 1, id.0, host.0, until],
         Action::Withdraw { id, attempt } => [*at, 2, id.0, attempt.into(), 0],
         Action::Refuse { id, retry_after, .. } => [*at, 3, id.0, retry_after.unwrap_or(0), 0],
         Action::Fail { id, .. } => [*at, 4, id.0, 0, 0],
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -297,7 +297,7 @@
         let address = |host: HostId| host.0.to_le_bytes();
         match action {
             // The wire reads a missing time as "when the client quits"; a time already past stays past.
-            Action::Send { id, host, until } => {
+            Action::Send { id, host, until, .. } => {
                 self.record(1, instance, &[&job(id), &address(host)[..6], &until.max(1).to_le_bytes()])
             }
             Action::Withdraw { id, attempt } => {
