Let a connection to a host rest 25 ms after an answer, so that a second one is found out

A second answer of a host that came when the next request was on the connection already was taken for that request's: a client got another one's value. Bytes alone cannot tell the two apart. Options: - Rest for some milliseconds after each answer, and open another connection meanwhile (taken). No timer for a request: a resting connection is passed over, and a wake-up is asked for only where a request waits while one rests. A request a second at a host finds its connection resting once in forty; the number of connections grows by the rate times 25 ms, and by 32 to a host at the most: beyond some 1,300 requests a second at one host the rest gets shorter. - Wait for the resting connection instead of opening another.

Three tests of the program asked for the same connection right after an answer; they let it rest first and still want the same one.

--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -44,6 +44,11 @@
     assert_eq!(client.answer(), value);
 }
 
+/// Lets the connections to hosts rest after their last answer, so that they are used again: for longer does no harm.
+fn rest() {
+    std::thread::sleep(Duration::from_millis(26));
+}
+
 fn field<'a>(list: &'a str, name: &str) -> &'a str {
     list.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).unwrap().1
 }
@@ -63,6 +68,7 @@
     seen.serve("price");
     assert_eq!(client.answer(), "price");
 
+    rest();
     client.post(6, "buy");
     let mut seen = host.command();
     assert_eq!(seen.words[0], "CALL.POST");
@@ -146,6 +152,7 @@
     client.post(7, "body");
     hosts.command().serve("served");
     assert_eq!(client.answer(), "served");
+    rest();
     client.post(8, "body");
     hosts.command().close();
     assert_eq!(client.answer(), "-ERR failed");
@@ -220,6 +227,7 @@
     assert_eq!(client.answer(), "one");
     second.serve("two");
     assert_eq!(other.answer(), "two");
+    rest();
     client.post(3, "body");
     assert_eq!(host.command().conn, second.conn, "the newest idle one is used");
     assert_eq!(client.answer(), "-ERR failed");
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -21,6 +21,12 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 const MS: Span = 1_000_000;
+/// A connection rests for so long after an answer. A host that speaks twice does so some milliseconds after the first
+/// time, and the second answer would pass for that to the next request; on a resting connection it is found out.
+const REST: Span = 25 * MS;
+/// So many connections to a host may rest at once; where requests come faster than that, the one that has rested for
+/// longest is used.
+const RESTING: usize = 32;
 /// No figure of a host is above this.
 const MAX_FIGURE: f64 = 1e5;
 
@@ -85,6 +91,8 @@
     era: u32,
     idle: Vec<ConnId>,
     waiting: VecDeque<AttemptKey>,
+    /// Word will come of a connection that has rested.
+    is_resting: bool,
     dialing: usize,
     /// Connections to it, up or on their way.
     conns: usize,
@@ -109,6 +117,13 @@
     task: E::Task,
 }
 
+impl<E: Env> Conn<E> {
+    /// While it is idle: from when on it may be used.
+    fn rested_at(&self) -> Time {
+        self.idle_since + if self.used { REST } else { 0 }
+    }
+}
+
 impl<E: Env> Drop for Conn<E> {
     fn drop(&mut self) {
         self.task.abort();
@@ -269,16 +284,35 @@
         self.redial(host_id);
     }
 
-    /// Gives waiting attempts the idle connections that there are.
+    /// Gives waiting attempts the idle connections that there are, and sees to it that those that rest are given out
+    /// in their time.
     fn serve_waiting(&mut self, host_id: HostId) {
         while self.serve_one(host_id) {}
+        let Some(host) = self.hosts.get_mut(&host_id).filter(|host| !host.waiting.is_empty()) else { return };
+        let now = self.env.now();
+        let rested = host.idle.iter().filter_map(|id| self.conns.get(id)).map(Conn::rested_at);
+        let Some(at) = rested.filter(|at| *at > now).min().filter(|_| !host.is_resting) else { return };
+        host.is_resting = true;
+        let (sleep, gateway) = (self.env.sleep_until(at), self.gateway.clone());
+        self.env.spawn(async move {
+            sleep.await;
+            let _ = gateway.send(Input::Host(HostEvent::Rested(host_id)));
+        });
+    }
+
+    /// The newest idle connection to a host that has rested, by its place among them.
+    fn rested(&self, host: &Host, now: Time) -> Option<usize> {
+        let has_rested = |id: &ConnId| self.conns.get(id).is_none_or(|conn| conn.rested_at() <= now);
+        let mut newest = host.idle.iter().enumerate().rev().enumerate();
+        let found = newest.find(|(resting, (_, id))| *resting >= RESTING || has_rested(id));
+        found.map(|(_, (place, _))| place)
     }
 
     /// Gives a waiting attempt an idle connection that is trusted with it; false: there are no such two.
     fn serve_one(&mut self, host_id: HostId) -> bool {
         let now = self.env.now();
         let Some(host) = self.hosts.get(&host_id).filter(|host| host.ready) else { return false };
-        let Some(place) = host.idle.len().checked_sub(1) else { return false };
+        let Some(place) = self.rested(host, now) else { return false };
         let (conn, trust) = (host.idle[place], host.trust);
         let stood = self.conns.get(&conn).filter(|c| c.used);
         let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
@@ -453,6 +487,10 @@
                 let Some(conn) = self.close(id) else { return };
                 self.down(id, &conn);
             }
+            HostEvent::Rested(host_id) => {
+                self.hosts.entry(host_id).and_modify(|host| host.is_resting = false);
+                self.serve_waiting(host_id);
+            }
         }
     }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -5,7 +5,7 @@
 use crate::membership::Membership;
 use bytes::Bytes;
 use fennelbeam_lang::model::Operators;
-use fennelbeam_policy::api::{CountName, Outcome, Request, RequestId, Span, Time};
+use fennelbeam_policy::api::{CountName, HostId, Outcome, Request, RequestId, Span, Time};
 use fennelbeam_resp::Frame;
 use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
@@ -90,6 +90,8 @@
     Answered { id: ConnId, frame: Frame, clean: bool },
     /// It has ended, or never came up.
     Down(ConnId),
+    /// A connection to this host has rested since its answer.
+    Rested(HostId),
 }
 
 /// Number of a call to the counter.
--- a/crates/gateway/tests/room/host_crossings.rs
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -24,6 +24,92 @@
     client.say(call);
 }
 
+/// What a host says of an earlier request, some milliseconds after its answer, and how it comes.
+const SECOND_ANSWERS: [(&str, Span, usize); 6] = [
+    ("at once", 0, 0),
+    ("a millisecond later", MS, 0),
+    ("five later", 5 * MS, 0),
+    ("twenty later", 20 * MS, 0),
+    ("half of it before the next request, half after", 2 * MS, 12),
+    ("all but its end before the next request", 10 * MS, 24),
+];
+
+#[test]
+fn a_second_answer_that_comes_late_is_no_answer_to_the_next_request() {
+    let mut wrong = Vec::new();
+    for (what, later, before) in SECOND_ANSWERS {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        client.post(1);
+        room.run_to(10 * MS);
+        let first = host.one();
+        host.say(first.line, served("first"));
+        room.run(HOST);
+        // The rest comes to the gateway so long after the answer, and just after the next request has left it.
+        let answered = room.now();
+        room.run_to(answered + (later / 2).max(HOST) - HOST);
+        host.say(first.line, served("first").slice(..before));
+        ask_at(&room, &client, answered + later.max(2 * CLIENT) - 1, post(2, 1, 1.0));
+        room.run_to(answered + later.max(2 * CLIENT) - HOST);
+        host.say(first.line, served("first").slice(before..));
+        room.run(10 * MS);
+        let second = calls(host);
+        assert_eq!(second.len(), 1, "{what}: {second:?}");
+        host.say(second[0].line, served("second"));
+        room.run(SECOND);
+        if client.heard() != ["first", "second"] {
+            wrong.push(what);
+        }
+    }
+    assert_eq!(wrong, [""; 0]);
+}
+
+/// How long a connection rests after an answer.
+const REST: Span = 25 * MS;
+
+#[test]
+fn a_connection_that_has_rested_since_its_answer_is_used_again() {
+    // How long after the answer the next request comes, and which connection it goes out on.
+    for (later, line) in [(MS, 1), (REST - MS, 1), (REST, 0), (SECOND, 0)] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.post(1);
+        room.run_to(10 * MS);
+        let answered = client.seen()[0].0 - CLIENT;
+        host.seen();
+        ask_at(&room, &client, (answered + later).max(room.now() + CLIENT), post(2, 1, 1.0));
+        room.run(100 * MS);
+        assert_eq!(calls(host).iter().map(|seen| seen.line).collect::<Vec<_>>(), [line], "{later}");
+    }
+}
+
+/// Another one is opened, and what is ready first takes the request.
+#[test]
+fn a_request_does_not_wait_for_a_new_connection_longer_than_for_a_rested_one() {
+    for is_lost in [false, true] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.get(1);
+        room.run_to(10 * MS);
+        let answered = client.seen()[0].0 - CLIENT;
+        assert_eq!((calls(host).len(), host.lines()), (1, 1));
+        client.get(2);
+        room.run(CLIENT);
+        // What asks for another connection may be lost, and comes again after a second.
+        let machines = if is_lost { vec![host.machine.id()] } else { vec![] };
+        let cut = room.sim.cut(machines, vec![room.gateway()], Cut::Silent);
+        room.run(2 * HOST);
+        room.sim.heal(cut);
+        room.run(100 * MS);
+        let seen = calls(host);
+        assert_eq!(seen.len(), 1);
+        let expected = if is_lost { answered + REST } else { 10 * MS + CLIENT + 2 * HOST };
+        assert_eq!((seen[0].sent, seen[0].line == 1), (expected, !is_lost));
+    }
+}
+
 /// The host answers without having read, so the next request finds no room for a byte.
 #[test]
 fn a_line_that_takes_no_byte_does_not_hold_a_request_up_past_a_drain() {
