--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::counter::Counter;
 use crate::counter_log::{quotas, CounterLog, Line};
 use crate::crash::{self, CrashPoint};
-use crate::hosts::{Finished, Hosts};
+use crate::hosts::{Finished, Hosts, Order};
 use crate::lag::{Lag, Said};
 use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
@@ -70,6 +70,8 @@
 enum Timer {
     Module(u32),
     Attempt(AttemptKey),
+    /// What is not whole with its host by then is not sent any more.
+    WriteBy(AttemptKey),
     Overdue(RequestId),
     Call(CallId),
     Sites,
@@ -538,7 +540,7 @@
 
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { id, host, until } => self.send(id, host, until),
+            Action::Send { id, host, until, write_by } => self.send(id, host, until, write_by),
             Action::Withdraw { id, attempt } => self.hosts.stop((id, attempt), true),
             Action::Refuse { id, retry_after, why } => self.answer(id, Answer::Busy(retry_after), Some(why)),
             Action::Fail { id, why } => self.answer(id, Answer::Failed, Some(why)),
@@ -557,7 +559,7 @@
 
     /// Each attempt that the module starts ends once, also one that comes too late to be made: the request is over,
     /// or its client has gone and the word of that still waits behind other input.
-    fn send(&mut self, id: RequestId, host: HostId, until: Time) {
+    fn send(&mut self, id: RequestId, host_id: HostId, until: Time, write_by: Time) {
         let Some(call) = self.requests.get_mut(&id) else {
             debug_assert!(false, "an attempt of a request that is not held");
             return;
@@ -565,16 +567,20 @@
         let (key, until) = ((id, call.attempts), until.min(call.deadline));
         call.attempts += 1;
         call.out += 1;
-        match &call.reply {
-            Some(reply) if !reply.is_gone() => {}
+        let client = match &call.reply {
+            Some(reply) if !reply.is_gone() => reply.answers.clone(),
             _ => {
                 self.on_left(id);
-                return self.end_unsent(key, host, until);
+                return self.end_unsent(key, host_id, until);
             }
-        }
+        };
         let effect = self.settings.classes.get(call.class).map_or(Effect::Unsafe, |class| class.effect);
-        self.hosts.start(key, host, until, call.call.clone(), effect != Effect::Safe);
+        let (call, once) = (call.call.clone(), effect != Effect::Safe);
+        self.hosts.start(key, Order { host_id, until, write_by, call, once, client });
         self.set_timer(until, Timer::Attempt(key));
+        if write_by < until {
+            self.set_timer(write_by, Timer::WriteBy(key));
+        }
     }
 
     fn end_unsent(&mut self, (id, attempt): AttemptKey, host: HostId, until: Time) {
@@ -605,6 +611,7 @@
             match timer {
                 Timer::Module(token) => self.tell(Event::Timer { token }),
                 Timer::Attempt(key) => self.hosts.stop(key, false),
+                Timer::WriteBy(key) => self.hosts.drop_unsent(key),
                 Timer::Overdue(id) => self.overdue(id),
                 Timer::Call(call) => {
                     if let Some(counted) = self.counter.give_up(call) {
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -86,7 +86,7 @@
             Event::Ended(ended) => note(format!("{:?}, closed: {}", ended.outcome, ended.closed)),
             Event::Timer { .. } => {
                 let (id, host) = (self.0.expect("a request"), HostId(1));
-                actions.push(Action::Send { id, host, until: now + 1_000 * MS });
+                actions.push(Action::Send { id, host, until: now + 1_000 * MS, write_by: Time::MAX });
             }
             _ => {}
         }
--- a/crates/gateway/src/host_line.rs
+++ b/crates/gateway/src/host_line.rs
@@ -77,36 +77,48 @@
     (Line { shared, writer: None, rests }, task)
 }
 
+/// Why a connection did not take a request, of which nothing has gone whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unusable {
+    /// It has ended, or something lies there unread, which would pass for the answer.
+    Dead,
+    /// It takes no byte now: its host answered before it had read the last request. When one would go out, and
+    /// whether anybody wanted it by then, nobody could say.
+    Full,
+}
+
 impl<E: Env> Line<E> {
     /// Whether the last byte of the request on it has been written.
     pub fn is_sent(&self) -> bool {
         self.shared.sent.load(Ordering::Relaxed)
     }
 
-    /// Writes a request; false: the connection is of no use, and none of it has gone whole. What lies there unread
-    /// would pass for the answer.
-    pub fn write(&mut self, mut text: Text) -> bool {
-        let Some(mut writer) = self.writer.take().or_else(|| self.shared.take()) else { return false };
+    /// Writes a request. Its first byte has gone when this returns, or none ever goes.
+    pub fn write(&mut self, mut text: Text) -> Result<(), Unusable> {
+        // While the rest of the last request still waits, its task has the writer.
+        let mut writer = self.writer.take().or_else(|| self.shared.take()).ok_or(Unusable::Full)?;
         if self.rests.is_closed() || !writer.is_quiet() {
-            return false;
+            return Err(Unusable::Dead);
         }
         self.shared.sent.store(false, Ordering::Relaxed);
         self.shared.asked.store(true, Ordering::Relaxed);
+        let length = text.remaining();
         match write_now(&mut writer, &mut text) {
-            Ok(true) => {
+            Ok(()) if text.has_remaining() && text.remaining() == length => Err(Unusable::Full),
+            Ok(()) if text.has_remaining() => self.rests.send((writer, text)).map_err(|_| Unusable::Dead),
+            Ok(()) => {
                 crash::here(CrashPoint::AttemptWritten);
                 self.shared.sent.store(true, Ordering::Relaxed);
                 self.writer = Some(writer);
-                true
+                Ok(())
             }
-            Ok(false) => self.rests.send((writer, text)).is_ok(),
-            Err(_) => false,
+            Err(_) => Err(Unusable::Dead),
         }
     }
 }
 
-/// Writes what goes at once; whether that is all.
-fn write_now<W: Writer>(writer: &mut W, text: &mut Text) -> io::Result<bool> {
+/// Writes what goes at once.
+fn write_now<W: Writer>(writer: &mut W, text: &mut Text) -> io::Result<()> {
     while text.has_remaining() {
         // Whoever has to wait for room is the connection's own task: nobody need be woken here.
         let write = pin!(unconstrained(writer.write_buf(text)));
@@ -114,10 +126,10 @@
             Poll::Ready(Ok(1..)) => {}
             Poll::Ready(Ok(_)) => return Err(io::ErrorKind::WriteZero.into()),
             Poll::Ready(Err(error)) => return Err(error),
-            Poll::Pending => return Ok(false),
+            Poll::Pending => return Ok(()),
         }
     }
-    Ok(true)
+    Ok(())
 }
 
 /// The task's side.
@@ -209,58 +221,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use fennelbeam_env::Real;
-    use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
-
-    async fn pair() -> (Line<Real>, tokio::net::TcpStream, UnboundedReceiver<Input>) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (gateway, mut events) = mpsc::unbounded_channel();
-        let limits = Limits { dial: 20_000 * MS, idle: 20_000 * MS };
-        let (line, _) = open(&Real::start(), 7, listener.local_addr().unwrap(), limits, gateway);
-        let host = listener.accept().await.unwrap().0;
-        assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Up(7)))));
-        (line, host, events)
-    }
-
-    fn text(body: usize) -> Text {
-        BytesMut::from("request").chain(Bytes::from(vec![b'x'; body])).chain(Bytes::new())
-    }
-
-    #[tokio::test]
-    async fn bytes_that_lie_there_are_no_answer_to_the_next_request() {
-        let (mut line, mut host, mut events) = pair().await;
-        host.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").await.unwrap();
-        // Whether the task has been told of it, or only the system knows.
-        while line.writer.as_ref().or(line.shared.take().as_ref()).is_some_and(Writer::is_quiet) {
-            tokio::task::yield_now().await;
-        }
-        assert!(!line.write(text(0)) && !line.is_sent());
-        assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Down(7)))));
-        drop(line);
-        // Closed with bytes unread, it may end as a reset.
-        let mut got = Vec::new();
-        let _ = host.read_to_end(&mut got).await;
-        assert!(got.is_empty(), "the request was written");
-    }
-
-    #[tokio::test]
-    async fn what_does_not_go_at_once_goes_later_and_counts_as_sent_only_then() {
-        let (mut line, mut host, mut events) = pair().await;
-        // More than the system takes of what nobody reads.
-        let body = 32 << 20;
-        assert!(line.write(text(body)) && !line.is_sent());
-        let mut got = vec![0; body + 7];
-        host.read_exact(&mut got).await.unwrap();
-        while !line.is_sent() {
-            tokio::task::yield_now().await;
-        }
-        host.write_all(b"$2\r\nok\r\n").await.unwrap();
-        let Some(Input::Host(HostEvent::Answered { clean: true, .. })) = events.recv().await else {
-            panic!("no answer")
-        };
-        assert!(line.write(text(0)) && line.is_sent(), "it can carry another");
-    }
-}
+mod tests;
