Answer commands beyond the pipeline without a further event; close half a command at the stop

Over 16 commands with answers at hand that came in one go: once the first 16 had left, the next were taken and answered into their slots, but nothing moved these to the output until something else happened on the connection. The new test (17 and 48 PINGs in one write) failed: starved. Answers are now moved until none is ready.

At a stop, half a command held its connection up to the end and its rest was refused. It is waited for as long as commands are taken; then the connection ends, and the rest crosses that end. The new test fails without it.

Also as tests, with no fault found: clients that go in a burst of a hundred, or while their request waits for the counter or for a retry.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -421,15 +421,16 @@
             }
             let writing = self.output.has_remaining();
             // A command that has come in part is a request that has begun.
-            let idle = self.slots.is_empty() && !writing && self.input.is_empty();
+            let answered = self.slots.is_empty() && !writing;
+            let idle = answered && self.input.is_empty();
             let now = *phase.borrow_and_update();
             let closing = self.intake != Intake::Commands || now >= Phase::Closing;
             // What lies with the system is a request that has come, as long as any are taken.
             let taking = self.intake == Intake::Commands && now < Phase::Refusing;
-            if closing && idle && (!taking || writer.is_quiet()) {
+            if closing && if taking { idle && writer.is_quiet() } else { answered } {
                 return Ok(End::Answered);
             }
-            let used = match (self.slots.is_empty() && !writing, self.called) {
+            let used = match (answered, self.called) {
                 (true, false) => Use::Fresh,
                 (true, true) if idle => Use::Idle,
                 _ => Use::Busy,
@@ -521,8 +522,20 @@
         }
     }
 
-    /// Moves answers to the output, as far as the order of the commands allows.
+    /// Moves answers to the output, as far as the order of the commands allows, and takes commands in their place. Some
+    /// of these may have their answers at once: no event comes for them.
     fn flush_ready(&mut self) {
+        loop {
+            self.move_ready();
+            self.give_back();
+            self.take_commands();
+            if !matches!(self.slots.front(), Some(Slot::Ready(_))) {
+                return;
+            }
+        }
+    }
+
+    fn move_ready(&mut self) {
         while let Some(Slot::Ready(_)) = self.slots.front() {
             let Some(Slot::Ready(reply)) = self.slots.pop_front() else { return };
             self.first_slot += 1;
@@ -544,8 +557,6 @@
             }
             self.unsent.push_back(self.put);
         }
-        self.give_back();
-        self.take_commands();
     }
 
     fn put(&mut self, bytes: Bytes) {
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -423,3 +423,15 @@
     let refused = async { while TcpStream::connect(address).await.is_ok() {} };
     timeout(Duration::from_secs(20), refused).await.expect("it goes on listening");
 }
+
+/// More commands in one go than are taken at once, and nothing that comes later: none waits for another event.
+#[tokio::test]
+async fn commands_beyond_the_pipeline_are_answered_without_a_further_event() {
+    let (_phase, phases) = watch::channel(Phase::Ready);
+    let (context, _inbox) = context(2, phases);
+    let mut client = TcpStream::connect(accepting(context)).await.unwrap();
+    for count in [MAX_PIPELINE + 1, 3 * MAX_PIPELINE] {
+        client.write_all(&b"*1\r\n$4\r\nPING\r\n".repeat(count)).await.unwrap();
+        expect(&mut client, &b"+PONG\r\n".repeat(count)).await;
+    }
+}
--- a/crates/gateway/tests/room/leaving.rs
+++ b/crates/gateway/tests/room/leaving.rs
@@ -1,6 +1,6 @@
 //! Clients that go while they are still owed answers.
 
-use crate::support::{command, name, served, Client, Plan, Room, Seen};
+use crate::support::{bulk, command, name, post, served, tariff, Client, Plan, Room, Seen};
 use fennelbeam_env::Span;
 use fennelbeam_model::MS;
 
@@ -14,6 +14,8 @@
 /// What lies at the gateway as its client goes.
 #[derive(Debug)]
 struct Case {
+    /// Clients that go in one moment, and the calls of each.
+    clients: u64,
     calls: u64,
     body: usize,
     /// Bytes of answers that the client takes.
@@ -50,21 +52,24 @@
 /// Two clients ask alike, one after the other; gives how many attempts each has out at first.
 fn play(case: &Case) -> [usize; 2] {
     let room = Room::start(Plan { hosts: 2, ..Plan::default() });
-    let ask = |first: u64| -> (Client, Vec<(usize, Seen)>) {
-        let client = room.client_that_says(case.commands(first).into(), case.reads);
+    let ask = |first: u64| -> (Vec<Client>, Vec<(usize, Seen)>) {
+        let ask = |number: u64| {
+            room.client_that_says(case.commands(first + number * case.calls).into(), case.reads)
+        };
+        let clients = (0..case.clients).map(ask).collect();
         room.run(50 * MS);
         let out = commands(&room);
-        (client, out)
+        (clients, out)
     };
-    let (client, mut out) = ask(1);
+    let (clients, mut out) = ask(1);
     let first = out.len();
-    assert!(first > 0 && (first as u64) < case.calls, "{first} of them do not wait: {case:?}");
+    assert!(first > 0 && (first as u64) < case.clients * case.calls, "{first}, and none waits: {case:?}");
     serve(&room, &out.drain(..case.answered).collect::<Vec<_>>());
     room.run(50 * MS);
-    match case.going {
+    clients.iter().for_each(|client| match case.going {
         Going::Closes => client.close(),
         Going::Resets => client.reset(),
-    }
+    });
     let late: Span = room.now() + 100 * MS;
     room.run_to(late);
     // Slots come free, and connections with them.
@@ -79,17 +84,26 @@
             sent_late.len()
         );
     }
-    let (_client, out) = ask(1_000);
+    let (_clients, out) = ask(1_000);
     [first, out.len()]
 }
 
 #[test]
 fn what_waits_for_a_client_that_goes_is_not_sent_on_and_leaves_nothing_behind() {
-    let usual =
-        Case { calls: 20, body: 10, reads: usize::MAX, answered: 0, nonsense: 0, going: Going::Closes };
+    let usual = Case {
+        clients: 1,
+        calls: 20,
+        body: 10,
+        reads: usize::MAX,
+        answered: 0,
+        nonsense: 0,
+        going: Going::Closes,
+    };
     let cases = [
         Case { ..usual },
         Case { calls: 100, ..usual },
+        Case { clients: 100, calls: 3, ..usual },
+        Case { clients: 100, calls: 3, going: Going::Resets, ..usual },
         Case { calls: 100, answered: 2, reads: 0, ..usual },
         Case { answered: 1, reads: 0, ..usual },
         Case { answered: 1, reads: 0, body: 60_000, ..usual },
@@ -103,3 +117,50 @@
         assert_eq!(first, second, "slots are left taken: {case:?}");
     }
 }
+
+/// What a request waits for as its client goes.
+#[derive(Clone, Copy, Debug)]
+enum WaitsFor {
+    /// A first call to the counter.
+    Counter,
+    /// Its host, which then turns it away: that never ran, and another host would do.
+    Retry,
+}
+
+#[test]
+fn nothing_that_comes_after_its_client_has_gone_starts_an_attempt() {
+    let cases =
+        [WaitsFor::Counter, WaitsFor::Retry].into_iter().flat_map(|what| [(what, false), (what, true)]);
+    for (what, goes) in cases {
+        let mut plan = Plan { hosts: 2, ..Plan::default() };
+        if matches!(what, WaitsFor::Counter) {
+            plan.settings["domain"]["shared-counter"] = true.into();
+            plan.settings["tariffs"] = serde_json::json!([tariff(0.001, 10.0)]);
+        }
+        let room = Room::start(plan);
+        room.run_to(10 * MS);
+        let client = room.client();
+        client.say(post(1, 1, 1.0));
+        room.run(10 * MS);
+        let out = commands(&room);
+        let counted: Vec<Seen> =
+            room.counter.seen().into_iter().filter(|seen| seen.text.starts_with("ADDGET")).collect();
+        if goes {
+            client.close();
+            // The word of it is there before the answer.
+            room.run(5 * MS);
+        }
+        match what {
+            WaitsFor::Counter => {
+                assert!(out.is_empty() && !counted.is_empty(), "it does not wait: {out:?}");
+                counted.iter().for_each(|seen| room.counter.say(seen.line, bulk("1")));
+            }
+            WaitsFor::Retry => {
+                let [(host, seen)] = &out[..] else { panic!("{out:?}") };
+                room.hosts[*host].say(seen.line, "-BUSY\r\n");
+            }
+        }
+        room.run(10 * MS);
+        assert_eq!(commands(&room).len(), usize::from(!goes), "{what:?}, gone: {goes}");
+    }
+}
--- a/crates/gateway/tests/room/stopping.rs
+++ b/crates/gateway/tests/room/stopping.rs
@@ -1,6 +1,6 @@
 //! Clients that go on as if nothing were while a gateway stops: on connections that they have, and on new ones.
 
-use crate::support::{command, name, Client, Manner, Plan, Room, BROKEN, END};
+use crate::support::{command, get, name, Client, Manner, Plan, Room, BROKEN, END};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::{MS, SECOND};
@@ -120,3 +120,26 @@
         }
     }
 }
+
+/// Half a command as connections close: its rest is waited for as long as commands are taken; what comes later crosses
+/// the end, and goes nowhere.
+#[test]
+fn half_a_command_holds_a_connection_until_no_more_are_taken() {
+    for (rest, answer) in [(480 * MS, Some(name(1))), (510 * MS, None)] {
+        let room = Room::start(Plan::default());
+        room.hosts[0].manner(Manner::serve(1, MS));
+        let (client, call) = (room.client(), get(1));
+        client.say(call.slice(..30));
+        room.run_to(TERM);
+        room.signal(Signal::Terminate);
+        room.run_to(TERM + rest);
+        client.say(call.slice(30..));
+        room.run(SECOND);
+        let expected: Vec<String> = answer.clone().into_iter().chain([END.to_owned()]).collect();
+        assert_eq!(client.heard(), expected);
+        let sent = room.hosts[0].seen().iter().filter(|seen| seen.text.starts_with("CALL")).count();
+        assert_eq!(sent, usize::from(answer.is_some()));
+        let end = if answer.is_some() { 480 * MS + 10 * MS } else { 500 * MS };
+        assert!(room.ended().is_some_and(|at| at <= TERM + end + 500 * MS), "{:?}", room.ended());
+    }
+}
