Bound the connections that rest to 16 of all hosts together, and force more crossings at hosts

One bound over all hosts is what the memory asks for, and at thin traffic it leaves each answer its whole rest: 16 is reached at some 640 answers a second in one gateway. Beyond, the one that has rested for longest is through with it.

New tests, all green as they came: a drain while a request waits for a rested connection, a host that comes back after it was given up, resets of idle connections and under requests at once and long after, an answer that never ends.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -24,9 +24,9 @@
 /// A connection rests for so long after an answer. A host that speaks twice does so some milliseconds after the first
 /// time, and the second answer would pass for that to the next request; on a resting connection it is found out.
 const REST: Span = 25 * MS;
-/// So many connections to a host may rest at once; where requests come faster than that, the one that has rested for
-/// longest is used.
-const RESTING: usize = 32;
+/// So many connections rest at once, of all hosts together: each takes memory. Where answers come faster than that, the
+/// one that has rested for longest is through with it.
+const RESTING: usize = 16;
 /// No figure of a host is above this.
 const MAX_FIGURE: f64 = 1e5;
 
@@ -110,6 +110,8 @@
     /// Since when it has stood idle; while it is busy, for how long it had.
     idle_since: Time,
     rested: Span,
+    /// While it is idle: from when on it may be used.
+    rested_at: Time,
     busy: Option<AttemptKey>,
     /// The attempt that it was opened for.
     opened_for: AttemptKey,
@@ -117,13 +119,6 @@
     task: E::Task,
 }
 
-impl<E: Env> Conn<E> {
-    /// While it is idle: from when on it may be used.
-    fn rested_at(&self) -> Time {
-        self.idle_since + if self.used { REST } else { 0 }
-    }
-}
-
 impl<E: Env> Drop for Conn<E> {
     fn drop(&mut self) {
         self.task.abort();
@@ -141,6 +136,8 @@
     /// In the order of their numbers, so that what is done to all of them is done alike each time.
     hosts: BTreeMap<HostId, Host>,
     conns: FxHashMap<ConnId, Conn<E>>,
+    /// Connections that rest, in the order in which they are through with it.
+    resting: VecDeque<(Time, ConnId)>,
     attempts: FxHashMap<AttemptKey, Attempt>,
     next_conn: ConnId,
     finished: VecDeque<Finished>,
@@ -156,6 +153,7 @@
             most,
             hosts: BTreeMap::new(),
             conns: FxHashMap::default(),
+            resting: VecDeque::new(),
             attempts: FxHashMap::default(),
             next_conn: 0,
             finished: VecDeque::new(),
@@ -290,7 +288,7 @@
         while self.serve_one(host_id) {}
         let Some(host) = self.hosts.get_mut(&host_id).filter(|host| !host.waiting.is_empty()) else { return };
         let now = self.env.now();
-        let rested = host.idle.iter().filter_map(|id| self.conns.get(id)).map(Conn::rested_at);
+        let rested = host.idle.iter().filter_map(|id| self.conns.get(id)).map(|conn| conn.rested_at);
         let Some(at) = rested.filter(|at| *at > now).min().filter(|_| !host.is_resting) else { return };
         host.is_resting = true;
         let (sleep, gateway) = (self.env.sleep_until(at), self.gateway.clone());
@@ -302,10 +300,23 @@
 
     /// The newest idle connection to a host that has rested, by its place among them.
     fn rested(&self, host: &Host, now: Time) -> Option<usize> {
-        let has_rested = |id: &ConnId| self.conns.get(id).is_none_or(|conn| conn.rested_at() <= now);
-        let mut newest = host.idle.iter().enumerate().rev().enumerate();
-        let found = newest.find(|(resting, (_, id))| *resting >= RESTING || has_rested(id));
-        found.map(|(_, (place, _))| place)
+        let has_rested = |id: &ConnId| self.conns.get(id).is_none_or(|conn| conn.rested_at <= now);
+        host.idle.iter().rposition(has_rested)
+    }
+
+    /// A connection has answered and rests. Where too many do, the first of them does no more.
+    fn rest(&mut self, id: ConnId, now: Time) {
+        let at = now.saturating_add(REST);
+        self.conns.entry(id).and_modify(|conn| conn.rested_at = at);
+        self.resting.push_back((at, id));
+        while let Some((at, id)) =
+            self.resting.front().copied().filter(|(at, _)| *at <= now || self.resting.len() > RESTING)
+        {
+            self.resting.pop_front();
+            if let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.rested_at == at) {
+                conn.rested_at = now.min(at);
+            }
+        }
     }
 
     /// Gives a waiting attempt an idle connection that is trusted with it; false: there are no such two.
@@ -393,6 +404,7 @@
             used: false,
             idle_since: 0,
             rested: 0,
+            rested_at: 0,
             busy: None,
             opened_for: key,
             line,
@@ -477,6 +489,7 @@
                     }
                 }
                 if self.answered(key, frame) && clean {
+                    self.rest(id, now);
                     self.free(id);
                 } else {
                     self.close(id);
--- a/crates/gateway/tests/room/host_crossings.rs
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -354,3 +354,107 @@
         assert_eq!(seen.iter().map(|seen| seen.line).collect::<Vec<_>>(), [1], "{before}");
     }
 }
+
+/// A drain is told while a request waits for a connection that rests, and for another that does not come up.
+#[test]
+fn a_request_that_waits_for_a_rested_connection_does_not_go_out_after_a_drain() {
+    for is_drained in [false, true] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        client.get(1);
+        room.run_to(10 * MS);
+        room.discovery.open_watch(0);
+        host.seen();
+        let answered = client.seen()[0].0 - CLIENT;
+        let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Silent);
+        client.get(2);
+        room.run(2 * MS);
+        room.sim.heal(cut);
+        if is_drained {
+            room.run_to(answered + REST - HERE - 1);
+            room.discovery.tell(0, &list(2, false, &[entry(&room.hosts, 0, "terminating")]));
+        }
+        room.run(SECOND);
+        assert_eq!(calls(host).len(), usize::from(!is_drained));
+    }
+}
+
+/// It hangs in the middle of its work, is given up, and comes back with an answer that nobody waits for.
+#[test]
+fn a_host_that_comes_back_after_it_was_given_up_answers_nobody() {
+    for (call, answer) in [(get(1), "-BUSY"), (post(1, 1, 1.0), "-ERR failed")] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        client.say(call);
+        room.run_to(9 * SECOND);
+        assert_eq!(client.heard(), [answer]);
+        let given_up = calls(host);
+        given_up.iter().for_each(|seen| host.say(seen.line, served("late")));
+        client.post(2);
+        room.run(10 * MS);
+        given_up.iter().for_each(|seen| host.say(seen.line, served("later")));
+        let [second] = &calls(host)[..] else { panic!("one more") };
+        assert!(given_up.iter().all(|seen| seen.line != second.line), "on a connection of its own");
+        host.say(second.line, served("second"));
+        room.run(10 * MS);
+        assert_eq!(client.heard(), ["second"]);
+    }
+}
+
+/// All connections to a host are reset: an idle one, or one with a request that has begun, and that at once or long after.
+#[test]
+fn resets_of_idle_connections_and_under_requests() {
+    // How long after the request the reset comes; none: before it. Whether the request may be repeated.
+    for (after, safe) in
+        [None, Some(MS), Some(5 * SECOND)].iter().flat_map(|after| [(*after, true), (*after, false)])
+    {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        client.get(1);
+        room.run_to(10 * MS);
+        host.say(host.one().line, served("first"));
+        room.run(2 * SECOND);
+        let reset = || {
+            let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Reset);
+            room.sim.heal(cut);
+        };
+        let ask = || if safe { client.get(2) } else { client.post(2) };
+        match after {
+            None => {
+                reset();
+                room.run(SECOND);
+                ask();
+            }
+            Some(after) => {
+                ask();
+                room.run(CLIENT + HOST + after);
+                assert_eq!(calls(host).len(), 1);
+                reset();
+            }
+        }
+        host.manner(Manner::serve(1, 0));
+        room.run(SECOND);
+        let is_sent = after.is_none() || safe;
+        assert_eq!(calls(host).len(), usize::from(is_sent), "{after:?}, safe: {safe}");
+        let answer = if is_sent { name(2) } else { "-ERR failed".to_owned() };
+        assert_eq!(client.heard(), ["first".to_owned(), answer], "{after:?}, safe: {safe}");
+    }
+}
+
+/// It never ends, and gets on each time: its request's time ends it.
+#[test]
+fn an_answer_that_never_ends_ends_with_the_time_of_its_request() {
+    let room = Room::start(Plan::default());
+    let (host, client) = (&room.hosts[0], room.client());
+    client.post(1);
+    room.run_to(10 * MS);
+    let line = host.one().line;
+    host.say(line, "*3\r\n$60000\r\n");
+    while room.now() < 10 * SECOND {
+        host.say(line, "x");
+        room.run(100 * MS);
+    }
+    assert_eq!(client.seen(), [(3 * CLIENT + 8 * SECOND + CLIENT, "-ERR failed".to_owned())]);
+    assert_eq!(host.seen()[0].text, END);
+}
