--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -509,6 +509,9 @@
     settings["tariffs"][0]["burst"] = 1e6.into();
     let gateway = Program::within(limits, None, settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
     let served = hosts.serve_all("x".repeat(65_000));
+    // Before that, requests wait for the list of hosts, and hold their places.
+    let mut usual = gateway.client();
+    usual.until_ready();
     let deaf: Vec<Client> = (0..32)
         .map(|client| {
             let mut deaf = gateway.deaf_client();
@@ -517,7 +520,6 @@
         })
         .collect();
     // Others are served all the while; when they have been, the deaf ones have had their turns too.
-    let mut usual = gateway.client();
     for id in 0..200 {
         usual.get(1_000_000 + id);
         let answer = usual.answer();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,8 @@
     seed: u64,
     module: D,
     hosts: Hosts<E>,
+    /// The list known before the start, until the first one comes or it has to do: hosts in it may drain by now.
+    known: Option<Membership>,
     routing: Routing,
     sites: Watch,
     /// What the operators' files in force say.
@@ -139,6 +141,7 @@
         let mut gateway = Gateway {
             module: D::start(settings.clone(), config.seed),
             hosts: Hosts::new(env.clone(), site.clone(), inputs.clone(), most_conns),
+            known: None,
             site,
             sites: Watch::new(routing.sites(), &settings, config.seed, env.now()),
             routing,
@@ -158,10 +161,12 @@
             losses: Losses::new(env.now()),
             env,
         };
-        if !config.known.instances.is_empty() {
+        if config.known.instances.is_empty() {
+            gateway.on_hosts(&config.known, ListKind::Cached);
+        } else {
+            gateway.known = Some(config.known.clone());
             gateway.set_timer(gateway.env.now() + KNOWN_WILL_DO, Timer::Ready);
         }
-        gateway.on_hosts(&config.known, ListKind::Cached);
         gateway
     }
 
@@ -213,7 +218,11 @@
             News::DiscoverySilent(silent) => self.sites.on_discovery(self.env.now(), silent),
             News::Operators(operators) => self.on_operators(*operators),
             News::Hosts(list) => {
-                self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
+                match self.known.take() {
+                    // In one event: in between, requests that wait would go to hosts that drain.
+                    Some(known) if !list.reset => self.on_hosts(&known.changed_by(list), ListKind::Cached),
+                    _ => self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta }),
+                }
                 self.ready();
             }
         }
@@ -597,7 +606,12 @@
                 }
                 // What it is for is done once all timers have been looked at.
                 Timer::Sites => {}
-                Timer::Ready => self.ready(),
+                Timer::Ready => {
+                    if let Some(known) = self.known.take() {
+                        self.on_hosts(&known, ListKind::Cached);
+                    }
+                    self.ready();
+                }
             }
             self.report_finished();
         }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,6 +3,7 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 /// A list of hosts, or the entries that changed.
@@ -19,6 +20,16 @@
     pub instances: Vec<Member>,
 }
 
+impl Membership {
+    /// This list with these changes to it.
+    pub(crate) fn changed_by(mut self, changes: Membership) -> Membership {
+        let changed: HashSet<&str> = changes.instances.iter().map(|host| &*host.instance_id).collect();
+        self.instances.retain(|host| !changed.contains(&*host.instance_id));
+        self.instances.extend(changes.instances);
+        Membership { generation: changes.generation, ..self }
+    }
+}
+
 /// One host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -75,7 +75,7 @@
     let unanswered = gateway.unanswered();
     env.spawn(gateway.run(news, inbox));
     let (agent, agents) = watch::channel(config.discovery);
-    env.spawn(discovery::watch(env.clone(), agents, config.known.generation, tell.clone()));
+    env.spawn(discovery::watch(env.clone(), agents, config.known.clone(), tell.clone()));
     let context = Context {
         env: env.clone(),
         site: site.clone(),
--- a/crates/gateway/tests/room/clients.rs
+++ b/crates/gateway/tests/room/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that say nothing, or take nothing.
 
-use crate::support::{command, get, served, Plan, Room, CLIENT, END, HOST};
+use crate::support::{command, get, served, Manner, Plan, Room, CLIENT, END, HOST};
 use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::What;
@@ -19,6 +19,7 @@
 #[test]
 fn the_rest_of_a_command_is_owed_for_two_seconds_since_its_begin() {
     let room = Room::start(Plan::default());
+    room.discovery.manner(Manner::Wait);
     let (client, call) = (room.client(), get(1));
     client.say(command(&["PING"]));
     room.run_to(SECOND);
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod drain;
 mod hosts;
+mod lists;
 mod repeat;
 mod routes;
 mod stop;
