--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -8,6 +8,7 @@
 mod host_crossings;
 mod hosts;
 mod leaving;
+mod lists;
 mod repeat;
 mod routes;
 mod stop;
--- a/crates/gateway/tests/room/repeat.rs
+++ b/crates/gateway/tests/room/repeat.rs
@@ -33,7 +33,6 @@
     room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, 5 * MS)));
     let clients: Vec<_> = (0..CLIENTS).map(|_| room.client()).collect();
     room.run_to(10 * MS);
-    room.discovery.open_watch(0);
     for first in [1_000, 2_000, 3_000] {
         burst(&clients, first);
         room.run(100 * MS);
