--- a/crates/fennelbeam/tests/config_tools.rs
+++ b/crates/fennelbeam/tests/config_tools.rs
@@ -13,7 +13,7 @@
 
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.json");
-const OPERATORS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/iasi-park.fb");
+const OPERATORS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operators.fb");
 
 /// A file set that is written as `fmt` writes it.
 const GOOD: &str = "\
@@ -649,9 +649,9 @@
     told.is(0, "fmt\n", "");
 }
 
-// ---- the file of this site, and the pages
+// ---- the deploy folder's operators' file, and the pages
 
-/// The examples of the site's file, as a file of their own.
+/// The examples of the operators' file, as a file of their own.
 fn examples() -> String {
     let text = fs::read_to_string(OPERATORS).unwrap();
     let lines = text.lines().filter_map(|line| line.strip_prefix("#|"));
@@ -660,7 +660,7 @@
 }
 
 #[test]
-fn the_site_s_file_is_good_tidy_and_changes_nothing() {
+fn the_operators_file_is_good_tidy_and_changes_nothing() {
     let folder = Folder::with("empty.fb", "");
     folder.config(&format!("fmt --check {OPERATORS}")).is(0, "", "");
     for settings in ["", &format!(" --settings {EXAMPLE}")] {
@@ -674,10 +674,28 @@
     assert!(!shown.contains("from quota policy"), "{shown}");
 }
 
+/// Names in the example's settings, and what stands in their place in the operators' file.
+const NEUTRAL: [(&str, &str); 8] = [
+    ("price-read", "CLASS-1"),
+    ("unit-order", "CLASS-2"),
+    ("standard", "PLAN-1"),
+    ("premium", "PLAN-2"),
+    ("building-1", "ZONE-1"),
+    ("building-2", "ZONE-2"),
+    ("building-3", "ZONE-3"),
+    ("std-2core", "MACHINE-1"),
+];
+
 #[test]
-fn the_examples_in_the_site_s_file_are_good_as_they_stand() {
+fn the_examples_in_the_operators_file_are_good_at_a_deployment_of_their_names() {
+    let mut settings = fs::read_to_string(EXAMPLE).unwrap();
+    for (name, neutral) in NEUTRAL {
+        assert!(settings.contains(&format!("\"{name}\"")), "{name}");
+        settings = settings.replace(&format!("\"{name}\""), &format!("\"{neutral}\""));
+    }
     let folder = Folder::with("examples.fb", &examples());
-    let checked = folder.config(&format!("check examples.fb --settings {EXAMPLE}"));
+    folder.put("settings.json", settings);
+    let checked = folder.config("check examples.fb --settings settings.json");
     checked.is(
         0,
         "examples.fb: can be used: 1 file, 2 pools, 1 route, 1 quota policy, 3 sites, 2 takeovers, 1 shed\n",
@@ -690,7 +708,7 @@
     "CHANGELOG.md",
     "docs/operators-language.md",
     "docs/operators-config.md",
-    "deploy/iasi-park.fb",
+    "deploy/operators.fb",
 ];
 
 fn page(name: &str) -> String {
