Take a reload whole or not at all, and say what of it is left for a start

A reload moved the addresses of discovery and the counter before the gateway had taken the operators' files. Where these spoke of a class or a plan that only the new document has (which no reload takes), or could not get a place beside pools in use, the files were refused with the addresses already moved. Operators' files are held against the settings in force now, and the gateway puts all of a reload in force or nothing.

Changed settings, limits and the like in a document that was read again were ignored in silence. One line in the log now names the keys (eight, and how many more): "changed in the configuration, and taken only by a start: ...".

--- a/crates/fennelbeam/src/source.rs
+++ b/crates/fennelbeam/src/source.rs
@@ -5,7 +5,7 @@
 use fennelbeam_gateway::{Config, Site};
 use fennelbeam_lang::{big_changes, FileSet};
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 
 /// Changes by ten times and more that a reload names in the log; what is beyond is counted.
 const NAMED: usize = 5;
@@ -14,6 +14,9 @@
 pub struct Source {
     config: PathBuf,
     operator: Option<PathBuf>,
+    /// The settings in force: those of the first reading. A reload takes no others, so operators' files that speak of
+    /// others cannot be used.
+    site: OnceLock<Site>,
     /// What the operators' files said when they could be used last.
     last: Mutex<Option<FileSet>>,
 }
@@ -21,17 +24,18 @@
 impl Source {
     /// These files.
     pub fn new(config: PathBuf, operator: Option<PathBuf>) -> Source {
-        Source { config, operator, last: Mutex::new(None) }
+        Source { config, operator, site: OnceLock::new(), last: Mutex::new(None) }
     }
 
     /// Reads all of them, at the start and at each reload. With any error nothing of them counts.
     pub fn read(&self) -> Result<Config> {
         let config = document(&self.config)?;
         let Some(path) = &self.operator else { return Ok(config) };
-        let set = operators::load(path, Some(&config.site))?;
+        let site = self.site.get_or_init(|| config.site.clone());
+        let set = operators::load(path, Some(site))?;
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(before) = last.as_ref() {
-            speak_of_big_changes(before, &set, &config.site);
+            speak_of_big_changes(before, &set, site);
         }
         let operators = set.operators.clone();
         *last = Some(set);
--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -169,6 +169,11 @@
         self.reload_text(&self.config.to_string());
     }
 
+    /// The configuration that it started with, but for the addresses that [`Program::reload`] has moved.
+    pub fn document(&self) -> &Value {
+        &self.config
+    }
+
     pub fn reload_text(&self, text: &str) {
         let new = self.path.with_extension("new");
         std::fs::write(&new, text).unwrap();
@@ -469,6 +474,11 @@
         next(&self.watches, "a question")
     }
 
+    /// Whether there is a question that was not asked for.
+    pub fn was_asked(&self) -> bool {
+        self.watches.try_recv().is_ok()
+    }
+
     pub fn watch(&self) -> Watch {
         let mut watch = self.asked();
         watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -66,12 +66,15 @@
     pub operators: Operators,
     /// Keys that are not known here and are skipped, by their full names.
     pub unknown: Vec<String>,
+    /// The document itself, which another one is compared with.
+    pub document: Value,
 }
 
 impl Config {
     /// Reads the document. The error says what is wrong with it, and names the key.
     pub fn parse(text: &[u8]) -> Result<Config> {
-        let mut unknown = keys(text)?;
+        let whole: Value = serde_json::from_slice(text)?;
+        let mut unknown = keys(&whole)?;
         let document: Document =
             serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))
                 .map_err(|error| anyhow!("`{}`: {}", error.path(), error.inner()))?;
@@ -100,6 +103,7 @@
             site,
             operators: Operators::default(),
             unknown,
+            document: whole,
         })
     }
 
@@ -110,9 +114,8 @@
 }
 
 /// The keys that are not known here, outside the settings; an error for a misspelt one.
-fn keys(text: &[u8]) -> Result<Vec<String>> {
-    let document: Value = serde_json::from_slice(text)?;
-    let mut unknown = unknown_keys(&document, KEYS)?;
+fn keys(document: &Value) -> Result<Vec<String>> {
+    let mut unknown = unknown_keys(document, KEYS)?;
     if let Some(limits) = document.get("limits").filter(|limits| limits.is_object()) {
         let inside = unknown_keys(limits, LIMITS).context("`limits`")?;
         unknown.extend(inside.into_iter().map(|key| format!("limits.{key}")));
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -24,7 +24,7 @@
     ListRead,
     /// A new configuration is read, and nothing of it is in force.
     ReloadRead,
-    /// Of a new configuration the counter's address is in force, and the operators' files are not.
+    /// Of a new configuration the operators' files are in force, and the counter's address is not.
     ReloadHalf,
     /// Told to stop, it accepts no more, and has yet to answer what it has taken.
     Stopping,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, News, Phase, ReplyTo};
-use crate::routing::Routing;
+use crate::reload::Reload;
+use crate::routing::{Routing, Unusable};
 use crate::sites::Watch;
 use crate::timers::Timers;
 use crate::unanswered::Unanswered;
@@ -206,12 +207,8 @@
 
     fn on_news(&mut self, news: News) {
         match news {
-            News::CounterAt(address) => {
-                self.counter.move_to(address);
-                crash::here(CrashPoint::ReloadHalf);
-            }
+            News::Reload(reload) => self.on_reload(*reload),
             News::DiscoverySilent(silent) => self.sites.on_discovery(self.env.now(), silent),
-            News::Operators(operators) => self.on_operators(*operators),
             News::Hosts(list) => {
                 self.on_hosts(&list, if list.reset { ListKind::Full } else { ListKind::Delta });
                 self.ready();
@@ -301,16 +298,26 @@
         self.report_finished();
     }
 
+    /// A configuration that was read again comes into force as a whole, or nothing of it.
+    fn on_reload(&mut self, reload: Reload) {
+        let Reload { counter, operators, done } = reload;
+        let outcome = self.on_operators(operators);
+        crash::here(CrashPoint::ReloadHalf);
+        if outcome.is_ok() {
+            self.counter.move_to(counter);
+        }
+        // Who read it may have stopped.
+        let _ = done.send(outcome);
+    }
+
     /// Another version of the operators' files comes into force as a whole, or nothing changes. Requests in hand
     /// keep to the pools that they began with; where a host has left one, what waits there for a connection is
     /// not sent any more. Files that say the same as before are no news to the module.
-    fn on_operators(&mut self, operators: Operators) {
+    fn on_operators(&mut self, operators: Operators) -> Result<(), Unusable> {
         if operators == self.operators {
-            return;
-        }
-        if let Err(error) = self.routing.turn(&operators) {
-            return tracing::warn!("operators' files kept as they were: {error}");
+            return Ok(());
         }
+        self.routing.turn(&operators)?;
         self.operators = operators;
         tracing::info!("operators' files in force: {} routes", self.routing.len());
         let plans = self.routing.plans().to_vec();
@@ -332,6 +339,7 @@
             }
         }
         self.report_finished();
+        Ok(())
     }
 
     fn on_counted(&mut self, counted: Counted) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod membership;
 mod messages;
 mod outage;
+mod reload;
 mod routing;
 mod serve;
 mod sites;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,15 +7,17 @@
 use crate::discovery;
 use crate::gateway::{Decisions, Gateway};
 use crate::messages::{News, Phase};
+use crate::reload::{left_for_a_start, Reload};
 use crate::routing::Routing;
 use crate::unanswered::Unanswered;
 use anyhow::{Context as _, Result};
 use fennelbeam_env::{Env, Listener, Span, Task};
 use fennelbeam_policy::policy::Policy;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 const MS: Span = 1_000_000;
 /// Descriptors for the listener, discovery, the runtime, standard streams and what is just closing.
@@ -89,10 +91,10 @@
     let accepting = env.spawn(clients::accept(listener, limits, context));
     tracing::info!("{} listens on {address}", config.name);
 
-    let reloading = until_terminated(&mut signals, &again, &agent, &tell);
-    reloading.await;
+    let reloads = Reloads { again, started: config.document, agent, gateway: tell };
+    reloads.until_terminated(&mut signals).await;
     // Signals go on coming while the gateway stops.
-    env.spawn(async move { until_terminated(&mut signals, &again, &agent, &tell).await });
+    env.spawn(async move { reloads.until_terminated(&mut signals).await });
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let stopping = stop(env.clone(), accepting, phase, unanswered);
     if env.timeout(longest + AFTER_DEADLINE, stopping).await.is_err() {
@@ -101,27 +103,40 @@
     Ok(())
 }
 
-/// Until the process is told to end. At each reload reads the configuration again, for the operators' files and
-/// the addresses of discovery and the counter only.
-async fn until_terminated<F: Fn() -> Result<Config>>(
-    signals: &mut UnboundedReceiver<Signal>,
-    again: &F,
-    agent: &watch::Sender<SocketAddr>,
-    gateway: &UnboundedSender<News>,
-) {
-    while let Some(Signal::Reload) = signals.recv().await {
-        let config = match again() {
-            Ok(config) => config,
-            Err(error) => {
+/// What a reload reads, and where it goes.
+struct Reloads<F> {
+    again: F,
+    /// The document that the gateway started with.
+    started: Value,
+    agent: watch::Sender<SocketAddr>,
+    gateway: UnboundedSender<News>,
+}
+
+impl<F: Fn() -> Result<Config>> Reloads<F> {
+    /// Until the process is told to end. At each reload reads the configuration again, for the operators' files and
+    /// the addresses of discovery and the counter only.
+    async fn until_terminated(&self, signals: &mut UnboundedReceiver<Signal>) {
+        while let Some(Signal::Reload) = signals.recv().await {
+            if let Err(error) = self.reload().await {
                 tracing::warn!("configuration kept as it was: {error:#}");
-                continue;
             }
-        };
+        }
+    }
+
+    /// Puts another configuration in force as a whole; with an error, nothing of it.
+    async fn reload(&self) -> Result<()> {
+        let config = (self.again)()?;
         crash::here(CrashPoint::ReloadRead);
-        agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
-        let _ = gateway.send(News::CounterAt(config.counter));
-        let _ = gateway.send(News::Operators(Box::new(config.operators)));
+        let (done, outcome) = oneshot::channel();
+        let (counter, operators) = (config.counter, config.operators);
+        let _ = self.gateway.send(News::Reload(Box::new(Reload { counter, operators, done })));
+        outcome.await.context("the gateway has stopped")??;
+        self.agent.send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
         tracing::info!("configuration read again");
+        if let Some(keys) = left_for_a_start(&self.started, &config.document) {
+            tracing::warn!("changed in the configuration, and taken only by a start: {keys}");
+        }
+        Ok(())
     }
 }
 
--- a/crates/gateway/tests/room/discovery.rs
+++ b/crates/gateway/tests/room/discovery.rs
@@ -150,3 +150,36 @@
     assert_eq!(client.seen(), [(closing + CLIENT, END.to_owned())]);
     assert_eq!(room.ended(), Some(closing + 500 * MS));
 }
+
+#[test]
+fn a_reload_whose_operators_files_cannot_be_put_in_force_moves_no_address() {
+    let room = with_quota();
+    let (counter, agent, client) =
+        (room.peer("new counter", 7000), room.peer("new agent", 8500), room.client());
+    room.run_to(QUESTION);
+    room.discovery.open_watch(0);
+    room.discovery.seen();
+    // A class that the settings in force do not have; the loader here knows no settings.
+    let route = |class: &str| {
+        format!("pool \"p\" {{}}\nroute \"r\" {{\n  classes = \"{class}\"\n  pool = \"p\"\n}}\n")
+    };
+    room.write_operators(&route("gone"));
+    room.reload(agent.addr, counter.addr);
+    room.run(10 * MS);
+    client.say(post(1, 1, 2.0));
+    room.run(10 * MS);
+    assert!(counter.seen().is_empty() && agent.seen().is_empty() && room.discovery.seen().is_empty());
+    let call = room.counter.one();
+    room.counter.say(call.line, bulk("2"));
+    room.run(10 * MS);
+    assert_eq!(client.heard(), [name(1)], "and what runs goes on");
+    // The same addresses, with files that can be used, count at once.
+    room.write_operators(&route("order"));
+    room.signal(Signal::Reload);
+    client.say(post(2, 2, 2.0));
+    room.run(10 * MS);
+    assert_eq!(room.discovery.one().text, END);
+    assert!(
+        agent.one().text.starts_with("GET /registry/instances ") && counter.one().text.starts_with("ADDGET ")
+    );
+}
--- a/crates/gateway/tests/room/support.rs
+++ b/crates/gateway/tests/room/support.rs
@@ -507,9 +507,14 @@
         self.signal(Signal::Reload);
     }
 
+    /// Writes the operators' file.
+    pub fn write_operators(&self, text: &str) {
+        *self.gateway.operators.lock().unwrap() = text.to_owned();
+    }
+
     /// Writes the operators' file and sends SIGHUP.
     pub fn reload_operators(&self, text: &str) {
-        *self.gateway.operators.lock().unwrap() = text.to_owned();
+        self.write_operators(text);
         self.signal(Signal::Reload);
     }
 
