--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -3,11 +3,10 @@
 
 use crate::call::Call;
 use crate::membership::Membership;
+use crate::reload::Reload;
 use bytes::Bytes;
-use fennelbeam_lang::model::Operators;
 use fennelbeam_policy::api::{CountName, Outcome, Request, RequestId, Span, Time};
 use fennelbeam_resp::Frame;
-use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// What happens around the gateway.
@@ -27,10 +26,8 @@
     Hosts(Membership),
     /// Discovery does not answer any more (true), or does again.
     DiscoverySilent(bool),
-    /// Where the counter is from now on.
-    CounterAt(Option<SocketAddr>),
-    /// What the operators' files say from now on.
-    Operators(Box<Operators>),
+    /// A configuration that was read again.
+    Reload(Box<Reload>),
 }
 
 /// A request as it came in.
@@ -110,6 +107,11 @@
 /// What a connection to the counter tells.
 #[derive(Debug)]
 pub(crate) enum CounterEvent {
-    Ended { link: u64, call: CallId, outcome: Outcome, total: f64 },
+    Ended {
+        link: u64,
+        call: CallId,
+        outcome: Outcome,
+        total: f64,
+    },
     Down(u64),
 }
