Log nonsense of a host or the counter, a line at first and ever more rarely

What a counter said outside of the protocol stood in the log at the level of debugging alone, and what a host said nowhere, but for requests that it cost. Each is told now at once, with its address and what was wrong, then after ten seconds and twice as long each time while it goes on, as outages are; discovery's nonsense was told so already. Hosts are paced one by one. Test nonsense_from_a_peer_is_its_own_failure_and_one_line: fails without either line, and without either pace. One event more precedes the end of such a connection, which the test of stale bytes now asks for as well.

--- a/crates/fennelbeam/tests/deployments.rs
+++ b/crates/fennelbeam/tests/deployments.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 const DEPLOY: &str = include_str!("../../../deploy/balancer.toml");
@@ -263,3 +263,60 @@
     agents[1].asked();
     program.until_logged(1, "configuration read again");
 }
+
+/// Answers with this to each command, and counts them.
+fn talker(text: &'static str) -> (SocketAddr, Arc<AtomicU64>) {
+    let (peers, asked) = (Peers::start(1), Arc::new(AtomicU64::new(0)));
+    let (addr, count) = (peers.addrs[0], asked.clone());
+    thread::spawn(move || loop {
+        let mut seen = peers.command();
+        count.fetch_add(1, Ordering::Relaxed);
+        seen.write_late(text);
+    });
+    (addr, asked)
+}
+
+#[test]
+fn nonsense_from_a_peer_is_its_own_failure_and_one_line() {
+    let mut settings = settings();
+    settings["domain"]["shared-counter"] = true.into();
+    let (good, agent) = (Host::start(), Discovery::start());
+    let ((host, at_host), (counter, at_counter)) = (talker(":1\r\n"), talker("*1\r\n:1\r\n"));
+    let program = start(Command::new(env!("CARGO_BIN_EXE_fennelbeam")), settings, &good, agent.addr, counter);
+    let mut watch = agent.watch();
+    let entries = [host_line("s-0", good.addr, "in_service", 0), host_line("s-1", host, "in_service", 0)];
+    watch.tell(&list(2, true, &entries));
+    // Reads are asked anew at the other host, so all are served; the counter is asked for each customer.
+    for customer in 1..20 {
+        assert_eq!(answer(&program, "CALL.GET", customer, "c=read,t=team,d=8500"), "served");
+    }
+    // Before the bad host alone each attempt meets it.
+    watch.tell(&list(3, true, &entries[1..]));
+    let end = Instant::now() + LONG;
+    for customer in 20.. {
+        answer(&program, "CALL.POST", customer, "c=order,t=team,d=8500");
+        if [&at_host, &at_counter].iter().all(|asked| asked.load(Ordering::Relaxed) > 3) {
+            break;
+        }
+        assert!(Instant::now() < end, "the bad peers were not asked");
+    }
+    // Discovery goes on with nonsense, at each of its watches.
+    for _ in 0..3 {
+        watch.tell(&json!("no list"));
+        watch = agent.watch();
+    }
+    watch.tell(&list(4, true, &entries[..1]));
+    program.until_logged(1, "discovery at");
+    for customer in 10_000..10_010 {
+        assert_eq!(answer(&program, "CALL.GET", customer, "c=read,t=team,d=8500"), "served");
+    }
+    for (peer, told) in [
+        (host, "host s-1 at ADDR said what no host says: malformed answer"),
+        (counter, "counter at ADDR said what no counter says: malformed answer"),
+        (agent.addr, "discovery at ADDR: not a list of hosts"),
+    ] {
+        let lines = lines_with(&program, &told.replace("ADDR", &peer.to_string()));
+        assert_eq!(lines.len(), 1, "{told}: {:?}", program.log());
+        assert!(lines[0].contains("WARN"), "{lines:?}");
+    }
+}
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -3,6 +3,7 @@
 
 use crate::crash::{self, CrashPoint};
 use crate::messages::{CallId, Counted, CounterEvent, Input};
+use crate::outage::Outage;
 use bytes::{Buf, Bytes, BytesMut};
 use fennelbeam_env::{Env, Stream};
 use fennelbeam_policy::api::{CountName, Outcome, Span, Time};
@@ -65,12 +66,23 @@
     links: Vec<Link>,
     calls: FxHashMap<CallId, PendingAdd>,
     next: u64,
+    /// When it was last heard to say what no counter says.
+    nonsense: Outage,
 }
 
 impl<E: Env> Counter<E> {
     pub fn new(env: E, address: Option<SocketAddr>, gateway: UnboundedSender<Input>, patience: Span) -> Self {
-        let calls = FxHashMap::default();
-        Counter { env, address, gateway, patience: patience.max(MS), links: Vec::new(), calls, next: 0 }
+        let (calls, nonsense) = (FxHashMap::default(), Outage::default());
+        Counter {
+            env,
+            address,
+            gateway,
+            patience: patience.max(MS),
+            links: Vec::new(),
+            calls,
+            next: 0,
+            nonsense,
+        }
     }
 
     /// New calls go to this address. Those on their way finish where they are: a link without a sender ends
@@ -138,6 +150,10 @@
                 }
                 self.end(call, outcome, total)
             }
+            CounterEvent::Nonsense { address, error } => {
+                self.speak_of_nonsense(address, &error);
+                None
+            }
             CounterEvent::Down(id) => {
                 self.links.retain(|link| link.id != id);
                 None
@@ -145,6 +161,13 @@
         }
     }
 
+    /// It may say nonsense with each answer: a line at first, and ever more rarely while it goes on.
+    fn speak_of_nonsense(&mut self, address: SocketAddr, error: &RespError) {
+        if self.nonsense.failed(self.env.now()).is_some() {
+            tracing::warn!("counter at {address} said what no counter says: {error}");
+        }
+    }
+
     fn end(&mut self, id: CallId, outcome: Outcome, total: f64) -> Option<Counted> {
         let call = self.calls.remove(&id)?;
         let took = self.env.now().saturating_sub(call.started);
@@ -177,10 +200,9 @@
 
 impl<E: Env> Line<E> {
     async fn run(mut self, address: SocketAddr, mut jobs: UnboundedReceiver<Job>) {
+        let mut error = None;
         if let Ok(Ok(stream)) = self.env.timeout(self.silence, self.env.connect(address)).await {
-            if let Err(error) = self.carry(stream, &mut jobs).await {
-                tracing::debug!("counter: {error}");
-            }
+            error = self.carry(stream, &mut jobs).await.err();
         }
         // Written and unanswered: may have been added. Never written: not added.
         for call in std::mem::take(&mut self.answers) {
@@ -190,6 +212,9 @@
         while let Ok(job) = jobs.try_recv() {
             self.tell(job.call, Outcome::NoConnection, 0.0);
         }
+        if let Some(error) = error.filter(RespError::is_nonsense) {
+            let _ = self.gateway.send(Input::Counter(CounterEvent::Nonsense { address, error }));
+        }
         let _ = self.gateway.send(Input::Counter(CounterEvent::Down(self.id)));
     }
 
--- a/crates/gateway/src/host_line.rs
+++ b/crates/gateway/src/host_line.rs
@@ -135,7 +135,11 @@
             let (reader, writer) = stream.into_split();
             self.shared.put(writer);
             self.tell(HostEvent::Up(self.id));
-            let _ = self.carry(reader, rests).await;
+            if let Err(error) = self.carry(reader, rests).await {
+                if error.is_nonsense() {
+                    self.tell(HostEvent::Nonsense { id: self.id, error });
+                }
+            }
         }
         self.tell(HostEvent::Down(self.id));
     }
--- a/crates/gateway/src/host_line/tests.rs
+++ b/crates/gateway/src/host_line/tests.rs
@@ -26,6 +26,7 @@
         tokio::task::yield_now().await;
     }
     assert!(!line.write(text(0)) && !line.is_sent());
+    assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Nonsense { id: 7, .. }))));
     assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Down(7)))));
     drop(line);
     // Closed with bytes unread, it may end as a reset.
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -7,11 +7,12 @@
 use crate::losses::AT_ONCE;
 use crate::membership::{Lifecycle, Membership};
 use crate::messages::{AttemptKey, ConnId, HostEvent, Input};
+use crate::outage::Outage;
 use crate::routing::Routing;
 use bytes::Bytes;
 use fennelbeam_env::{Env, Task};
 use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, Span, Time};
-use fennelbeam_resp::Frame;
+use fennelbeam_resp::{Frame, RespError};
 use fennelbeam_route::HostFacts;
 use fennelbeam_settings::Site;
 use rustc_hash::FxHashMap;
@@ -81,6 +82,8 @@
     /// When it last answered anything.
     heard: Time,
     trust: Trust,
+    /// When it was last heard to say what no host says.
+    nonsense: Outage,
 }
 
 struct Conn<E: Env> {
@@ -404,13 +407,22 @@
                         self.keep.alive(self.env.now(), &mut host.trust, rested);
                     }
                 }
-                if self.answered(key, frame) && clean {
+                let is_known = self.answered(key, frame);
+                if !(is_known && clean) {
+                    self.speak_of_nonsense(host_id, &RespError::Malformed("answer"));
+                }
+                if is_known && clean {
                     self.free(id);
                 } else {
                     self.close(id);
                     self.redial(host_id);
                 }
             }
+            HostEvent::Nonsense { id, error } => {
+                if let Some(host_id) = self.conns.get(&id).map(|conn| conn.host_id) {
+                    self.speak_of_nonsense(host_id, &error);
+                }
+            }
             HostEvent::Down(id) => {
                 let Some(conn) = self.close(id) else { return };
                 self.down(id, &conn);
@@ -418,6 +430,15 @@
         }
     }
 
+    /// A host may say nonsense with each answer: a line at first, and ever more rarely while it goes on.
+    fn speak_of_nonsense(&mut self, host_id: HostId, error: &RespError) {
+        let Some(host) = self.hosts.get_mut(&host_id) else { return };
+        if host.nonsense.failed(self.env.now()).is_some() {
+            let addr = host.addr.map(|addr| addr.to_string()).unwrap_or_default();
+            tracing::warn!("host {} at {addr} said what no host says: {error}", host.names.id);
+        }
+    }
+
     fn down(&mut self, id: ConnId, conn: &Conn<E>) {
         if let Some(key) = conn.busy {
             let sent = conn.line.is_sent();
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -6,7 +6,8 @@
 use crate::reload::Reload;
 use bytes::Bytes;
 use fennelbeam_policy::api::{CountName, Outcome, Request, RequestId, Span, Time};
-use fennelbeam_resp::Frame;
+use fennelbeam_resp::{Frame, RespError};
+use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// What happens around the gateway.
@@ -85,6 +86,8 @@
     Up(ConnId),
     /// It answered the request on it; `clean`: with nothing behind, so it can carry another.
     Answered { id: ConnId, frame: Frame, clean: bool },
+    /// What came on it is not what a host says.
+    Nonsense { id: ConnId, error: RespError },
     /// It has ended, or never came up.
     Down(ConnId),
 }
@@ -113,5 +116,10 @@
         outcome: Outcome,
         total: f64,
     },
+    /// What came on it is not what a counter says.
+    Nonsense {
+        address: SocketAddr,
+        error: RespError,
+    },
     Down(u64),
 }
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -32,6 +32,13 @@
     TooLong(&'static str),
 }
 
+impl RespError {
+    /// Whether the peer said what the protocol does not have, rather than nothing more.
+    pub fn is_nonsense(&self) -> bool {
+        matches!(self, RespError::Malformed(_) | RespError::TooLong(_))
+    }
+}
+
 /// One frame; arrays hold no arrays.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Frame {
