--- a/crates/gateway/src/counter/tests.rs
+++ b/crates/gateway/src/counter/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use fennelbeam_env::{Listener, Real};
 use fennelbeam_model::scenario::NetworkSpec;
-use fennelbeam_sim::{Place, Sim, SimConfig, SimEnv, SimStream};
+use fennelbeam_sim::{Place, ProcessId, Sim, SimConfig, SimEnv, SimStream};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
@@ -155,6 +155,7 @@
     counter: Counter<SimEnv>,
     inbox: UnboundedReceiver<Input>,
     heard: Arc<Mutex<Vec<u8>>>,
+    service: ProcessId,
 }
 
 impl SlowReader {
@@ -164,6 +165,7 @@
         let sim = Sim::new(SimConfig { seed: 1, start: 0, network });
         let process = |name: &str| sim.machine(name, Place::Building(0)).process(name);
         let (service, gateway) = (process("service"), process("gateway"));
+        let id = service.process_id();
         let mut listener = service.listen("0.0.0.0:80".parse().unwrap(), 16).unwrap();
         let address = Some(listener.local_addr().unwrap());
         let heard = Arc::new(Mutex::new(Vec::new()));
@@ -174,7 +176,8 @@
             }
         });
         let (tell, inbox) = mpsc::unbounded_channel();
-        SlowReader { sim, counter: Counter::new(gateway, address, tell, 20 * SECOND), inbox, heard }
+        let counter = Counter::new(gateway, address, tell, 20 * SECOND);
+        SlowReader { sim, counter, inbox, heard, service: id }
     }
 
     fn call(&mut self, amount: f64) -> CallId {
@@ -220,3 +223,28 @@
     let Ok(Input::Counter(event)) = room.inbox.try_recv() else { panic!("its end is told") };
     assert!(room.counter.on_event(event).is_none(), "given up before");
 }
+
+#[test]
+fn a_call_half_written_when_its_connection_dies_added_nothing_and_neither_did_those_behind_it() {
+    let mut room = SlowReader::start();
+    let calls: Vec<CallId> = (0..=MAX_LINKS).map(|_| room.call(1.0)).collect();
+    room.sim.run_until(SECOND / 2).unwrap();
+    room.sim.kill(room.service);
+    room.sim.run_until(2 * SECOND).unwrap();
+    let events = std::iter::from_fn(|| room.inbox.try_recv().ok());
+    let events: Vec<CounterEvent> = events
+        .map(|input| match input {
+            Input::Counter(event) => event,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    let mut ended: Vec<(CallId, Outcome)> = events
+        .into_iter()
+        .filter_map(|event| room.counter.on_event(event))
+        .map(|c| (c.call, c.outcome))
+        .collect();
+    ended.sort_by_key(|(call, _)| *call);
+    let wanted: Vec<(CallId, Outcome)> =
+        calls.into_iter().map(|call| (call, Outcome::NoConnection)).collect();
+    assert_eq!(ended, wanted);
+}
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -10,3 +10,4 @@
 mod routes;
 mod stop;
 mod support;
+mod units;
