--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -374,6 +374,32 @@
     }
 }
 
+#[test]
+fn malformed_input_behind_calls_gets_one_error_after_what_was_owed() {
+    let host = Peers::start(1);
+    let (gateway, _discovery) = before(settings(), &host);
+    // Each with more behind it, of which nothing is taken.
+    for (n, malformed) in (0..).zip(["GET / HTTP/1.1\r\n\r\n", "*1\r\n$70000\r\n", "*-7\r\n", ":1\r\n"]) {
+        let (mut client, mut other) = (gateway.client(), gateway.client());
+        client.get(2 * n);
+        let mut owed = host.command();
+        client.get(2 * n + 1);
+        let mut second = host.command();
+        client.write(malformed.as_bytes());
+        client.call(&["PING"]);
+        client.post(99, "never taken");
+        // The end of the first is held back until the malformed one has been read: another client's call comes later.
+        served(&mut other, &host, 1_000 + n, "others go on");
+        second.serve("second");
+        owed.serve("first");
+        assert_eq!((client.answer(), client.answer()), ("first".into(), "second".into()), "{malformed:?}");
+        let error = client.answer();
+        assert!(error.starts_with("-ERR protocol error: "), "{malformed:?}: {error}");
+        assert!(client.ended(), "{malformed:?}");
+        assert_eq!(host.others(), 0);
+    }
+}
+
 #[test]
 fn idle_clients_make_room_for_new_ones() {
     let host = Peers::start(1);
