Pace the line on entries of a list that cannot be read

Each list with an entry that could not be read whole gave a line, as often as discovery sent one. The list says how many there are now, and the gateway speaks of it at once and then ever more rarely, as of outages. Without the pace the test nonsense_from_a_peer_is_its_own_failure_and_one_line finds three lines.

--- a/crates/fennelbeam/tests/deployments.rs
+++ b/crates/fennelbeam/tests/deployments.rs
@@ -300,12 +300,16 @@
         }
         assert!(Instant::now() < end, "the bad peers were not asked");
     }
-    // Discovery goes on with nonsense, at each of its watches.
+    // Discovery goes on with entries that cannot be read, and then with nonsense, at each of its watches.
+    let bad = json!({"instanceId": "s-2", "hostPort": 7, "lifecycle": "in_service"});
+    for version in 4..7 {
+        watch.tell(&list(version, false, &[bad.clone(), entries[1].clone()]));
+    }
     for _ in 0..3 {
         watch.tell(&json!("no list"));
         watch = agent.watch();
     }
-    watch.tell(&list(4, true, &entries[..1]));
+    watch.tell(&list(7, true, &entries[..1]));
     program.until_logged(1, "discovery at");
     for customer in 10_000..10_010 {
         assert_eq!(answer(&program, "CALL.GET", customer, "c=read,t=team,d=8500"), "served");
@@ -314,6 +318,7 @@
         (host, "host s-1 at ADDR said what no host says: malformed answer"),
         (counter, "counter at ADDR said what no counter says: malformed answer"),
         (agent.addr, "discovery at ADDR: not a list of hosts"),
+        (agent.addr, "discovery: entries that cannot be read whole: 1"),
     ] {
         let lines = lines_with(&program, &told.replace("ADDR", &peer.to_string()));
         assert_eq!(lines.len(), 1, "{told}: {:?}", program.log());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, News, Phase, ReplyTo};
+use crate::outage::Outage;
 use crate::reload::Reload;
 use crate::routing::{Routing, Unusable};
 use crate::sites::Watch;
@@ -120,6 +121,8 @@
     unanswered: Unanswered,
     lag: Lag,
     losses: Losses,
+    /// When a list last held entries that cannot be read whole.
+    unreadable: Outage,
 }
 
 impl<E: Env, D: Decisions> Gateway<E, D> {
@@ -157,6 +160,7 @@
             unanswered: Unanswered::default(),
             lag: Lag::default(),
             losses: Losses::new(env.now()),
+            unreadable: Outage::default(),
             env,
         };
         if !config.known.instances.is_empty() {
@@ -291,6 +295,9 @@
     }
 
     fn on_hosts(&mut self, list: &Membership, kind: ListKind) {
+        if list.unreadable > 0 && self.unreadable.failed(self.env.now()).is_some() {
+            tracing::warn!("discovery: entries that cannot be read whole: {}", list.unreadable);
+        }
         let mut entries = self.hosts.update(list, kind, &self.routing);
         self.sites.on_list(self.env.now(), kind, &mut entries);
         self.people_pools();
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,22 +1,32 @@
 //! The list of hosts, as discovery tells it.
 
-use serde::de::Error;
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 
 /// A list of hosts, or the entries that changed.
 #[derive(Clone, Debug, Default, Deserialize)]
+#[serde(try_from = "Told")]
 pub struct Membership {
     /// Its version.
-    #[serde(default)]
     pub generation: u64,
     /// It is whole: a host that is not in it is gone.
-    #[serde(default)]
     pub reset: bool,
     /// The hosts.
-    #[serde(default, deserialize_with = "readable")]
     pub instances: Vec<Member>,
+    /// Entries that could not be read whole, if only some of each.
+    pub unreadable: usize,
+}
+
+/// A list as it comes.
+#[derive(Deserialize)]
+struct Told {
+    #[serde(default)]
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Value>,
 }
 
 /// One host.
@@ -58,28 +68,33 @@
     Terminated,
 }
 
-/// Entries one by one: what cannot be read of one says nothing of the others. That a host drains or is gone
-/// counts whatever else its entry holds: the version goes on, and nobody would say it again.
-fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
-    let all = Vec::<Value>::deserialize(from)?;
-    let (count, mut whole) = (all.len(), 0);
-    let mut entries = Vec::with_capacity(count);
-    for entry in all {
-        match Member::deserialize(&entry).ok().filter(|member| member.host_port.is_some()) {
-            Some(member) => {
-                whole += 1;
-                entries.push(member);
+/// Why a list says nothing.
+#[derive(Debug, thiserror::Error)]
+#[error("no entry can be read")]
+struct NoEntry;
+
+impl TryFrom<Told> for Membership {
+    type Error = NoEntry;
+
+    /// Entries one by one: what cannot be read of one says nothing of the others. That a host drains or is gone
+    /// counts whatever else its entry holds: the version goes on, and nobody would say it again.
+    fn try_from(told: Told) -> Result<Membership, NoEntry> {
+        let Told { generation, reset, instances: all } = told;
+        let (mut instances, mut unreadable) = (Vec::with_capacity(all.len()), 0);
+        for entry in &all {
+            match Member::deserialize(entry).ok().filter(|member| member.host_port.is_some()) {
+                Some(member) => instances.push(member),
+                None => {
+                    unreadable += 1;
+                    instances.extend(end_of(entry));
+                }
             }
-            None => entries.extend(end_of(&entry)),
         }
+        if instances.is_empty() && !all.is_empty() {
+            return Err(NoEntry);
+        }
+        Ok(Membership { generation, reset, instances, unreadable })
     }
-    if whole < count {
-        tracing::warn!("discovery: {} of {count} entries cannot be read whole", count - whole);
-    }
-    if entries.is_empty() && count > 0 {
-        return Err(D::Error::custom("no entry can be read"));
-    }
-    Ok(entries)
 }
 
 /// What an entry that cannot be read whole says of a host that wants nothing new.
