--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,9 @@
 use crate::losses::{self, Cause, Losses, Tried};
 use crate::membership::Membership;
 use crate::messages::{Answer, AttemptKey, CallId, Counted, Incoming, Input, News, Phase, ReplyTo};
-use crate::routing::Routing;
+use crate::outage::Outage;
+use crate::reload::Reload;
+use crate::routing::{Routing, Unusable};
 use crate::sites::Watch;
 use crate::timers::Timers;
 use crate::unanswered::Unanswered;
@@ -123,6 +125,8 @@
     unanswered: Unanswered,
     lag: Lag,
     losses: Losses,
+    /// When a list last held entries that cannot be read whole.
+    unreadable: Outage,
 }
 
 impl<E: Env, D: Decisions> Gateway<E, D> {
@@ -161,6 +165,7 @@
             unanswered: Unanswered::default(),
             lag: Lag::default(),
             losses: Losses::new(env.now()),
+            unreadable: Outage::default(),
             env,
         };
         if config.known.instances.is_empty() {
@@ -213,12 +218,8 @@
 
     fn on_news(&mut self, news: News) {
         match news {
-            News::CounterAt(address) => {
-                self.counter.move_to(address);
-                crash::here(CrashPoint::ReloadHalf);
-            }
+            News::Reload(reload) => self.on_reload(*reload),
             News::DiscoverySilent(silent) => self.sites.on_discovery(self.env.now(), silent),
-            News::Operators(operators) => self.on_operators(*operators),
             News::Hosts(list) => {
                 match self.known.take() {
                     // In one event: in between, requests that wait would go to hosts that drain.
@@ -308,6 +309,9 @@
     }
 
     fn on_hosts(&mut self, list: &Membership, kind: ListKind) {
+        if list.unreadable > 0 && self.unreadable.failed(self.env.now()).is_some() {
+            tracing::warn!("discovery: entries that cannot be read whole: {}", list.unreadable);
+        }
         let mut entries = self.hosts.update(list, kind, &self.routing);
         self.sites.on_list(self.env.now(), kind, &mut entries);
         self.people_pools();
@@ -315,16 +319,26 @@
         self.report_finished();
     }
 
+    /// A configuration that was read again comes into force as a whole, or nothing of it.
+    fn on_reload(&mut self, reload: Reload) {
+        let Reload { counter, operators, done } = reload;
+        let outcome = self.on_operators(operators);
+        crash::here(CrashPoint::ReloadHalf);
+        if outcome.is_ok() {
+            self.counter.move_to(counter);
+        }
+        // Who read it may have stopped.
+        let _ = done.send(outcome);
+    }
+
     /// Another version of the operators' files comes into force as a whole, or nothing changes. Requests in hand
     /// keep to the pools that they began with; where a host has left one, what waits there for a connection is
     /// not sent any more. Files that say the same as before are no news to the module.
-    fn on_operators(&mut self, operators: Operators) {
+    fn on_operators(&mut self, operators: Operators) -> Result<(), Unusable> {
         if operators == self.operators {
-            return;
-        }
-        if let Err(error) = self.routing.turn(&operators) {
-            return tracing::warn!("operators' files kept as they were: {error}");
+            return Ok(());
         }
+        self.routing.turn(&operators)?;
         self.operators = operators;
         tracing::info!("operators' files in force: {} routes", self.routing.len());
         let plans = self.routing.plans().to_vec();
@@ -346,6 +360,7 @@
             }
         }
         self.report_finished();
+        Ok(())
     }
 
     fn on_counted(&mut self, counted: Counted) {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -3,10 +3,10 @@
 
 use crate::call::Call;
 use crate::membership::Membership;
+use crate::reload::Reload;
 use bytes::Bytes;
-use fennelbeam_lang::model::Operators;
 use fennelbeam_policy::api::{CountName, HostId, Outcome, Request, RequestId, Span, Time};
-use fennelbeam_resp::Frame;
+use fennelbeam_resp::{Frame, RespError};
 use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -27,10 +27,8 @@
     Hosts(Membership),
     /// Discovery does not answer any more (true), or does again.
     DiscoverySilent(bool),
-    /// Where the counter is from now on.
-    CounterAt(Option<SocketAddr>),
-    /// What the operators' files say from now on.
-    Operators(Box<Operators>),
+    /// A configuration that was read again.
+    Reload(Box<Reload>),
 }
 
 /// A request as it came in.
@@ -95,6 +93,8 @@
     Up(ConnId),
     /// It answered the request on it; `clean`: with nothing behind, so it can carry another.
     Answered { id: ConnId, frame: Frame, clean: bool },
+    /// What came on it is not what a host says.
+    Nonsense { id: ConnId, error: RespError },
     /// It has ended, or never came up.
     Down(ConnId),
     /// A connection to this host has rested since its answer.
@@ -119,6 +119,16 @@
 /// What a connection to the counter tells.
 #[derive(Debug)]
 pub(crate) enum CounterEvent {
-    Ended { link: u64, call: CallId, outcome: Outcome, total: f64 },
+    Ended {
+        link: u64,
+        call: CallId,
+        outcome: Outcome,
+        total: f64,
+    },
+    /// What came on it is not what a counter says.
+    Nonsense {
+        address: SocketAddr,
+        error: RespError,
+    },
     Down(u64),
 }
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -14,3 +14,4 @@
 mod stop;
 mod stopping;
 mod support;
+mod units;
