--- a/crates/gateway/tests/room/host_crossings.rs
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -172,6 +172,29 @@
     }
 }
 
+/// The same where the host drains meanwhile: what has begun there may go on, and nothing begins there anew.
+#[test]
+fn a_request_that_its_connection_lost_does_not_begin_anew_at_a_host_that_drains() {
+    let room = narrow(length_at_host(1) - 10);
+    let (host, client) = (&room.hosts[0], room.client());
+    host.manner(Manner::serve(1, 0));
+    host.deaf(length_at_host(1));
+    client.get(1);
+    room.run_to(100 * MS);
+    room.discovery.open_watch(0);
+    host.seen();
+    client.get(2);
+    room.run(10 * MS);
+    room.discovery.tell(0, &list(2, false, &[entry(&room.hosts, 0, "terminating")]));
+    room.run(10 * MS);
+    host.deaf(usize::MAX);
+    let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Reset);
+    room.sim.heal(cut);
+    room.run(10 * SECOND);
+    assert!(calls(host).is_empty());
+    assert_eq!(client.heard(), [name(1), "-BUSY".to_owned()]);
+}
+
 /// A room with two hosts, and the keyed class in place of the unsafe one.
 fn keyed(window: Span) -> Room {
     let mut plan = Plan { hosts: 2, ..Plan::default() };
