Leave a new connection the last place until its first command can be here

Cause: with all places taken, the listener makes one free for the next to come. It asked a connection that had just come to leave where all others were owed an answer (Use::Fresh was the last resort in `Seat::rank`), so the last place was never used: whoever got it was closed unread at once, and the next one after it.

Change: a fresh connection is asked to leave after 0.1 s without a word, not before; the listener looks again after that span while it waits for a place.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -158,7 +158,8 @@
         (used, both & (u64::MAX >> 2))
     }
 
-    /// Who makes room first: the lowest, and of those the oldest. `None`: it is owed an answer.
+    /// Who makes room first: the lowest, and of those the oldest. `None`: it is owed an answer, or its first command
+    /// may be on the way.
     /// Those that have brought no call go first, or silent ones in numbers would crowd out usual clients.
     fn rank(&self, now: Time) -> Option<(u8, Time)> {
         let (used, since) = self.get();
@@ -166,9 +167,7 @@
             Use::Lingering => 0,
             Use::Fresh if since + FRESH <= now => 1,
             Use::Idle => 2,
-            // Its first command may be on the way.
-            Use::Fresh => 3,
-            Use::Busy => return None,
+            Use::Fresh | Use::Busy => return None,
         };
         Some((rank, since))
     }
@@ -196,6 +195,8 @@
                 biased;
                 permit = permits.clone().acquire_owned() => break permit,
                 () = context.crowd.stays.notified() => {}
+                // By then one that has just come has said something, or makes room.
+                () = env.sleep(FRESH) => {}
             }
         };
         let Ok(permit) = permit else { return };
--- a/crates/gateway/tests/room/clients.rs
+++ b/crates/gateway/tests/room/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that say nothing, or take nothing.
 
-use crate::support::{command, get, served, Manner, Plan, Room, CLIENT, END, HOST};
+use crate::support::{command, get, served, Client, Manner, Plan, Room, CLIENT, END, HOST};
 use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::What;
@@ -96,3 +96,37 @@
     }
     assert_eq!(wire.arrivals("gateway", "clients", &What::Fin), [given + 10 * SECOND + CLIENT]);
 }
+
+/// With 64 descriptors there are 24 places for clients.
+#[test]
+fn one_that_takes_the_last_place_keeps_it_for_its_first_command_and_no_longer() {
+    for speaks in [true, false] {
+        let room = Room::start(Plan { sockets: 64, ..Plan::default() });
+        let busy: Vec<_> = (1..24)
+            .map(|id| {
+                let client = room.client();
+                client.get(id);
+                client
+            })
+            .collect();
+        room.run_to(10 * MS);
+        let (last, next) = (room.client(), room.client());
+        room.run(90 * MS);
+        assert!(busy.iter().all(|client| client.heard().is_empty()), "all others are owed an answer");
+        assert_eq!(last.heard(), [""; 0], "its command may be on the way");
+        if speaks {
+            last.get(24);
+        }
+        next.get(25);
+        room.run(20 * MS);
+        room.hosts.iter().for_each(|host| host.manner(Manner::serve(8, 0)));
+        for host in &room.hosts {
+            host.seen().iter().for_each(|seen| host.say(seen.line, served("value")));
+        }
+        room.run(SECOND);
+        // Some may be refused, for want of slots: that is an answer, too.
+        let is_answered = |client: &Client| client.heard().first().is_some_and(|text| text != END);
+        assert_eq!((is_answered(&last), is_answered(&next)), (speaks, true));
+        assert!(busy.iter().all(is_answered));
+    }
+}
