Wait until a gateway is ready in the tests of the program, as a front does

Cause: a new process tells the decision module of no hosts before the first list or its first second is over.

Change: `before` waits for +PONG where hosts are known, as every front does before it sends a request. No assertion changes; none of these tests is about a gateway that is not ready (those are in the room's lists.rs).

--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -13,12 +13,16 @@
 /// Where nobody listens.
 const NOWHERE: &str = "127.0.0.1:9";
 
-/// A gateway before hosts that are in service, with discovery at hand.
+/// A gateway before hosts that are in service, with discovery at hand. It is ready, as it is before any front sends it
+/// a request: discovery says nothing, so the list known before the start is used after a second.
 fn before(settings: Value, hosts: &Peers) -> (Program, Discovery) {
     let discovery = Discovery::start();
     let line = |(i, addr): (usize, &SocketAddr)| host_line(&format!("s-{i}"), *addr, "in_service", 0);
     let lines: Vec<Value> = hosts.addrs.iter().enumerate().map(line).collect();
     let gateway = Program::start(settings, &lines, discovery.addr, NOWHERE.parse().unwrap());
+    if !lines.is_empty() {
+        gateway.client().until_ready();
+    }
     (gateway, discovery)
 }
 
