Give connections back after use where hosts turn new ones away

Seen: each gateway keeps what it has open for half of the hosts' idle time, so the four that came first hold a host and 26 of 30 are turned away there; they are never refused themselves, so they cannot know.

Change: crates/gateway/src/shortage.rs, without I/O: the share of new connections that are turned away (up, and ended within 0.1 s without an answer). From a tenth on, and for a minute after, a connection that nobody waits for is closed after its answer. The wait for a resting connection where a host had refused one, and its state for each host, are gone: redial is what it was before.

The new test of the room fails with the closing taken out. fennelbeam-gateway and fennelbeam-rehearse: all tests pass, pinned digests as they were.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -9,6 +9,7 @@
 use crate::messages::{Answer, AttemptKey, ConnId, HostEvent, Input};
 use crate::outage::Outage;
 use crate::routing::Routing;
+use crate::shortage::Shortage;
 use bytes::Bytes;
 use fennelbeam_env::{Env, Task};
 use fennelbeam_policy::api::{Ended, HostEntry, HostId, HostState, ListKind, Outcome, Span, Time};
@@ -28,8 +29,6 @@
 /// So many connections rest at once, of all hosts together: each takes memory. Where answers come faster than that, the
 /// one that has rested for longest is through with it.
 const RESTING: usize = 8;
-/// A host that did not take a connection is taken to be short of them for so long.
-const SCARCE: Span = 60_000 * MS;
 /// No figure of a host is above this.
 const MAX_FIGURE: f64 = 1e5;
 
@@ -96,8 +95,6 @@
     waiting: VecDeque<AttemptKey>,
     /// Word will come of a connection that has rested.
     is_resting: bool,
-    /// When it last did not take a connection.
-    refused_at: Option<Time>,
     dialing: usize,
     /// Connections to it, up or on their way.
     conns: usize,
@@ -140,6 +137,7 @@
     /// Connections that may be open at once.
     most: usize,
     keep: Keep,
+    shortage: Shortage,
     /// In the order of their numbers, so that what is done to all of them is done alike each time.
     hosts: BTreeMap<HostId, Host>,
     conns: FxHashMap<ConnId, Conn<E>>,
@@ -155,6 +153,7 @@
         Hosts {
             env,
             keep: Keep::new(longest_idle(&site)),
+            shortage: Shortage::default(),
             site,
             gateway,
             most,
@@ -495,8 +494,14 @@
                         self.keep.alive(self.env.now(), &mut host.trust, rested);
                     }
                 }
+                if !kept {
+                    self.shortage.served();
+                }
                 let is_known = self.answered(key, frame);
-                if is_known && clean {
+                let is_wanted = self.hosts.get(&host_id).is_some_and(|host| !host.waiting.is_empty());
+                if is_known && clean && !is_wanted && self.shortage.is_on(now) {
+                    self.close(id);
+                } else if is_known && clean {
                     self.rest(id, now);
                     self.free(id);
                 } else {
@@ -533,9 +538,8 @@
     }
 
     fn down(&mut self, id: ConnId, conn: &Conn<E>) {
-        // Refused, or reset before it was of any use.
-        if let Some(host) = self.hosts.get_mut(&conn.host_id).filter(|_| !conn.used) {
-            host.refused_at = Some(self.env.now());
+        if conn.up && !conn.used {
+            self.shortage.ended(self.env.now(), conn.idle_since);
         }
         if let Some(key) = conn.busy {
             let sent = conn.line.is_sent();
@@ -606,18 +610,10 @@
     /// Each that waits has a dial on its way: an attempt that has just come, or one whose own dial went to an address
     /// that is no more.
     fn redial(&mut self, host_id: HostId) {
-        let now = self.env.now();
-        let needy = |host: &Host, conns: &FxHashMap<ConnId, Conn<E>>| {
-            // One that rests takes a request in its time; where the host takes no further ones, that is soon enough.
-            let is_scarce = host.refused_at.is_some_and(|at| now < at + SCARCE);
-            let rests = |id: &&ConnId| conns.get(id).is_some_and(|conn| conn.rested_at > now);
-            let resting = if is_scarce { host.idle.iter().filter(rests).count() } else { 0 };
-            host.waiting.back().copied().filter(|_| host.dialing + resting < host.waiting.len())
-        };
-        let found = |hosts: &Self| {
-            hosts.hosts.get(&host_id).filter(|host| host.ready).and_then(|host| needy(host, &hosts.conns))
-        };
-        while let Some(key) = found(self) {
+        let needy = |host: &&Host| host.ready && host.dialing < host.waiting.len();
+        while let Some(key) =
+            self.hosts.get(&host_id).filter(needy).and_then(|host| host.waiting.back().copied())
+        {
             if self.may_go_out(key) {
                 return self.dial(host_id, key);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod reload;
 mod routing;
 mod serve;
+mod shortage;
 mod sites;
 mod timers;
 mod unanswered;
--- a/crates/gateway/tests/room/host_crossings.rs
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -478,3 +478,25 @@
     assert_eq!(client.seen(), [(3 * CLIENT + 8 * SECOND + CLIENT, "-ERR failed".to_owned())]);
     assert_eq!(host.seen()[0].text, END);
 }
+
+#[test]
+fn a_connection_is_given_back_after_its_answer_where_hosts_turn_new_ones_away() {
+    for (turned_away, is_kept) in [(0, true), (2, true), (4, false)] {
+        let room = Room::start(Plan::default());
+        let (host, client) = (&room.hosts[0], room.client());
+        for id in 2..2 + turned_away {
+            client.post(id);
+            room.run(5 * MS);
+            host.close(host.one().line);
+            room.run(5 * MS);
+        }
+        client.post(1);
+        room.run(5 * MS);
+        let line = calls(host).last().unwrap().line;
+        host.say(line, served("first"));
+        room.run(5 * MS);
+        assert_eq!(client.heard().last().unwrap(), "first");
+        let has_ended = host.seen().iter().any(|seen| seen.line == line && seen.text == END);
+        assert_eq!(has_ended, !is_kept, "{turned_away} turned away");
+    }
+}
