Hold the small gateway of the load test to what it holds itself, not to pages of its file

Seen: of the 8.1 MB that the process has resident in a test build, 6.1 are pages of its file (RssFile) and 2.0 its own (RssAnon); 7.87 to 7.99 MB in five plays of one build. How many pages of a file are in memory is the system's choice, and a debug program's grow with any code: the check could fail for no fault, and hardly by the 0.5 MB of customers that it is about.

Change: the rig also tells what is in no page of a file, and the test holds the gateway to 2.5 MB of that: 8 less the 6 that are granted to the program, and 0.5 for the allocator.

--- a/crates/fennelbeam/tests/load.rs
+++ b/crates/fennelbeam/tests/load.rs
@@ -25,7 +25,9 @@
         ..Spec::default()
     };
     let outcome = run(&spec);
-    assert!(outcome.peak_mb < 8.0, "{} MB of 8", outcome.peak_mb);
+    // Of 8 MB the program is granted 6, most of which are pages of its file: how many of a test build's are in memory
+    // is the system's choice. What it holds beside them is its own, and 2.0 MB where customers are held to their part.
+    assert!(outcome.anonymous_mb < 2.5, "{} MB", outcome.anonymous_mb);
     // However slow the machine, regular customers are served as all are.
     let Outcome { all, regular, ended_well, .. } = outcome;
     assert!(all.due > 100 && regular.due > 10, "{all:?}");
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -27,6 +27,8 @@
     pub resident: u64,
     /// The most that it has had.
     pub peak: u64,
+    /// What of it is the program's own: no pages of files, which the system can take back and reads in as it likes.
+    pub anonymous: u64,
 }
 
 impl Usage {
@@ -199,6 +201,7 @@
         switches: field("voluntary_ctxt_switches") + field("nonvoluntary_ctxt_switches"),
         resident: field("VmRSS") << 10,
         peak: field("VmHWM") << 10,
+        anonymous: (field("RssAnon") + field("RssShmem")) << 10,
     })
 }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -129,6 +129,8 @@
     pub resident_mb: f64,
     /// See `resident_mb`.
     pub peak_mb: f64,
+    /// The most of it, at the begin, the end and when all was answered, that was in no page of a file, in MB.
+    pub anonymous_mb: f64,
     /// Share of a core while nobody asks.
     pub at_rest: Option<f64>,
     /// Calls to the counter an answer.
@@ -266,13 +268,27 @@
     let longest = site.scenario.site.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     settle(&crowd, Duration::from_nanos(longest) + Duration::from_millis(500)).await;
     let at_rest = if rig.rest { Some(rest(&program).await?) } else { None };
-    let peak = program.usage()?.peak;
+    let last = program.usage()?;
+    let anonymous = before.anonymous.max(after.anonymous).max(last.anonymous);
     let ended_well = program.end();
     site.agent.stop();
 
     let used = before.until(&after);
     let stats = crowd.stats();
-    Ok(outcome(spec, subject, rig, &stats, seconds, &used, marked, traced, at_rest, peak, ended_well, &site))
+    Ok(outcome(
+        spec,
+        subject,
+        rig,
+        &stats,
+        seconds,
+        &used,
+        marked,
+        traced,
+        at_rest,
+        (last.peak, anonymous),
+        ended_well,
+        &site,
+    ))
 }
 
 #[expect(clippy::too_many_arguments, reason = "each is one figure of the outcome")]
@@ -286,7 +302,7 @@
     marked: Vec<u64>,
     traced: Option<calls::Counted>,
     at_rest: Option<f64>,
-    peak: u64,
+    (peak, anonymous): (u64, u64),
     ended_well: bool,
     site: &Site,
 ) -> Outcome {
@@ -316,6 +332,7 @@
         calls_by_name,
         resident_mb: used.resident as f64 / f64::from(1 << 20),
         peak_mb: peak as f64 / f64::from(1 << 20),
+        anonymous_mb: anonymous as f64 / f64::from(1 << 20),
         at_rest,
         counter_calls: marked[0] as f64 / answers,
         attempts: marked[1] as f64 / answers,
