Keep a busy host that a whole list left out gone when a reload tells of hosts again

Need: a whole list leaves a host out while an attempt is on it, and SIGHUP then brings other operators' files. Seen in a room with two hosts and one attempt a request: of 16 requests 14 were answered -BUSY, though the other host served. Cause: Hosts::update took such a host out of service (`ready`) but left the state of its entry as it was, and Hosts::reassign, which on_operators tells the module after a reload, gives the entries of all hosts that still have a connection. So the module heard that the host was in service again, for good: no list names it any more. Each attempt there ended as moot. Ruled out: nothing was sent to it (Hosts::start looks at `ready`), so no drain was broken; Hosts::entries, which sites and a new module are told, gives ready hosts alone. Change: a list that is no list of changes sets the state of each host that it does not name to gone, in the entry as well. Measured: the new test in room/routes.rs passes, and without the mend fails with 14 of 16 refused; tests of the gateway package pass.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -175,7 +175,9 @@
     /// Takes in a list and gives it in the module's terms.
     pub fn update(&mut self, list: &Membership, kind: ListKind, routing: &Routing) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
-            self.hosts.values_mut().for_each(|host| host.ready = false);
+            // Told again of one that it leaves out, the module has to hear that it is gone.
+            let leave = |host: &mut Host| (host.ready, host.entry.state) = (false, HostState::Gone);
+            self.hosts.values_mut().for_each(leave);
         }
         let mut entries = Vec::with_capacity(list.instances.len());
         for line in &list.instances {
--- a/crates/gateway/tests/room/routes.rs
+++ b/crates/gateway/tests/room/routes.rs
@@ -1,6 +1,6 @@
 //! Pools, routes and quota policies of the operators' files, also when those are read again in service.
 
-use crate::support::{entry, get, list, name, post, tariff, Client, Manner, Peer, Plan, Room};
+use crate::support::{entry, get, list, name, post, served, tariff, Client, Manner, Peer, Plan, Room};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
@@ -250,6 +250,32 @@
     assert_eq!(client.heard(), [name(2), name(4)]);
 }
 
+#[test]
+fn files_that_change_after_a_whole_list_has_left_out_a_busy_host_do_not_bring_it_back() {
+    let mut plan = Plan { hosts: 2, ..Plan::default() };
+    // An attempt that could not be made would be the last.
+    plan.settings["allowed"]["max-attempts"] = 1.into();
+    let room = Room::start(plan);
+    room.run_to(10 * MS);
+    let (busy, client) = (room.client(), room.client());
+    busy.post(1);
+    room.run(10 * MS);
+    let at = calls(&room).iter().position(|ids| ids == &[1]).unwrap();
+    room.hosts[1 - at].manner(Manner::serve(1, 50 * MS));
+    room.discovery.tell(0, &list(2, true, &[entry(&room.hosts, 1 - at, "in_service")]));
+    room.run(10 * MS);
+    room.reload_operators("pool \"all\" {}\n");
+    room.run(10 * MS);
+    // More at once than the other host takes: those behind wait, and are not spent on one that is gone.
+    (2..=17).for_each(|id| client.post(id));
+    room.run(4 * SECOND);
+    assert_eq!(client.heard(), (2..=17).map(name).collect::<Vec<_>>());
+    assert!(calls(&room)[at].is_empty());
+    room.hosts[at].say(0, served("late"));
+    room.run(10 * MS);
+    assert_eq!(one(&busy), "late", "what it has, it finishes");
+}
+
 /// Which hosts reads and orders may go to, by version; the last one is broken, and never in force.
 const ALLOWED: [[&[usize]; 2]; 4] = {
     let all: &[usize] = &[0, 1, 2, 3];
