Tell a module that follows one that panicked nothing of the calls of the old one

Need: the decision module panics while a call to the counter is out, and its successor makes a call of the same name (a customer's, so this is usual). Seen in a test with a module that panics on demand: the successor is told "Ok 1", the total of the old call, and then "Ok 2". The module finds its call by the name alone and takes the first answer for its own, so the amount of its own call is not in the total that it reckons with, and the answer that is its own finds no call. A call that had not been written yet when the module panicked went out as well. Lines at fault: Gateway::start_over, which left the old calls with the counter. Ruled out: ends of old attempts bear the id of a request, which is never used twice. Change: start_over disowns the calls that are out: their ends are no news, those not written yet never are, and their timers go.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -141,6 +141,12 @@
         self.end(call, outcome, 0.0)
     }
 
+    /// Whoever made the calls that are out is gone: how they end is no news any more, and what of them is not written
+    /// yet never is.
+    pub fn disown(&mut self) {
+        self.calls.drain().for_each(|(_, call)| call.stage.store(GIVEN_UP, Ordering::Relaxed));
+    }
+
     /// Takes in what a connection tells; calls given up before are no news.
     pub fn on_event(&mut self, event: CounterEvent) -> Option<Counted> {
         match event {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -546,7 +546,9 @@
         self.news.clear();
         self.seed = self.seed.wrapping_add(1);
         self.module = D::start(self.settings.clone(), self.seed);
-        self.timers.retain(|timer| !matches!(timer, Timer::Module(_)));
+        // Names of calls are those of customers: an answer to the old module would pass for one to the new.
+        self.counter.disown();
+        self.timers.retain(|timer| !matches!(timer, Timer::Module(_) | Timer::Call(_)));
         let mut ids: Vec<RequestId> = self.requests.keys().copied().collect();
         ids.sort_unstable();
         for id in ids {
