Count the empty line of a watch that comes in one piece with half a list

Need: lists come in pieces. Where an empty line and the first half of a list are read at once, the empty line was swallowed: Documents::next skipped white space and told of it only where nothing stood behind it. The watch then ended 2.5 s after what came before that line, half a second after the half itself, and the list was lost with it until the next watch told it. Seen in a room: the watch ended at 2.5 s though the empty line had come at 2.0 s. Change: white space between documents is told of wherever it stands. Measured: the new test in room/discovery.rs passes, and without the mend fails with the end of the watch at 2,500 ms; documents/tests.rs passes as it is.

--- a/crates/gateway/src/discovery/documents.rs
+++ b/crates/gateway/src/discovery/documents.rs
@@ -47,7 +47,8 @@
             let blank = self.bytes.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
             self.bytes.advance(blank);
             match self.bytes.first() {
-                None => return Ok((blank > 0).then_some(Part::Blank)),
+                _ if blank > 0 => return Ok(Some(Part::Blank)),
+                None => return Ok(None),
                 Some(b'{') => {}
                 Some(_) => return Err(ListError::NoDocument),
             }
--- a/crates/gateway/tests/room/discovery.rs
+++ b/crates/gateway/tests/room/discovery.rs
@@ -87,6 +87,26 @@
     assert_eq!((end.line, end.text.as_str()), (line, END));
 }
 
+#[test]
+fn an_empty_line_counts_also_where_half_a_list_comes_in_one_piece_with_it() {
+    let room = Room::start(Plan::default());
+    room.run_to(QUESTION);
+    let line = question(&room.discovery, &watch(1)).line;
+    let text = list(2, false, &[entry(&room.hosts, 0, "in_service")]).to_string();
+    let (half, rest) = text.split_at(text.len() / 2);
+    room.run_to(2 * SECOND);
+    room.discovery.say(line, crate::support::chunk(&format!("\n{half}")));
+    room.run(SECOND);
+    room.discovery.say(line, crate::support::chunk(&format!("{rest}\n")));
+    room.run(2 * SECOND);
+    room.discovery.keep_watch(line);
+    room.run(600 * MS);
+    let seen = room.discovery.seen();
+    let ends = seen.iter().filter(|seen| seen.line == line).count();
+    assert_eq!(ends, 0, "{seen:?}");
+    assert_eq!(texts(&seen).last(), Some(&watch(2).as_str()), "the list counts");
+}
+
 /// A gateway whose customers have a quota of ten units and next to nothing more.
 fn with_quota() -> Room {
     let mut plan = Plan::default();
