Force what crosses on watches, at the start and where discovery or the counter moves

Need: rows of docs/crossings.md said that these were not tested: a list on the old watch while the call for its successor is out; SIGHUP that moves discovery to where nobody listens at first; the list known before the start coming into use as the first list comes; SIGHUP that takes the counter away. Two pairs were in no row: the old watch's list and the successor's answer at one moment, and SIGHUP that moves discovery in the first second of a new process. Change: six tests in virtual time, to the nanosecond around each crossing. Nothing was wrong. Each was seen to fail once: with the renewal not set anew after a list, both of the watches (successor still out; after=1 asked again); with the longest pause at 10 s, nobody listening (4,040 ms at 6,100 ms, refused); with the known list told before the first one, both of the start ("no connection either"); with links kept where the address goes, the counter (an ADDGET more).

--- a/crates/gateway/tests/room/discovery.rs
+++ b/crates/gateway/tests/room/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery that falls silent, and addresses that move while calls are out.
 
 use crate::support::{
-    bulk, entry, list, name, post, tariff, Manner, Peer, Plan, Room, Seen, CLIENT, END, HERE,
+    bulk, entry, list, name, post, tariff, Manner, Peer, Plan, Room, Seen, CLIENT, END, HERE, HOST,
 };
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
@@ -87,6 +87,65 @@
     assert_eq!((end.line, end.text.as_str()), (line, END));
 }
 
+#[test]
+fn a_list_on_the_old_watch_drops_the_call_for_its_successor_and_another_asks_for_what_follows() {
+    // So long after the question for the successor, which gets no answer.
+    for after in [0, 1, 500 * MS, 2400 * MS] {
+        let room = Room::start(Plan::default());
+        room.run_to(QUESTION);
+        let old = question(&room.discovery, &watch(1)).line;
+        let asked = QUESTION + HERE + 2500 * MS + QUESTION;
+        for beat in [2 * SECOND, 4 * SECOND] {
+            room.run_to(beat.min(asked + after));
+            room.discovery.keep_watch(old);
+        }
+        room.run_to(asked + after);
+        let successor = question(&room.discovery, &watch(1));
+        assert_eq!(successor.at, asked);
+        room.discovery.tell(old, &list(2, false, &[entry(&room.hosts, 0, "terminating")]));
+        let told = room.now() + HERE;
+        room.run_to(told + 2 * SECOND);
+        room.discovery.keep_watch(old);
+        room.run_to(told + 2500 * MS + QUESTION);
+        let seen: Vec<_> =
+            room.discovery.seen().into_iter().map(|seen| (seen.at, seen.line, seen.text)).collect();
+        let expected = [
+            (told + HERE, successor.line, END.to_owned()),
+            (told + 2500 * MS + QUESTION, successor.line + 1, watch(2)),
+        ];
+        assert_eq!(seen, expected, "{after}");
+    }
+}
+
+#[test]
+fn a_list_on_the_old_watch_and_the_answer_of_its_successor_leave_one_open_that_has_told_it() {
+    for offset in [-(MS as i64), -1, 0, 1, MS as i64] {
+        let room = Room::start(Plan::default());
+        room.run_to(QUESTION);
+        let old = question(&room.discovery, &watch(1)).line;
+        room.run_to(2 * SECOND);
+        room.discovery.keep_watch(old);
+        room.run_to(3 * SECOND);
+        let successor = question(&room.discovery, &watch(1)).line;
+        let news = list(2, false, &[entry(&room.hosts, 0, "terminating")]);
+        let answers = (3 * SECOND + 10 * MS).checked_add_signed(offset).unwrap();
+        let mut steps = [(answers, successor), (3 * SECOND + 10 * MS, old)];
+        steps.sort();
+        for (when, line) in steps {
+            room.run_to(when);
+            let head = if line == successor { crate::support::CHUNKED } else { "" };
+            room.discovery.say(line, format!("{head}{}", crate::support::chunk(&format!("{news}\n"))));
+        }
+        room.run(2 * SECOND);
+        let ends: Vec<_> = room.discovery.seen().into_iter().map(|seen| (seen.line, seen.text)).collect();
+        let (closed, stays) = if offset < 0 { (old, successor) } else { (successor, old) };
+        assert_eq!(ends, [(closed, END.to_owned())], "{offset}");
+        room.discovery.keep_watch(stays);
+        room.run(SECOND);
+        assert_eq!(texts(&room.discovery.seen()), [watch(2)], "{offset}: told once, whoever told it");
+    }
+}
+
 #[test]
 fn an_empty_line_counts_also_where_half_a_list_comes_in_one_piece_with_it() {
     let room = Room::start(Plan::default());
@@ -225,3 +284,50 @@
         agent.one().text.starts_with("GET /registry/instances ") && counter.one().text.starts_with("ADDGET ")
     );
 }
+
+#[test]
+fn sighup_that_takes_the_counter_away_lets_calls_that_are_out_finish_and_makes_no_more() {
+    for (offset, answers) in [-1_i64, 0, 1].into_iter().flat_map(|offset| [(offset, true), (offset, false)]) {
+        let room = with_quota();
+        let client = room.client();
+        client.say(post(1, 1, 2.0));
+        room.run_to(10 * MS);
+        let call = room.counter.one();
+        // The settings are those of the start; without a counter in them the document needs no address.
+        room.write_document(|document| {
+            document["counter"] = json!(null);
+            document["settings"]["domain"]["shared-counter"] = false.into();
+        });
+        let mut steps = [((20 * MS).checked_add_signed(offset).unwrap(), true), (20 * MS - HOST, false)];
+        steps.sort();
+        for (when, is_reload) in steps {
+            room.run_to(when);
+            if is_reload {
+                room.signal(Signal::Reload);
+            } else if answers {
+                room.counter.say(call.line, bulk("2"));
+            }
+        }
+        // Of another customer: nothing can be asked, and what rests on this gateway's word is served.
+        client.say(post(2, 2, 2.0));
+        room.run(SECOND);
+        assert_eq!(client.heard(), [name(1), name(2)], "{offset}, {answers}");
+        assert_eq!(
+            texts(&room.counter.seen()),
+            [END],
+            "{offset}, {answers}: no call, and the connection goes"
+        );
+        // Back at the address, calls go on.
+        room.counter.manner(Manner::count());
+        room.write_document(|document| document["settings"]["domain"]["shared-counter"] = true.into());
+        room.reload(room.discovery.addr, room.counter.addr);
+        room.run(3 * SECOND);
+        client.say(post(3, 3, 2.0));
+        room.run(SECOND);
+        assert_eq!(client.heard(), [name(3)], "{offset}, {answers}");
+        assert!(
+            room.counter.seen().iter().any(|seen| seen.text.starts_with("ADDGET")),
+            "{offset}, {answers}"
+        );
+    }
+}
--- a/crates/gateway/tests/room/lists.rs
+++ b/crates/gateway/tests/room/lists.rs
@@ -3,10 +3,14 @@
 //! An agent here is a script: what it says to a question depends on when that comes and on nothing else. Traffic
 //! runs all the time, so when a drain is in force is when the last call goes to its host.
 
-use crate::support::{chunk, entry, list, Client, Manner, Order, Peer, Plan, Room, Says, CHUNKED, END};
+use crate::support::{
+    chunk, entry, list, Client, Manner, Order, Peer, Plan, Room, Says, CHUNKED, END, HERE, HOST,
+};
 use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
+use fennelbeam_sim::Cut;
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -304,6 +308,84 @@
     }
 }
 
+#[test]
+fn discovery_that_moves_to_where_nobody_listens_at_first_is_in_force_within_four_seconds() {
+    // How long after SIGHUP it can be reached; until then connections are refused, or nothing comes back at all.
+    for (is_cut, after) in
+        [false, true].into_iter().flat_map(|cut| [0, 1, 999, 1500, 2510, 3700, 6100].map(|ms| (cut, ms * MS)))
+    {
+        let (room, client) = two_hosts();
+        let (before, news, whole) = lists(&room);
+        room.discovery.manner(Manner::script(move |_, words| good(words, None, &before, 60 * SECOND)));
+        let machine = room.machine("new agent");
+        let cut = is_cut.then(|| room.sim.cut(vec![machine.id()], vec![room.gateway()], Cut::Silent));
+        let mut ids = 0;
+        call_until(&room, &client, &mut ids, 2 * SECOND);
+        room.reload(SocketAddr::new(machine.ip(), 8500), room.counter.addr);
+        call_until(&room, &client, &mut ids, 2 * SECOND + after);
+        let new = room.listen(&machine, "new agent", 8500);
+        new.manner(Manner::script(move |_, words| good(words, Some(&news), &whole, 60 * SECOND)));
+        cut.into_iter().for_each(|cut| room.sim.heal(cut));
+        room.hosts[0].seen();
+        call_until(&room, &client, &mut ids, 2 * SECOND + after + MOVED + SECOND);
+        let took = last_call(&room.hosts[0]).map_or(0, |last| last - 2 * SECOND - after);
+        assert!(took < MOVED, "cut {is_cut}, {} ms: {} ms", after / MS, took / MS);
+        assert_eq!(client.heard().len() as u64, ids, "one answer each");
+        assert!(last_call(&room.hosts[1]).is_some());
+    }
+}
+
+/// Just before, at and just after a moment, to the nanosecond and well.
+fn around(moment: Span) -> [Span; 5] {
+    [moment - MS, moment - 1, moment, moment + 1, moment + MS]
+}
+
+#[test]
+fn a_drain_that_comes_as_the_known_list_comes_into_use_counts_from_then_on() {
+    for (changes, told) in
+        [true, false].into_iter().flat_map(|changes| around(SECOND).map(|at| (changes, at)))
+    {
+        let (room, client) = two_hosts();
+        let (_, news, whole) = lists(&room);
+        room.discovery.manner(Manner::Wait);
+        (1..=16).for_each(|id| client.get(id));
+        room.run_to(told - HERE);
+        let list = if changes { &news } else { &whole };
+        room.discovery.say(0, format!("{CHUNKED}{}", chunk(&format!("{list}\n"))));
+        room.run(2 * SECOND);
+        let case = format!("{told} ns, changes {changes}");
+        assert_eq!(client.heard().len(), 16, "{case}: one answer each");
+        if told < SECOND {
+            assert_eq!(room.hosts[0].lines(), 0, "{case}: no connection either");
+        }
+        match last_call(&room.hosts[0]) {
+            Some(last) => assert!(last <= told, "{case}: sent at {last} ns"),
+            None => assert!(told <= SECOND + 1, "{case}: before it was told, it could not be known"),
+        }
+    }
+}
+
+#[test]
+fn a_new_process_whose_discovery_moves_in_its_first_second_takes_the_list_from_there() {
+    for moved in [0, 500 * MS, SECOND - 4 * HERE].into_iter().chain(around(SECOND)) {
+        let (room, client) = two_hosts();
+        let (_, news, whole) = lists(&room);
+        // The old agent never answers.
+        room.discovery.manner(Manner::Wait);
+        let new = room.peer("new agent", 8500);
+        new.manner(Manner::script(move |_, words| good(words, Some(&news), &whole, 60 * SECOND)));
+        (1..=16).for_each(|id| client.get(id));
+        room.run_to(moved);
+        room.reload(new.addr, room.counter.addr);
+        // A connection, the question and its answer.
+        let told = moved + 4 * HOST;
+        room.run_to(moved + 3 * SECOND);
+        assert_eq!(client.heard().len(), 16, "{moved}: one answer each");
+        assert!(last_call(&room.hosts[0]).is_none_or(|last| last <= told), "{moved}");
+        assert!(told >= SECOND || room.hosts[0].lines() == 0, "{moved}: no connection either");
+    }
+}
+
 #[test]
 fn at_another_address_versions_begin_anew_and_at_the_same_one_they_do_not() {
     for moves in [false, true] {
--- a/crates/gateway/tests/room/support.rs
+++ b/crates/gateway/tests/room/support.rs
@@ -533,15 +533,32 @@
 
     /// Another counter or agent, in a process of its own.
     pub fn peer(&self, name: &str, port: u16) -> Peer {
-        Peer::start(self.sim.machine(name, Place::Building(0)), name, port)
+        self.listen(&self.machine(name), name, port)
+    }
+
+    /// A machine on which nobody listens yet.
+    pub fn machine(&self, name: &str) -> Machine {
+        self.sim.machine(name, Place::Building(0))
+    }
+
+    /// Somebody listens there from now on.
+    pub fn listen(&self, machine: &Machine, name: &str, port: u16) -> Peer {
+        Peer::start(machine.clone(), name, port)
+    }
+
+    /// Changes the configuration as it is on the disk.
+    pub fn write_document(&self, change: impl FnOnce(&mut Value)) {
+        if let Some(document) = self.gateway.document.lock().unwrap().as_mut() {
+            change(document);
+        }
     }
 
     /// Writes these addresses into the configuration and sends SIGHUP.
     pub fn reload(&self, discovery: SocketAddr, counter: SocketAddr) {
-        if let Some(document) = self.gateway.document.lock().unwrap().as_mut() {
+        self.write_document(|document| {
             document["discovery"] = discovery.to_string().into();
             document["counter"] = counter.to_string().into();
-        }
+        });
         self.signal(Signal::Reload);
     }
 
