Force what crosses operators' files, the stop, malformed commands and a moved counter

Need: rows of docs/crossings.md said that these were not tested: operators' files that change before the first list; files whose pools find no place beside 64 in use, with new addresses; SIGTERM before the gateway is ready; SIGHUP and SIGTERM at one instant; a malformed command and SIGTERM; totals of a counter and of the one that it moved from. Change: six tests in virtual time, with the crossing in each order. Nothing was wrong. Measured: all pass. Each was seen to fail once: with the reload not put in force while the known list waits (requests after it go by the old route); with no pool taken to be in use (the address moves); with ready() going on from any phase (what waits gets no end); without the second look at signals (the new agent is not asked); with connections closed though calls are owed (answers missing); with calls forgotten at the move (they never end).

--- a/crates/gateway/tests/room/routes.rs
+++ b/crates/gateway/tests/room/routes.rs
@@ -1,6 +1,6 @@
 //! Pools, routes and quota policies of the operators' files, also when those are read again in service.
 
-use crate::support::{entry, get, list, name, post, served, tariff, Client, Manner, Peer, Plan, Room};
+use crate::support::{entry, get, list, name, post, served, tariff, Client, Manner, Peer, Plan, Room, Seen};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
@@ -250,6 +250,39 @@
     assert_eq!(client.heard(), [name(2), name(4)]);
 }
 
+#[test]
+fn files_that_change_before_the_first_list_has_come_count_for_what_comes_after_them() {
+    // The agent tells the list itself, or the known one comes into use.
+    for tells in [true, false] {
+        let room = Room::start(Plan { hosts: 4, operators: spaced(TWO_POOLS), ..Plan::default() });
+        room.discovery.manner(Manner::Wait);
+        room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, 0)));
+        let client = room.client();
+        (2..=8).step_by(2).for_each(|id| client.get(id));
+        room.run_to(10 * MS);
+        room.reload_operators(&spaced(&TWO_POOLS.replace("pool = \"first\"", "pool = \"second\"")));
+        room.run_to(20 * MS);
+        (10..=16).step_by(2).for_each(|id| client.get(id));
+        room.run_to(30 * MS);
+        assert!(calls(&room).iter().all(Vec::is_empty), "no list is in use");
+        if tells {
+            let hosts: Vec<_> = (0..4).map(|number| entry(&room.hosts, number, "in_service")).collect();
+            room.discovery.open_watch(0);
+            room.discovery.tell(0, &list(2, true, &hosts));
+        }
+        room.run_to(if tells { 100 * MS } else { SECOND + 100 * MS });
+        let seen = calls(&room);
+        let came = |pool: &[Vec<u64>]| pool.iter().flatten().copied().collect::<BTreeSet<u64>>();
+        assert_eq!(
+            came(&seen[..2]),
+            BTreeSet::from([2, 4, 6, 8]),
+            "{tells}: by the route that they began with"
+        );
+        assert_eq!(came(&seen[2..]), BTreeSet::from([10, 12, 14, 16]), "{tells}");
+        assert_eq!(client.heard().len(), 8, "{tells}");
+    }
+}
+
 #[test]
 fn files_that_change_after_a_whole_list_has_left_out_a_busy_host_do_not_bring_it_back() {
     let mut plan = Plan { hosts: 2, ..Plan::default() };
@@ -276,6 +309,42 @@
     assert_eq!(one(&busy), "late", "what it has, it finishes");
 }
 
+#[test]
+fn files_whose_pools_find_no_place_beside_those_in_use_move_no_address_until_they_do() {
+    let pools: String = (0..64).map(|n| format!("pool \"p{n}\" {{}}\n")).collect();
+    let route = |n: u64| format!("route \"r{n}\" {{ customers = {}  pool = \"p{n}\" }}\n", n + 1);
+    let operators = spaced(&(pools + &(0..64).map(route).collect::<String>())).replace("{\n}", "{}");
+    let room = Room::start(Plan { sockets: 1024, operators, ..Plan::default() });
+    room.run_to(10 * MS);
+    let clients: Vec<_> = (0..8).map(|_| room.client()).collect();
+    // One request of each customer is in hand, at the host or waiting for it, so each pool is in use.
+    for (customer, client) in (1..=64).zip(clients.iter().cycle()) {
+        client.say(post(customer, customer, 1.0));
+    }
+    room.run(10 * MS);
+    let id = |call: &Seen| call.text.split(' ').nth(2).unwrap().to_owned();
+    let out = room.hosts[0].seen();
+    let (agent, counter) = (room.peer("new agent", 8500), room.peer("new counter", 7000));
+    room.discovery.seen();
+    room.write_operators("pool \"other\" {}\nroute \"all\" {\n pool = \"other\"\n}\n");
+    room.reload(agent.addr, counter.addr);
+    room.run(10 * MS);
+    assert!(agent.seen().is_empty() && room.discovery.seen().is_empty(), "the old watch goes on");
+    // One of them is over: the same files find a place.
+    room.hosts[0].say(out[0].line, served(&id(&out[0])));
+    room.run(MS);
+    room.signal(Signal::Reload);
+    room.run(10 * MS);
+    assert!(agent.one().text.starts_with("GET /registry/instances "));
+    room.hosts[0].manner(Manner::serve(4, 0));
+    for call in out[1..].iter().chain(&room.hosts[0].seen()) {
+        room.hosts[0].say(call.line, served(&id(call)));
+    }
+    room.run(SECOND);
+    let heard: Vec<_> = clients.iter().flat_map(Client::heard).collect();
+    assert!(heard.len() == 64 && heard.iter().all(|text| !text.starts_with('-')), "{heard:?}");
+}
+
 /// Which hosts reads and orders may go to, by version; the last one is broken, and never in force.
 const ALLOWED: [[&[usize]; 2]; 4] = {
     let all: &[usize] = &[0, 1, 2, 3];
--- a/crates/gateway/tests/room/stop.rs
+++ b/crates/gateway/tests/room/stop.rs
@@ -179,3 +179,105 @@
     assert_eq!(client.seen(), [(closing + CLIENT, END.to_owned())]);
     assert_eq!(room.ended(), Some(closing + 500 * MS));
 }
+
+#[test]
+fn a_gateway_that_is_told_to_end_before_it_is_ready_never_says_that_it_is() {
+    // It is ready after a second, as no list comes.
+    let around = [SECOND - MS, SECOND - 1, SECOND, SECOND + 1];
+    for term in [0, 1, 500 * MS, 560 * MS].into_iter().chain(around) {
+        let room = Room::start(Plan { hosts: 2, ..Plan::default() });
+        room.discovery.manner(Manner::Wait);
+        room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, 0)));
+        let waits = room.client_that_says(get(1), usize::MAX);
+        room.run_to(term);
+        room.signal(Signal::Terminate);
+        // As long as it accepts, a front may ask.
+        let mut pings = Vec::new();
+        while room.now() < term + STILL_ACCEPTING - 2 * CLIENT {
+            pings.push(room.client_that_says(command(&["PING"]), usize::MAX));
+            room.run(10 * MS);
+        }
+        room.run(SECOND);
+        assert!(pings.len() > 40);
+        for ping in &pings {
+            assert_eq!(ping.heard()[0], "-ERR stopping", "{term}");
+        }
+        assert_eq!(waits.heard(), [name(1), END.to_owned()], "{term}: what waited for a list is served");
+        room.run(2 * SECOND);
+        assert!(room.ended().is_some(), "{term}");
+    }
+}
+
+#[test]
+fn a_reload_and_the_stop_in_one_instant_both_count_in_either_order() {
+    for signals in [[Signal::Reload, Signal::Terminate], [Signal::Terminate, Signal::Reload]] {
+        let room = Room::start(Plan::default());
+        let (agent, client) = (room.peer("new agent", 8500), room.client());
+        client.post(1);
+        room.run_to(10 * MS);
+        let call = room.hosts[0].one();
+        room.write_document(|document| document["discovery"] = agent.addr.to_string().into());
+        signals.into_iter().for_each(|signal| room.signal(signal));
+        room.run(MS);
+        assert!(agent.one().text.starts_with("GET /registry/instances "), "{signals:?}");
+        assert_eq!(room.discovery.seen().last().map(|seen| seen.text.as_str()), Some(END), "{signals:?}");
+        room.hosts[0].say(call.line, served("served"));
+        room.run(3 * SECOND);
+        let closing = 10 * MS + STILL_ACCEPTING;
+        assert_eq!(client.heard(), ["served", END], "{signals:?}");
+        assert_eq!(room.ended(), Some(closing + 500 * MS), "{signals:?}");
+    }
+}
+
+#[test]
+fn a_malformed_command_and_the_stop_are_one_error_behind_what_is_owed_in_either_order() {
+    let error = "-ERR protocol error: ";
+    // Two calls are owed, or nothing is; the stop, and the moment at which connections begin to close, cross it.
+    for (owed, at, offset) in [true, false].into_iter().flat_map(|owed| {
+        [0, STILL_ACCEPTING]
+            .into_iter()
+            .flat_map(move |at| [-(MS as i64), -1, 0, 1, MS as i64].map(|by| (owed, at, by)))
+    }) {
+        let room = Room::start(Plan::default());
+        let (client, other) = (room.client(), room.client());
+        room.run_to(10 * MS);
+        if owed {
+            client.get(1);
+            client.get(2);
+        }
+        other.get(3);
+        room.run_to(TERM - at);
+        room.hosts[0].manner(Manner::Wait);
+        let calls = room.hosts[0].seen();
+        let signals = room.signals();
+        room.at(TERM - at, move |_| signals.send(Signal::Terminate).unwrap());
+        room.run_to((TERM - CLIENT).checked_add_signed(offset).unwrap().max(room.now()));
+        client.say("*-7\r\n");
+        client.say(command(&["PING"]));
+        room.run_to(TERM + 100 * MS);
+        // The last first: answers go in the order of the commands.
+        calls
+            .iter()
+            .rev()
+            .for_each(|call| room.hosts[0].say(call.line, served(call.text.split(' ').nth(2).unwrap())));
+        room.run(SECOND);
+        let (heard, case) = (client.heard(), format!("owed {owed}, {at}, {offset}"));
+        let Some((answers, rest)) = heard.split_at_checked(if owed { 2 } else { 0 }) else {
+            panic!("{case}: {heard:?}")
+        };
+        assert_eq!(answers, &[name(1), name(2)][..answers.len()], "{case}");
+        match rest {
+            [text, end] => assert!(text.starts_with(error) && end == END, "{case}: {heard:?}"),
+            // It came to a connection that was closed between two requests.
+            [end] => assert!(
+                !owed && at > 0 && offset >= 0 && [END, BROKEN].contains(&end.as_str()),
+                "{case}: {heard:?}"
+            ),
+            _ => panic!("{case}: {heard:?}"),
+        }
+        assert_eq!(other.heard(), [name(3), END.to_owned()], "{case}: nobody else is touched");
+        assert!(room.hosts[0].seen().iter().all(|seen| !seen.text.starts_with("CALL")), "{case}");
+        room.run(2 * SECOND);
+        assert!(room.ended().is_some(), "{case}");
+    }
+}
--- a/crates/gateway/tests/room/units.rs
+++ b/crates/gateway/tests/room/units.rs
@@ -200,6 +200,41 @@
     }
 }
 
+#[test]
+fn totals_of_a_counter_and_of_the_one_that_it_moved_from_let_in_no_more_than_the_quota() {
+    // A call is out at the old one when it moves; its answer comes before, at or after the move, or after the time of
+    // the call, when the new one has answered as well.
+    for offset in ORDERS.into_iter().chain([3 * PATIENCE as i64]) {
+        let (room, client) = start(1);
+        let new = room.peer("new counter", 7000);
+        new.manner(Manner::count());
+        let call = waiting(&room, &client, 1);
+        let crossing = room.now() + 10 * MS;
+        client.say(post(2, 1, 2.0));
+        let mut steps = [(crossing, true), (at(crossing - HOST, offset), false)];
+        steps.sort();
+        for (when, is_reload) in steps {
+            room.run_to(when);
+            if is_reload {
+                room.reload(room.discovery.addr, new.addr);
+                client.say(post(3, 1, 2.0));
+            } else {
+                room.counter.say(call.line, total(&call));
+            }
+        }
+        for id in 4..=12 {
+            room.run(300 * MS);
+            client.say(post(id, 1, 2.0));
+        }
+        room.run(9 * SECOND);
+        let heard = client.heard();
+        assert_eq!(heard.len(), 12, "{offset}: one answer each: {heard:?}");
+        let served = heard.iter().filter(|text| !text.starts_with('-')).count();
+        assert_eq!(served, 5, "{offset}: {heard:?}");
+        assert_eq!(calls(&room.hosts[0]).len(), served, "{offset}");
+    }
+}
+
 #[test]
 fn a_counter_moved_to_where_nothing_answers_and_back_answers_each_request_once() {
     let (room, client) = start(1);
