Go on listening to discovery and to SIGHUP when SIGTERM comes a second time

Need: found by reading serve.rs for what lives how long. While the gateway stops, a task of its own took signals up to the next SIGTERM and ended with it. With that task went the sender of discovery's address, and discovery::watch ends where nobody can move it any more: from a second SIGTERM on no list was taken in. Change: while it stops, signals are taken for as long as they come. Measured: the new test in room/stop.rs plays one to three SIGTERMs, then a drain, 16 requests and SIGHUP.

--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -506,6 +506,14 @@
     pub fn close(self) {
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
+    /// Begins an answer, with this much of it.
+    pub fn say(&mut self, text: &str) {
+        self.write(text);
+    }
+    /// Closes with nothing left to linger for: the system resets the connection.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
 }
 
 /// A listener whose backlog is full: connections to it stay on their way. Keep the streams.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -97,9 +97,10 @@
     tracing::info!("{} listens on {address}", config.name);
 
     let reloads = Reloads { again, started: config.document, agent, gateway: tell };
-    reloads.until_terminated(&mut signals).await;
-    // Signals go on coming while the gateway stops.
-    env.spawn(async move { reloads.until_terminated(&mut signals).await });
+    while reloads.next(&mut signals).await == Some(Signal::Reload) {}
+    // Signals go on coming while the gateway stops. To be told to end once more is no news: discovery is listened to
+    // for as long as there is somebody to move it.
+    env.spawn(async move { while reloads.next(&mut signals).await.is_some() {} });
     let longest = site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let stopping = stop(env.clone(), phase, unanswered);
     if env.timeout(longest + AFTER_DEADLINE, stopping).await.is_err() {
@@ -118,14 +119,16 @@
 }
 
 impl<F: Fn() -> Result<Config>> Reloads<F> {
-    /// Until the process is told to end. At each reload reads the configuration again, for the operators' files and
-    /// the addresses of discovery and the counter only.
-    async fn until_terminated(&self, signals: &mut UnboundedReceiver<Signal>) {
-        while let Some(Signal::Reload) = signals.recv().await {
+    /// The next signal; where it is a reload, that has been carried out: the configuration is read again, for the
+    /// operators' files and the addresses of discovery and the counter only.
+    async fn next(&self, signals: &mut UnboundedReceiver<Signal>) -> Option<Signal> {
+        let signal = signals.recv().await?;
+        if signal == Signal::Reload {
             if let Err(error) = self.reload().await {
                 tracing::warn!("configuration kept as it was: {error:#}");
             }
         }
+        Some(signal)
     }
 
     /// Puts another configuration in force as a whole; with an error, nothing of it.
--- a/crates/gateway/tests/room/stop.rs
+++ b/crates/gateway/tests/room/stop.rs
@@ -1,6 +1,8 @@
 //! SIGTERM with calls in flight and orders still coming.
 
-use crate::support::{command, get, name, post, served, Manner, Plan, Room, Seen, BROKEN, CLIENT, END};
+use crate::support::{
+    command, entry, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CLIENT, END,
+};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
@@ -229,6 +231,29 @@
     }
 }
 
+#[test]
+fn a_drain_and_a_reload_after_a_second_word_to_end_still_count() {
+    for terms in 1..=3 {
+        let room = Room::start(Plan { hosts: 2, ..Plan::default() });
+        room.hosts.iter().for_each(|host| host.manner(Manner::serve(4, 0)));
+        let (agent, client) = (room.peer("new agent", 8500), room.client());
+        room.run_to(10 * MS);
+        (0..terms).for_each(|_| room.signal(Signal::Terminate));
+        room.run_to(50 * MS);
+        room.discovery.tell(0, &list(2, false, &[entry(&room.hosts, 0, "terminating")]));
+        room.run_to(51 * MS);
+        for id in 1..=16 {
+            client.get(id);
+            room.run(20 * MS);
+        }
+        assert_eq!(client.heard().len(), 16, "told to end {terms} times");
+        assert!(room.hosts[0].seen().iter().all(|seen| !seen.text.starts_with("CALL")), "{terms} times");
+        room.reload(agent.addr, room.counter.addr);
+        room.run(10 * MS);
+        assert!(agent.one().text.starts_with("GET /registry/instances "), "{terms} times");
+    }
+}
+
 #[test]
 fn a_malformed_command_and_the_stop_are_one_error_behind_what_is_owed_in_either_order() {
     let error = "-ERR protocol error: ";
