--- a/crates/fennelbeam/tests/gateway.rs
+++ b/crates/fennelbeam/tests/gateway.rs
@@ -736,6 +736,58 @@
     served(&mut client, &host, 1, "kept");
 }
 
+#[test]
+fn half_a_list_that_a_reset_cuts_short_is_none_and_its_drain_counts_once_it_is_told_whole() {
+    let (head, chunked) = ("HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n");
+    let forms = ["in a chunk of its own", "in half a chunk", "without a length", "with a length"];
+    // On a watch, or in place of the whole list that is asked for where discovery has moved.
+    for (form, moves) in forms.into_iter().flat_map(|form| [(form, false), (form, true)]) {
+        let (hosts, new) = (Peers::start(3), Discovery::start());
+        let line = |n: usize, state: &str| host_line(&format!("s-{n}"), hosts.addrs[n], state, 0);
+        let (known, discovery) = ([line(0, "in_service"), line(1, "in_service")], Discovery::start());
+        let mut gateway = Program::start(settings(), &known, discovery.addr, NOWHERE.parse().unwrap());
+        let (agent, question) = if moves {
+            gateway.client().until_ready();
+            gateway.reload(new.addr, NOWHERE.parse().unwrap());
+            (&new, "GET /registry/instances ")
+        } else {
+            (&discovery, "GET /registry/instances?watch=1&after=1 ")
+        };
+        let asked = || {
+            let watch = agent.asked();
+            assert!(watch.path.starts_with(question), "{form}: {}", watch.path);
+            watch
+        };
+        let all = [line(0, "terminating"), line(1, "in_service"), line(2, "in_service")];
+        let whole = list(2, true, &all).to_string();
+        // It holds the whole entry of the host that drains.
+        let (half, length) = (&whole[..whole.find("},").unwrap() + 1], whole.len());
+        let mut cut = asked();
+        cut.say(&match form {
+            "in a chunk of its own" => format!("{head}{chunked}{:x}\r\n{half}\r\n", half.len()),
+            "in half a chunk" => format!("{head}{chunked}{length:x}\r\n{half}"),
+            "with a length" => format!("{head}Content-Length: {length}\r\n\r\n{half}"),
+            _ => format!("{head}\r\n{half}"),
+        });
+        cut.reset();
+        // The same is asked for again: by then it has been taken in.
+        let next = asked();
+        let (mut client, mut ids) = (gateway.client(), 0..);
+        let mut call = || {
+            client.get(ids.next().unwrap());
+            let mut seen = hosts.command();
+            seen.serve("served");
+            assert_eq!(client.answer(), "served");
+            seen.conn.0
+        };
+        assert!((0..200).any(|_| call() == 0), "{form}: half a list was taken for one");
+        next.reset();
+        asked().say(&format!("{head}{chunked}{length:x}\r\n{whole}\r\n"));
+        assert!((0..200).any(|_| call() == 2), "{form}: the list that was told whole does not count");
+        assert!((0..20).all(|_| call() != 0), "{form}: a call to the host that drains");
+    }
+}
+
 #[test]
 fn a_silent_watch_is_replaced() {
     let (_gateway, discovery) = before(settings(), &Peers::start(0));
