Count all that a client takes as a sign of life, also beside other answers

Need: a client that takes nothing for 3 s, or no answer whole in 10 s, counts as gone. What left by the write before each wait (write_now) renewed neither time unless all had left: only the write in the select did. That one comes after the inbox there, so a client which took bytes in turns in which an answer to another of its commands came was cut though it read all the while, and what it was owed was lost. Lines: `stalled_by` and `taken_by` in `run`, `write_now`. Change: both times are one value, `Taking`, that whatever leaves renews (`count_sent`); answers that left whole make room for commands at once, also where others wait. `Connection::new` lets a test run a connection on halves of its own, in virtual time.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -305,11 +305,37 @@
     Ended,
 }
 
+/// By when a client has to take of its answers, or has gone. Whatever it takes renews this, and nothing else does: not
+/// the answers to its other commands.
+#[derive(Default)]
+struct Taking {
+    /// Anything at all.
+    any_by: Option<Time>,
+    /// The next of them whole.
+    next_by: Option<Time>,
+}
+
+impl Taking {
+    /// There is something to take now.
+    fn due(&mut self, now: Time) -> Time {
+        let any_by = *self.any_by.get_or_insert(now.saturating_add(STALLED));
+        any_by.min(*self.next_by.get_or_insert(now.saturating_add(TAKEN)))
+    }
+
+    fn took(&mut self, whole: bool) {
+        self.any_by = None;
+        if whole {
+            self.next_by = None;
+        }
+    }
+}
+
 struct Connection<E> {
     context: Context<E>,
     seat: Arc<Seat>,
     input: BytesMut,
     output: SegmentedBuf<Bytes>,
+    taking: Taking,
     /// Answers in the output that have not left whole: the bytes up to the end of each, counted from the
     /// first one written on this connection.
     unsent: VecDeque<u64>,
@@ -339,24 +365,7 @@
     // Kept to the end: a gateway that stops waits for all who hold one, also for those that linger.
     let (env, crowd, _stop) = (context.env.clone(), context.crowd.clone(), context.phase.clone());
     let (mut reader, mut writer) = stream.into_split();
-    let (answers, inbox) = mpsc::unbounded_channel();
-    let mut connection = Connection {
-        context,
-        seat: seat.clone(),
-        input: BytesMut::new(),
-        output: SegmentedBuf::new(),
-        unsent: VecDeque::new(),
-        put: 0,
-        slots: VecDeque::new(),
-        first_slot: 0,
-        answers,
-        intake: Intake::Commands,
-        places: None,
-        share: None,
-        in_hand: 0,
-        owed: Some(env.now() + OWED),
-        called: false,
-    };
+    let (mut connection, inbox) = Connection::new(context, seat.clone());
     let ended = connection.run(&mut reader, &mut writer, inbox).await;
     connection.leave();
     drop(connection);
@@ -397,6 +406,31 @@
 }
 
 impl<E: Env> Connection<E> {
+    /// One that has just come, and where the answers to its calls arrive.
+    fn new(context: Context<E>, seat: Arc<Seat>) -> (Connection<E>, UnboundedReceiver<(u64, Answer)>) {
+        let (answers, inbox) = mpsc::unbounded_channel();
+        let owed = Some(context.env.now() + OWED);
+        let connection = Connection {
+            context,
+            seat,
+            input: BytesMut::new(),
+            output: SegmentedBuf::new(),
+            taking: Taking::default(),
+            unsent: VecDeque::new(),
+            put: 0,
+            slots: VecDeque::new(),
+            first_slot: 0,
+            answers,
+            intake: Intake::Commands,
+            places: None,
+            share: None,
+            in_hand: 0,
+            owed,
+            called: false,
+        };
+        (connection, inbox)
+    }
+
     /// Until the client goes (an error), or the connection is to close with all answered.
     async fn run<R, W>(
         &mut self,
@@ -410,13 +444,13 @@
     {
         let (env, seat) = (self.context.env.clone(), self.seat.clone());
         let mut phase = self.context.phase.clone();
-        let (mut noted, mut taken_by, mut stalled_by) = (Use::Fresh, None, None);
+        let mut noted = Use::Fresh;
         // Kept over all turns: to enter and to leave these lists with each request costs more than the request.
         let mut leave = pin!(seat.leave.notified());
         let mut changed = pin!(next_phase(phase.clone()));
         loop {
             self.flush_ready();
-            // Mostly all of it goes at once.
+            // Mostly all of it goes at once, and there is room for the commands behind.
             if self.output.has_remaining() && self.write_now(writer).await? {
                 continue;
             }
@@ -446,10 +480,7 @@
                 return Ok(End::MadeRoom);
             }
             let (reading, owed) = (self.intake != Intake::Ended, self.owed);
-            taken_by = writing.then(|| taken_by.unwrap_or_else(|| env.now() + TAKEN));
-            // Only what it takes renews this: not the answers to its other commands.
-            stalled_by = writing.then(|| stalled_by.unwrap_or_else(|| env.now() + STALLED));
-            let gone = taken_by.min(stalled_by).unwrap_or(0);
+            let gone = if writing { self.taking.due(env.now()) } else { 0 };
             tokio::select! {
                 biased;
                 Some((slot, answer)) = inbox.recv() => {
@@ -460,10 +491,7 @@
                 }
                 wrote = env.timeout_at(gone, writer.write_buf(&mut self.output)), if writing => {
                     wrote.map_err(|_| RespError::Closed)??;
-                    stalled_by = None;
-                    if self.count_sent() {
-                        taken_by = None;
-                    }
+                    self.count_sent();
                 }
                 read = resp::fill(reader, &mut self.input), if reading => {
                     read?;
@@ -495,22 +523,22 @@
         }
     }
 
-    /// Writes what can be written without a wait; whether that is all. What waits goes on being written in turn with
-    /// all else, within its time.
+    /// Writes what can be written without a wait; whether answers have left whole. What waits goes on being written in
+    /// turn with all else, within its time.
     async fn write_now<W: AsyncWrite + Unpin + Send>(&mut self, writer: &mut W) -> io::Result<bool> {
         if crash::is_due(CrashPoint::InAnswer) {
             writer.write_all(&self.output.chunk()[..1]).await?;
             crash::die();
         }
+        let before = self.output.remaining();
         while self.output.has_remaining() {
             let now = poll_fn(|cx| Poll::Ready(pin!(writer.write_buf(&mut self.output)).poll(cx)));
             match now.await {
                 Poll::Ready(wrote) => drop(wrote?),
-                Poll::Pending => return Ok(false),
+                Poll::Pending => break,
             }
         }
-        self.count_sent();
-        Ok(true)
+        Ok(self.output.remaining() < before && self.count_sent())
     }
 
     fn settle(&mut self, slot: u64, answer: Answer) {
@@ -565,13 +593,15 @@
         self.output.push(bytes);
     }
 
-    /// Takes note of the answers that have left whole; whether there were any.
+    /// Some bytes of answers have left: takes note of those that have whole; whether there were any.
     fn count_sent(&mut self) -> bool {
         let (before, left) = (self.unsent.len(), self.put - self.output.remaining() as u64);
         while self.unsent.front().is_some_and(|end| *end <= left) {
             self.unsent.pop_front();
         }
-        self.unsent.len() < before
+        let whole = self.unsent.len() < before;
+        self.taking.took(whole);
+        whole
     }
 
     /// Commands whose answers have not left whole.
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -1,15 +1,29 @@
 use super::*;
-use fennelbeam_env::Real;
+use fennelbeam_env::{Real, Writer};
+use fennelbeam_model::SECOND;
+use fennelbeam_sim::{Place, Sim, SimConfig, SimEnv};
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::Waker;
 use std::time::Duration;
+use tokio::io::ReadBuf;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 fn context(room: usize, phase: watch::Receiver<Phase>) -> (Context<Real>, UnboundedReceiver<Input>) {
+    context_in(Real::start(), room, phase)
+}
+
+fn context_in<E: Env>(
+    env: E,
+    room: usize,
+    phase: watch::Receiver<Phase>,
+) -> (Context<E>, UnboundedReceiver<Input>) {
     let settings = crate::config::sample("safe", 1_000_000_000, 1_000_000_000);
     let (gateway, inbox) = mpsc::unbounded_channel();
     let context = Context {
         site: Arc::new(Site::parse(&settings).unwrap()),
-        env: Real::start(),
+        env,
         gateway,
         phase,
         ids: Arc::default(),
@@ -435,3 +449,131 @@
         expect(&mut client, &b"+PONG\r\n".repeat(count)).await;
     }
 }
+
+/// What lies between a connection and its client, as the test says and in virtual time.
+#[derive(Default)]
+struct Wire {
+    /// Bytes that the runtime has been told of.
+    sent: BytesMut,
+    /// There are some that only the system knows of.
+    is_unseen: bool,
+    reads: Option<Waker>,
+    /// Bytes of answers that the client takes; nobody is told when these get more.
+    room: usize,
+}
+
+#[derive(Clone, Default)]
+struct Half(Arc<Mutex<Wire>>);
+
+impl Half {
+    fn say(&self, bytes: &[u8]) {
+        let mut wire = self.0.lock().unwrap();
+        wire.sent.extend_from_slice(bytes);
+        wire.reads.take().into_iter().for_each(Waker::wake);
+    }
+}
+
+impl AsyncRead for Half {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut wire = self.0.lock().unwrap();
+        if wire.sent.is_empty() {
+            wire.reads = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let count = wire.sent.len().min(buf.remaining());
+        buf.put_slice(&wire.sent.split_to(count));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Half {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut wire = self.0.lock().unwrap();
+        let count = wire.room.min(bytes.len());
+        wire.room -= count;
+        if count > 0 {
+            Poll::Ready(Ok(count))
+        } else {
+            Poll::Pending
+        }
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut std::task::Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut std::task::Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Writer for Half {
+    fn is_quiet(&self) -> bool {
+        !self.0.lock().unwrap().is_unseen
+    }
+    fn reset(self) {}
+}
+
+/// A connection that has just come, between the halves of a wire.
+struct Wired {
+    sim: Sim,
+    half: Half,
+    seat: Arc<Seat>,
+    crowd: Crowd,
+    inbox: UnboundedReceiver<Input>,
+    has_ended: Arc<AtomicBool>,
+    _phase: watch::Sender<Phase>,
+}
+
+impl Wired {
+    fn start() -> Wired {
+        let sim = Sim::new(SimConfig { seed: 1, start: SECOND, network: Default::default() });
+        let env: SimEnv = sim.machine("gateway", Place::Building(0)).process("gateway");
+        let (phase, phases) = watch::channel(Phase::Ready);
+        let (context, inbox) = context_in(env.clone(), 512, phases);
+        let (half, has_ended) = (Half::default(), Arc::new(AtomicBool::new(false)));
+        let (mut reader, mut writer, ended) = (half.clone(), half.clone(), has_ended.clone());
+        let (seat, crowd) = (Arc::new(Seat::new(env.now())), context.crowd.clone());
+        let own = seat.clone();
+        env.spawn(async move {
+            let (mut connection, inbox) = Connection::new(context, own);
+            let _ = connection.run(&mut reader, &mut writer, inbox).await;
+            ended.store(true, Ordering::Relaxed);
+        });
+        Wired { sim, half, seat, crowd, inbox, has_ended, _phase: phase }
+    }
+
+    fn run(&self, span: Span) -> bool {
+        self.sim.run_until(self.sim.now() + span).unwrap();
+        !self.has_ended.load(Ordering::Relaxed)
+    }
+
+    fn request(&mut self) -> Incoming {
+        match self.inbox.try_recv() {
+            Ok(Input::Request(incoming)) => *incoming,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A client takes half of an answer a second, and each time its connection learns of an answer to another command
+/// first: what it takes then counts like all else.
+#[test]
+fn a_client_that_takes_as_further_answers_come_has_not_gone() {
+    let mut wired = Wired::start();
+    wired.half.say(&a_call().repeat(MAX_PIPELINE));
+    assert!(wired.run(MS));
+    for second in 0..MAX_PIPELINE {
+        let value = vec![b'v'; 2_000];
+        wired.request().reply.answer(Answer::Served(value.into()));
+        wired.half.0.lock().unwrap().room += 1_000;
+        assert!(wired.run(SECOND), "given up after {second} s");
+    }
+    assert!(!wired.run(STALLED), "it takes nothing any more");
+}
