Let a place that its client gives up be the one that is waited for

Need: with all places busy the next connection that falls idle goes (`Crowd::full`). One that ended by itself took that back, one whose client went did not (`serve` returned before): a connection that fell idle in the same turn was closed as well, for nobody. Change: the word is taken back for either end, before the place is given up. Measured: clients::tests::one_that_closes_by_itself_gives_its_place_to_whoever_waits_for_one has a case in which the client goes; with the two lines in their old order it said "another would go for it as well; its client goes: true".

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -369,9 +369,10 @@
     let ended = connection.run(&mut reader, &mut writer, inbox).await;
     connection.leave();
     drop(connection);
+    // Its place is what is waited for, also where its client has gone: nobody else need go.
+    let is_waited_for = crowd.full.swap(false, Ordering::Relaxed);
     let Ok(ended) = ended else { return };
     let mut lingering = pin!(env.timeout(LINGER, linger(&mut reader, &mut writer)));
-    let is_waited_for = crowd.full.swap(false, Ordering::Relaxed);
     if matches!(ended, End::Answered) && !is_waited_for {
         seat.set(Use::Lingering, env.now());
         tokio::select! {
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -304,12 +304,19 @@
 
 #[tokio::test]
 async fn one_that_closes_by_itself_gives_its_place_to_whoever_waits_for_one() {
-    let served = Served::start().await;
-    served.close_for(Reason::Full);
-    served.close_for(Reason::Stop);
-    let place = timeout(Duration::from_secs(20), served.places.acquire()).await;
-    drop(place.expect("its place stays taken").unwrap());
-    assert!(!served.crowd.full.load(Ordering::Relaxed), "another would go for it as well");
+    for client_goes in [false, true] {
+        let mut served = Served::start().await;
+        served.close_for(Reason::Full);
+        if client_goes {
+            served.client.shutdown().await.unwrap();
+        } else {
+            served.close_for(Reason::Stop);
+        }
+        let place = timeout(Duration::from_secs(20), served.places.acquire()).await;
+        drop(place.expect("its place stays taken").unwrap());
+        let is_full = served.crowd.full.load(Ordering::Relaxed);
+        assert!(!is_full, "another would go for it as well; its client goes: {client_goes}");
+    }
 }
 
 #[tokio::test]
