Test a first command overdue as it lies unread, and a word to leave for a busy connection

Need: two pairs of events without a test: the 2 s for a first command end while it lies with the system and the runtime has not been told; a connection is told to leave, once or twice, while it has a request in hand. Change: both on halves that the test holds, in virtual time. Measured: with the look at the system taken out (`true if writer.is_quiet()`) the first fails, "ended over a command"; with the leave branch ending the connection whatever it has in hand (`used != Use::Busy && writer.is_quiet()` taken out) the second does, "nobody else is asked".

--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -584,3 +584,38 @@
     }
     assert!(!wired.run(STALLED), "it takes nothing any more");
 }
+
+/// What a moment's look at the system finds, before the runtime has been told of it.
+#[test]
+fn a_first_command_that_lies_with_the_system_as_it_is_overdue_is_answered() {
+    for comes in [true, false] {
+        let mut wired = Wired::start();
+        wired.run(OWED - 1);
+        wired.half.0.lock().unwrap().is_unseen = comes;
+        assert_eq!(wired.run(2), comes, "ended over a command, or not for want of one");
+        if comes {
+            wired.half.say(&a_call());
+            assert!(wired.run(MS));
+            wired.request();
+        }
+    }
+}
+
+/// It had a request again when it was told, once or more often: another goes, and it stays when it falls idle.
+#[test]
+fn a_word_to_leave_that_came_while_it_was_busy_ends_it_no_more() {
+    for told in [1, 2] {
+        let mut wired = Wired::start();
+        wired.half.0.lock().unwrap().room = usize::MAX;
+        wired.half.say(&a_call());
+        wired.run(MS);
+        (0..told).for_each(|_| wired.seat.leave.notify_one());
+        assert!(wired.run(MS), "ended with a request in hand");
+        let stays = wired.crowd.stays.clone();
+        assert!(pin!(stays.notified()).enable(), "nobody else is asked");
+        wired.request().reply.answer(Answer::Failed);
+        assert!(wired.run(MS), "told {told} times");
+        wired.seat.leave.notify_one();
+        assert!(!wired.run(MS), "it does not leave");
+    }
+}
