Test ends of clients that meet answers, ids in use, and SIGTERM before the first list

Change: answers of hosts arrive a nanosecond before, with and after the end of their clients, of one with 20 calls and of 100; an id whose attempt is still out is asked for again; SIGTERM comes while the gateway starts, and the first list during the stop or never; half of a first command keeps no last place, and its rest goes nowhere.

--- a/crates/gateway/tests/room/clients.rs
+++ b/crates/gateway/tests/room/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that say nothing, or take nothing.
 
-use crate::support::{command, get, served, Client, Manner, Plan, Room, CLIENT, END, HOST};
+use crate::support::{command, get, name, served, Client, Manner, Plan, Room, CLIENT, END, HOST};
 use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::What;
@@ -100,7 +100,10 @@
 /// With 64 descriptors there are 24 places for clients.
 #[test]
 fn one_that_takes_the_last_place_keeps_it_for_its_first_command_and_no_longer() {
-    for speaks in [true, false] {
+    let call = get(24);
+    // Half a command keeps none: clients that say little must not crowd out the others. Its rest goes nowhere.
+    for (says, rest) in [(&call[..], None), (&call[..30], Some(&call[30..])), (&[], None)] {
+        let speaks = says.len() == call.len();
         let room = Room::start(Plan { sockets: 64, ..Plan::default() });
         let busy: Vec<_> = (1..24)
             .map(|id| {
@@ -114,11 +117,10 @@
         room.run(90 * MS);
         assert!(busy.iter().all(|client| client.heard().is_empty()), "all others are owed an answer");
         assert_eq!(last.heard(), [""; 0], "its command may be on the way");
-        if speaks {
-            last.get(24);
-        }
+        last.say(says.to_vec());
         next.get(25);
         room.run(20 * MS);
+        rest.into_iter().for_each(|rest| last.say(rest.to_vec()));
         room.hosts.iter().for_each(|host| host.manner(Manner::serve(8, 0)));
         for host in &room.hosts {
             host.seen().iter().for_each(|seen| host.say(seen.line, served("value")));
@@ -128,5 +130,8 @@
         let is_answered = |client: &Client| client.heard().first().is_some_and(|text| text != END);
         assert_eq!((is_answered(&last), is_answered(&next)), (speaks, true));
         assert!(busy.iter().all(is_answered));
+        let is_sent =
+            room.hosts.iter().flat_map(|host| host.seen()).any(|seen| seen.text.contains(&name(24)));
+        assert_eq!(is_sent, speaks, "sent on after its connection ended, or never");
     }
 }
--- a/crates/gateway/tests/room/leaving.rs
+++ b/crates/gateway/tests/room/leaving.rs
@@ -1,6 +1,6 @@
 //! Clients that go while they are still owed answers.
 
-use crate::support::{bulk, command, name, post, served, tariff, Client, Plan, Room, Seen};
+use crate::support::{bulk, command, name, post, served, tariff, Client, Plan, Room, Seen, CLIENT, HOST};
 use fennelbeam_env::Span;
 use fennelbeam_model::MS;
 
@@ -25,6 +25,8 @@
     /// Bytes that are no command, behind the calls.
     nonsense: usize,
     going: Going,
+    /// The hosts' answers arrive so much later than the clients' ends, in nanoseconds; `None`: long after.
+    meets: Option<i64>,
 }
 
 impl Case {
@@ -44,11 +46,14 @@
     room.hosts.iter().enumerate().flat_map(of).collect()
 }
 
-fn serve(room: &Room, commands: &[(usize, Seen)]) {
-    let value = "v".repeat(60_000);
+fn serve(room: &Room, commands: &[(usize, Seen)], length: usize) {
+    let value = "v".repeat(length);
     commands.iter().for_each(|(host, seen)| room.hosts[*host].say(seen.line, served(&value)));
 }
 
+/// Of a value that goes in many pieces.
+const LONG: usize = 60_000;
+
 /// Two clients ask alike, one after the other; gives how many attempts each has out at first.
 fn play(case: &Case) -> [usize; 2] {
     let room = Room::start(Plan { hosts: 2, ..Plan::default() });
@@ -64,17 +69,24 @@
     let (clients, mut out) = ask(1);
     let first = out.len();
     assert!(first > 0 && (first as u64) < case.clients * case.calls, "{first}, and none waits: {case:?}");
-    serve(&room, &out.drain(..case.answered).collect::<Vec<_>>());
+    serve(&room, &out.drain(..case.answered).collect::<Vec<_>>(), LONG);
     room.run(50 * MS);
     clients.iter().for_each(|client| match case.going {
         Going::Closes => client.close(),
         Going::Resets => client.reset(),
     });
     let late: Span = room.now() + 100 * MS;
+    if let Some(later) = case.meets {
+        room.run((CLIENT - HOST).saturating_add_signed(later));
+        serve(&room, &std::mem::take(&mut out), 1);
+        // What an answer that came first has let out is answered long after.
+        room.run(10 * MS);
+        out = commands(&room);
+    }
     room.run_to(late);
     // Slots come free, and connections with them.
     while !out.is_empty() {
-        serve(&room, &out);
+        serve(&room, &out, LONG);
         room.run(50 * MS);
         out = commands(&room);
         let sent_late: Vec<_> = out.iter().filter(|(_, seen)| seen.sent > late).collect();
@@ -98,6 +110,7 @@
         answered: 0,
         nonsense: 0,
         going: Going::Closes,
+        meets: None,
     };
     let cases = [
         Case { ..usual },
@@ -111,6 +124,12 @@
         Case { body: 60_000, going: Going::Resets, ..usual },
         Case { nonsense: 100, ..usual },
         Case { nonsense: 30_000, ..usual },
+        // As their answers are given: a nanosecond before, in the same one, a nanosecond after.
+        Case { meets: Some(-1), ..usual },
+        Case { meets: Some(0), ..usual },
+        Case { meets: Some(1), ..usual },
+        Case { meets: Some(0), clients: 100, calls: 3, ..usual },
+        Case { meets: Some(0), clients: 100, calls: 3, going: Going::Resets, ..usual },
     ];
     for case in cases {
         let [first, second] = play(&case);
@@ -164,3 +183,24 @@
         assert_eq!(commands(&room).len(), usize::from(!goes), "{what:?}, gone: {goes}");
     }
 }
+
+/// A host that cannot be told to stop goes on with what its client has left, and the id is not free before it ends.
+#[test]
+fn an_id_whose_attempt_is_still_out_is_not_sent_on_again_whoever_asks() {
+    let room = Room::start(Plan::default());
+    room.run_to(10 * MS);
+    let (gone, again) = (room.client(), room.client());
+    gone.post(1);
+    room.run(10 * MS);
+    let out = commands(&room);
+    gone.close();
+    room.run(10 * MS);
+    again.post(1);
+    room.run(10 * MS);
+    assert_eq!((again.heard(), commands(&room)), (vec!["-ERR failed".to_owned()], Vec::new()));
+    serve(&room, &out, 1);
+    room.run(10 * MS);
+    again.post(1);
+    room.run(10 * MS);
+    assert_eq!(commands(&room).len(), 1, "it stays taken");
+}
--- a/crates/gateway/tests/room/stop.rs
+++ b/crates/gateway/tests/room/stop.rs
@@ -1,6 +1,8 @@
 //! SIGTERM with calls in flight and orders still coming.
 
-use crate::support::{command, get, name, post, served, Manner, Plan, Room, Seen, BROKEN, CLIENT, END};
+use crate::support::{
+    chunk, command, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CHUNKED, CLIENT, END,
+};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
@@ -179,3 +181,33 @@
     assert_eq!(client.seen(), [(closing + CLIENT, END.to_owned())]);
     assert_eq!(room.ended(), Some(closing + 500 * MS));
 }
+
+/// SIGTERM comes before the first list does, which is told during the stop or never: then the list known before the
+/// start has to do, a second after it.
+#[test]
+fn a_stop_before_the_gateway_is_ready_answers_what_has_come_and_is_never_ready() {
+    for tells in [true, false] {
+        let room = Room::start(Plan::default());
+        room.discovery.manner(Manner::Wait);
+        room.hosts[0].manner(Manner::serve(1, MS));
+        let (client, asker) = (room.client(), room.client());
+        client.get(1);
+        for at in [50 * MS, 150 * MS, 350 * MS] {
+            room.run_to(at);
+            asker.say(command(&["PING"]));
+            if at == 50 * MS {
+                room.run_to(100 * MS);
+                room.signal(Signal::Terminate);
+            } else if at == 150 * MS && tells {
+                let asked = room.discovery.seen().remove(0);
+                let news = chunk(&format!("{}\n", list(1, false, &[])));
+                room.discovery.say(asked.line, format!("{CHUNKED}{news}"));
+            }
+        }
+        room.run_to(3 * SECOND);
+        assert_eq!(client.heard(), [&name(1), END], "tells: {tells}");
+        assert_eq!(asker.heard(), ["-ERR starting", "-ERR stopping", "-ERR stopping", END], "tells: {tells}");
+        let last = if tells { 100 * MS + STILL_ACCEPTING } else { SECOND } + 10 * MS + 500 * MS;
+        assert!(room.ended().is_some_and(|at| at <= last), "{:?}, tells: {tells}", room.ended());
+    }
+}
