--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -1,6 +1,7 @@
 //! The real program on loopback, with peers that do just what a test tells them. All ports are ephemeral,
 //! and every wait is for an event, with a limit far above what it takes.
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -50,6 +51,15 @@
     from.recv_timeout(LONG).unwrap_or_else(|_| panic!("waited in vain for {what}"))
 }
 
+/// Waits for something that is sure to come.
+pub fn until(what: &str, mut is: impl FnMut() -> bool) {
+    let end = Instant::now() + LONG;
+    while !is() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// The program under test; killed with the test.
 pub struct Program {
     child: Child,
@@ -211,9 +221,40 @@
         self.signal("TERM");
     }
 
+    /// It stands still from now on, while time and its peers go on: what comes lies with the system.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        until("the program to stand still", || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        });
+    }
+
+    /// It goes on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// How many connections it holds, of those whose own port and whose peer's are meant.
+    pub fn connections(&self, is_meant: impl Fn(u16, u16) -> bool) -> usize {
+        let table = std::fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id())).unwrap();
+        let port = |address: &str| u16::from_str_radix(address.rsplit(':').next().unwrap(), 16).unwrap();
+        let is_held = |line: &&str| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            // What its process has closed has no inode any more; 0A listens.
+            words[9] != "0" && words[3] != "0A" && is_meant(port(words[1]), port(words[2]))
+        };
+        table.lines().skip(1).filter(is_held).count()
+    }
+
     fn signal(&self, name: &str) {
+        assert!(self.try_signal(name));
+    }
+
+    /// Sends it a signal; false: it has ended.
+    pub fn try_signal(&self, name: &str) -> bool {
         let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+        Command::new("sh").args(["-c", &kill]).stderr(Stdio::null()).status().unwrap().success()
     }
 
     pub fn exit(&mut self) -> ExitStatus {
@@ -244,6 +285,10 @@
     pub fn write(&mut self, bytes: &[u8]) {
         self.stream.get_mut().write_all(bytes).unwrap();
     }
+    /// Writes to a connection that may be gone.
+    pub fn write_late(&mut self, bytes: &[u8]) {
+        let _ = self.stream.get_mut().write_all(bytes);
+    }
     pub fn get(&mut self, id: u64) {
         self.call(&[
             "CALL.GET",
@@ -261,20 +306,32 @@
     }
     /// The next line; for a bulk string, its value.
     pub fn answer(&mut self) -> String {
+        self.try_answer().unwrap()
+    }
+    /// The same of a connection that may be broken.
+    pub fn try_answer(&mut self) -> std::io::Result<String> {
         let mut line = String::new();
-        self.stream.read_line(&mut line).unwrap();
+        self.stream.read_line(&mut line)?;
         if let Some(length) = line.strip_prefix('$') {
             let mut value = vec![0; length.trim_end().parse::<usize>().unwrap() + 2];
-            self.stream.read_exact(&mut value).unwrap();
-            return String::from_utf8(value).unwrap().trim_end().to_owned();
+            self.stream.read_exact(&mut value)?;
+            return Ok(String::from_utf8(value).unwrap().trim_end().to_owned());
         }
-        line.trim_end().to_owned()
+        Ok(line.trim_end().to_owned())
     }
     /// Whether the gateway has ended the connection with nothing more to read.
     pub fn ended(&mut self) -> bool {
         let mut byte = [0];
         matches!(self.stream.read(&mut byte), Ok(0))
     }
+    /// Waits until an answer has come, and leaves it unread.
+    pub fn until_answered(&self) {
+        assert_eq!(self.stream.get_ref().peek(&mut [0]).unwrap(), 1);
+    }
+    /// Goes by a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
     /// Goes, and waits until the gateway has taken note.
     pub fn leave(mut self) {
         self.stream.get_mut().shutdown(Shutdown::Write).unwrap();
@@ -330,9 +387,18 @@
     pub fn serve(&mut self, value: &str) {
         self.write(&format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()));
     }
+    /// Serves on a connection that may be gone.
+    pub fn serve_late(&mut self, value: &str) {
+        self.write_late(&format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()));
+    }
     pub fn close(self) {
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
+    /// Ends the connection, with a reset right behind; one that is gone takes none.
+    pub fn break_off(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
 }
 
 /// Hosts or counters: what comes to any of them goes to the test.
@@ -386,6 +452,16 @@
         }
     }
 
+    /// Waits for the ends of all these connections, in any order, with no command meanwhile.
+    pub fn all_end(&self, mut conns: BTreeSet<Conn>) {
+        while !conns.is_empty() {
+            match next(&self.saw, "the ends of connections") {
+                Saw::Ended(conn) => drop(conns.remove(&conn)),
+                Saw::Command(seen) => panic!("a command in place of an end: {:?}", seen.words),
+            }
+        }
+    }
+
     /// Waits for the end of a connection, whatever comes on others.
     pub fn skip_to_end(&self, conn: Conn) {
         while !matches!(next(&self.saw, "the end of a connection"), Saw::Ended(ended) if ended == conn) {}
