--- a/crates/gateway/tests/room/stop.rs
+++ b/crates/gateway/tests/room/stop.rs
@@ -1,7 +1,7 @@
 //! SIGTERM with calls in flight and orders still coming.
 
 use crate::support::{
-    command, entry, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CLIENT, END,
+    chunk, command, entry, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CHUNKED, CLIENT, END,
 };
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
@@ -306,3 +306,33 @@
         assert!(room.ended().is_some(), "{case}");
     }
 }
+
+/// SIGTERM comes before the first list does, which is told during the stop or never: then the list known before the
+/// start has to do, a second after it.
+#[test]
+fn a_stop_before_the_gateway_is_ready_answers_what_has_come_and_is_never_ready() {
+    for tells in [true, false] {
+        let room = Room::start(Plan::default());
+        room.discovery.manner(Manner::Wait);
+        room.hosts[0].manner(Manner::serve(1, MS));
+        let (client, asker) = (room.client(), room.client());
+        client.get(1);
+        for at in [50 * MS, 150 * MS, 350 * MS] {
+            room.run_to(at);
+            asker.say(command(&["PING"]));
+            if at == 50 * MS {
+                room.run_to(100 * MS);
+                room.signal(Signal::Terminate);
+            } else if at == 150 * MS && tells {
+                let asked = room.discovery.seen().remove(0);
+                let news = chunk(&format!("{}\n", list(1, false, &[])));
+                room.discovery.say(asked.line, format!("{CHUNKED}{news}"));
+            }
+        }
+        room.run_to(3 * SECOND);
+        assert_eq!(client.heard(), [&name(1), END], "tells: {tells}");
+        assert_eq!(asker.heard(), ["-ERR starting", "-ERR stopping", "-ERR stopping", END], "tells: {tells}");
+        let last = if tells { 100 * MS + STILL_ACCEPTING } else { SECOND } + 10 * MS + 500 * MS;
+        assert!(room.ended().is_some_and(|at| at <= last), "{:?}, tells: {tells}", room.ended());
+    }
+}
