Put back no host that a whole list left out when operators' files are read again

Need: read line by line, and then seen: a whole list leaves out a host that still has an attempt of ours in flight; `Hosts::update` took `ready` from it but left its entry in service, and `reassign`, which a SIGHUP with other operators' files calls, tells the module the entries of all hosts that have connections. The module took the host for one that takes work again, for good: no list names it any more. Nothing went to it on the wire (`start` looks at `ready`), but each attempt there ended unsent and cost one of the few further attempts. Ruled out: drains, whose entry says so; `entries()`, which looks at `ready`. Change: whatever a whole list does not name is gone in its entry too.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -175,7 +175,10 @@
     /// Takes in a list and gives it in the module's terms.
     pub fn update(&mut self, list: &Membership, kind: ListKind, routing: &Routing) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
-            self.hosts.values_mut().for_each(|host| host.ready = false);
+            // What a whole list does not name is gone, also where it still has connections of ours.
+            self.hosts
+                .values_mut()
+                .for_each(|host| (host.ready, host.entry.state) = (false, HostState::Gone));
         }
         let mut entries = Vec::with_capacity(list.instances.len());
         for line in &list.instances {
--- a/crates/gateway/tests/room/routes.rs
+++ b/crates/gateway/tests/room/routes.rs
@@ -1,6 +1,6 @@
 //! Pools, routes and quota policies of the operators' files, also when those are read again in service.
 
-use crate::support::{entry, get, list, name, post, tariff, Client, Manner, Peer, Plan, Room};
+use crate::support::{entry, get, list, name, post, served, tariff, Client, Manner, Peer, Plan, Room};
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
 use fennelbeam_model::rng::Rng;
@@ -134,6 +134,31 @@
     assert_eq!(calls(&room)[1], [1], "not after the time that a connection may take");
 }
 
+#[test]
+fn files_read_again_put_back_no_host_that_a_whole_list_left_out_while_it_still_works() {
+    let both = "pool \"first\" { ids = [\"s-0\", \"s-1\"] }\nroute \"all\" { pool = \"first\" }\n";
+    let room = room(both, 2);
+    let client = room.client();
+    client.get(2);
+    room.run(10 * MS);
+    let at = calls(&room).iter().position(|ids| ids == &[2]).unwrap();
+    room.hosts[1 - at].manner(Manner::serve(4, 0));
+    room.discovery.tell(0, &list(2, true, &[entry(&room.hosts, 1 - at, "in_service")]));
+    room.run(10 * MS);
+    room.reload_operators(&spaced(&format!("pool \"second\" {{ ids = \"s-9\" }}\n{both}")));
+    room.run(10 * MS);
+    // Each attempt at a host that is gone ends unsent, and costs one of the few further attempts.
+    for id in (4..60).step_by(2) {
+        client.get(id);
+        room.run(5 * MS);
+    }
+    assert_eq!(calls(&room)[at], [0; 0]);
+    room.hosts[at].say(0, served(&name(2)));
+    room.run(10 * MS);
+    let heard = client.heard();
+    assert!(heard.iter().eq((2..60).step_by(2).map(name).collect::<Vec<_>>().iter()), "{heard:?}");
+}
+
 #[test]
 fn a_bad_file_changes_nothing() {
     let room = room(TWO_POOLS, 4);
