Repeat a keyed request where its first attempt ran, also once that host is elsewhere

Need: hosts of one zone or cell drop repeats of a keyed request. Which one that is was looked up where the repeat was decided (`reach` in hosts.rs), in the list of that moment: a name that had started anew in another zone or cell between the attempt and its end took the repeat along, to hosts that have never seen the key; and for a host that was forgotten it was zone 0, cell 0. Found by random events (a host started elsewhere, then a time-out of what was out there). Change: an attempt keeps the zone and the cell that its host had when it was sent. Measured: crates/policy/tests/crossings.rs, both scopes, its end told before or after the list: without the change no repeat is made at the host beside it where the list comes first (got none, one wanted).

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -17,9 +17,9 @@
         let write_by = r.write_by(c.effect);
         r.stage = Stage::Out;
         s.send();
-        let used = s.used(self.s.gateways);
+        let (used, there) = (s.used(self.s.gateways), (s.entry.zone, s.entry.cell));
         let (slot, attempt) = (Some(self.pools.send(&r.route)), r.attempts.len() as u32);
-        r.attempts.push(Attempt { host, sent: now, open: true, slot, used, ..Attempt::default() });
+        r.attempts.push(Attempt { host, there, sent: now, open: true, slot, used, ..Attempt::default() });
         self.classes[class].out += 1;
         if is_first {
             self.waited(now, class, queued);
--- a/crates/policy/src/hosts.rs
+++ b/crates/policy/src/hosts.rs
@@ -91,14 +91,13 @@
     fn reach(&self, now: Time, r: &Pending) -> Option<Reach> {
         let anyone = Reach::Pools(self.pools.in_force(&r.route));
         let Some(first) = r.ran() else { return Some(anyone) };
-        let there = self.fleet.get(first.host).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
         match self.s.classes[r.class].effect {
             Effect::Safe => Some(anyone),
             Effect::Unsafe => None,
             keyed @ Effect::Keyed(..) if now >= r.write_by(keyed) => None,
             Effect::Keyed(Scope::All, _) => Some(anyone),
-            Effect::Keyed(Scope::Zone, _) => Some(Reach::Cell(there.0, None)),
-            Effect::Keyed(Scope::Cell, _) => Some(Reach::Cell(there.0, Some(there.1))),
+            Effect::Keyed(Scope::Zone, _) => Some(Reach::Cell(first.there.0, None)),
+            Effect::Keyed(Scope::Cell, _) => Some(Reach::Cell(first.there.0, Some(first.there.1))),
         }
     }
 
--- a/crates/policy/src/pending.rs
+++ b/crates/policy/src/pending.rs
@@ -22,6 +22,7 @@
 #[derive(Default)]
 pub(crate) struct Attempt {
     pub host: HostId,
+    pub there: (u32, u32), // zone and cell of its host then: a name may start anew elsewhere
     pub sent: Time,
     pub open: bool,
     pub harmless: bool,    // proven never to have run
--- /dev/null
+++ b/crates/policy/tests/crossings.rs
@@ -0,0 +1,88 @@
+//! Events that cross, told in one order or the other: what the module decides and keeps is the same.
+mod common;
+use common::*;
+use fennelbeam_policy::api::*;
+use std::collections::BTreeMap;
+
+/// One gateway, which alone adds to the counter.
+struct One {
+    g: Harness,
+    totals: BTreeMap<CountName, f64>,
+}
+
+impl One {
+    fn new(change: impl FnOnce(&mut Settings), hosts: u64) -> One {
+        let mut settings = Settings { gateways: 1, ..settings() };
+        change(&mut settings);
+        One { g: Harness::new(settings, hosts), totals: BTreeMap::new() }
+    }
+
+    /// With the answers of the counter, and what follows from them.
+    fn on(&mut self, event: Event) -> Vec<Action> {
+        let mut all = self.g.on(event);
+        let mut seen = 0;
+        while let Some((name, amount)) = calls(&all).get(seen).copied() {
+            seen += 1;
+            let total = self.totals.entry(name).or_default();
+            *total += amount;
+            let total = *total;
+            all.extend(self.g.counted(name, Outcome::Ok, total));
+        }
+        all
+    }
+
+    fn ask(&mut self, id: u64, customer: u64, units: f64) -> Vec<Action> {
+        let (id, customer, patience) = (RequestId(id), CustomerId(customer), 4_000 * MS);
+        self.on(Event::Request(Request { id, customer, patience, units, spread: 1, ..Request::default() }))
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..50 * seconds {
+            self.g.now += 20 * MS;
+            self.on(Event::Timer { token: 0 });
+        }
+    }
+
+    fn end(
+        &mut self,
+        (id, host): (RequestId, HostId),
+        attempt: u32,
+        outcome: Outcome,
+        units: f64,
+    ) -> Vec<Action> {
+        let (took, closed, true_units) = (50 * MS, outcome == Outcome::Ok, Some(units));
+        let (used, report) = (None, None);
+        self.on(Event::Ended(Ended { id, attempt, host, outcome, took, closed, used, true_units, report }))
+    }
+}
+
+#[test]
+fn a_keyed_request_is_repeated_where_its_first_attempt_ran_also_once_that_host_started_anew_elsewhere() {
+    for (scope, anew) in [(Scope::Cell, (0, 2)), (Scope::Zone, (1, 1))] {
+        for ends_first in [false, true] {
+            let keyed = |s: &mut Settings| {
+                s.classes[0].effect = Effect::Keyed(scope, 3_000 * MS);
+                s.plans[0].rate = 0.0;
+            };
+            let mut one = One::new(keyed, 0);
+            let at = |id, (zone, cell)| HostEntry { zone, cell, ..entry(id) };
+            let entries = vec![at(1, (0, 1)), at(2, (0, 1)), at(3, anew), at(4, anew)];
+            one.on(Event::Hosts { kind: ListKind::Full, entries });
+            // The first two stand together, and the others.
+            let first = (1..).find_map(|id| sends(&one.ask(id, 7, 1.0)).pop().filter(|(_, host)| host.0 < 3));
+            let first = first.expect("one goes there");
+            let entries = vec![HostEntry { started: one.g.now, ..at(first.1 .0, anew) }];
+            let moved = Event::Hosts { kind: ListKind::Delta, entries };
+            let again = if ends_first {
+                let again = one.end(first, 0, Outcome::Error, 1.0);
+                one.on(moved);
+                again
+            } else {
+                one.on(moved);
+                one.end(first, 0, Outcome::Error, 1.0)
+            };
+            let to: Vec<u64> = sends(&again).iter().map(|(_, host)| host.0).collect();
+            assert_eq!(to, [3 - first.1 .0], "{scope:?}, its end told first: {ends_first}");
+        }
+    }
+}
