Settle the true units of a request once, also where two attempts answer

Need: where attempts may not be withdrawn, or an answer crosses the withdrawal, both attempts of a request may answer; `on_ended` took the difference between true and guessed units from the customer's store with each of them. PROTOCOL: the true units count with the first good answer. Change: whoever settles is settled.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -144,9 +144,10 @@
         if let Some(s) = self.fleet.get_mut(end.host) {
             self.classes[class].resolved(s, &end, hung);
         }
-        if let Some(r) = self.requests.get(&end.id).filter(|_| end.outcome == Ok) {
-            // What was guessed is settled: the store of the quota, not the ceiling's.
-            let units = end.true_units.filter(|u| u.is_finite() && r.inside).unwrap_or(r.units);
+        if let Some(r) = self.requests.get_mut(&end.id).filter(|_| end.outcome == Ok) {
+            // What was guessed is settled, once: the store of the quota, not the ceiling's.
+            let told = end.true_units.filter(|u| u.is_finite() && std::mem::take(&mut r.inside));
+            let units = told.unwrap_or(r.units);
             if let Some(store) = self.customers.get_mut(r.customer).and_then(|c| c.stores.first_mut()) {
                 store.give_back(if store.is_strict() { 0.0 } else { r.units - units });
             }
--- a/crates/policy/tests/crossings.rs
+++ b/crates/policy/tests/crossings.rs
@@ -71,6 +71,28 @@
     assert_eq!(one.g.policy.size(), before, "its customer is kept for good");
 }
 
+#[test]
+fn true_units_are_settled_once_also_where_two_attempts_answer() {
+    // Units that a customer can still have after a request that was taken for one unit and took six.
+    let left_after = |second: Outcome| {
+        let mut one = One::new(|s| (s.may_duplicate, s.may_cancel) = (true, false), 4);
+        for id in 100..120 {
+            let attempt = sends(&one.ask(id, id, 1.0))[0];
+            one.end(attempt, 0, Outcome::Ok, 1.0);
+        }
+        let first = sends(&one.ask(1, 7, 1.0))[0];
+        let hangs = (0..50).find_map(|_| {
+            one.g.now += 20 * MS;
+            sends(&one.on(Event::Timer { token: 0 })).pop()
+        });
+        let beside = hangs.expect("another attempt beside the first");
+        one.end(first, 0, Outcome::Ok, 6.0);
+        one.end(beside, 1, second, 6.0);
+        (2..60).filter(|id| !sends(&one.ask(*id, 7, 1.0)).is_empty()).count()
+    };
+    assert_eq!(left_after(Outcome::Ok), left_after(Outcome::Cancelled));
+}
+
 #[test]
 fn a_keyed_request_is_repeated_where_its_first_attempt_ran_also_once_that_host_started_anew_elsewhere() {
     for (scope, anew) in [(Scope::Cell, (0, 2)), (Scope::Zone, (1, 1))] {
