Test that clients which leave take no slot, no line and no units with them

Need: a request that was left was held against one that never came only for what goes out on the wire. Change: a table by where it stood (for units, for a slot, its attempt out with each of seven ends after the word of it): afterwards others get as many slots, and the customer as many units, as if nobody had left; twelve fewer where attempts had come whole to a host. It fails with each of these taken out once: the slot given back in `on_ended` (nobody gets one), the units given back in `close` (8 of 20 left).

--- a/crates/policy/tests/crossings.rs
+++ b/crates/policy/tests/crossings.rs
@@ -163,3 +163,81 @@
     }
     assert!(units > 0.0 && units <= 8.0, "{units}");
 }
+
+/// Where a request stands when its client leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stands {
+    /// It waits for the counter.
+    Units,
+    /// It waits for a slot.
+    Queued,
+    /// Its attempt is out, and ends like this after the word of it.
+    Out(Outcome),
+}
+
+/// Attempts that others get at once, and requests that the customer gets in, after some of its clients have left.
+fn after_leaving(stands: Option<Stands>) -> (usize, usize) {
+    // A ceiling: beside a quota's store that has filled a lease may lie that nobody took.
+    let ceiling = Plan { ceiling_rate: 10.0, ceiling_burst: 20.0, price: 1.0, ..Plan::default() };
+    let settings = |s: &mut Settings| {
+        s.classes.truncate(1);
+        s.plans = vec![ceiling];
+    };
+    let mut one = One::new(settings, 4);
+    // Of a customer met anew nobody knows what the number held before.
+    one.ask(99, 7, 1.0);
+    one.pass(10);
+    // Others take all slots, four at each host.
+    let busy = if stands == Some(Stands::Queued) { 16 } else { 0 };
+    let others: Vec<_> = (500..500 + busy).flat_map(|id| sends(&one.ask(id, id, 1.0))).collect();
+    // Units that come too late for one are there for the next.
+    let leave = match stands {
+        None => 0,
+        Some(Stands::Units) => 1,
+        Some(_) => 12,
+    };
+    for id in 1..=leave {
+        let actions = match stands {
+            Some(Stands::Units) => one.g.request(id, 0, 7, 1.0),
+            _ => one.ask(id, 7, 1.0),
+        };
+        let sent = sends(&actions).pop();
+        assert_eq!(sent.is_some(), matches!(stands, Some(Stands::Out(_))), "{stands:?}");
+        one.on(Event::Left { id: RequestId(id) });
+        if let (Some(Stands::Out(outcome)), Some(attempt)) = (stands, sent) {
+            one.end(attempt, 0, outcome, 1.0);
+        }
+        for (name, amount) in calls(&actions).into_iter().filter(|_| stands == Some(Stands::Units)) {
+            *one.totals.entry(name).or_default() += amount;
+            let total = one.totals[&name];
+            one.g.counted(name, Outcome::Ok, total);
+        }
+    }
+    for attempt in others {
+        one.end(attempt, 0, Outcome::Ok, 1.0);
+    }
+    let out: Vec<_> = (600..).map_while(|id| sends(&one.ask(id, id, 1.0)).pop()).collect();
+    one.on(Event::Left { id: RequestId(600 + out.len() as u64) });
+    out.iter().for_each(|attempt| drop(one.end(*attempt, 0, Outcome::Ok, 1.0)));
+    let gets_in = |id: &u64| {
+        let sent = sends(&one.ask(*id, 7, 1.0)).pop();
+        sent.map(|attempt| one.end(attempt, 0, Outcome::Ok, 1.0)).is_some()
+    };
+    (out.len(), (700..760).filter(gets_in).count())
+}
+
+#[test]
+fn clients_that_leave_take_no_slot_no_line_and_no_units_with_them() {
+    use Outcome::*;
+    let (slots, units) = after_leaving(None);
+    assert!(units > 12, "{units}");
+    let stands = [Stands::Units, Stands::Queued].into_iter();
+    for stands in stands.chain([Moot, NoConnection, Full, Cancelled, Ok, Timeout, Reset].map(Stands::Out)) {
+        let (slots_then, units_then) = after_leaving(Some(stands));
+        assert_eq!(slots_then, slots, "{stands:?}");
+        // What came whole to a host has taken its units.
+        let took = matches!(stands, Stands::Out(Full | Cancelled | Ok | Timeout | Reset));
+        let left = if took { units - 12..=units - 11 } else { units..=units };
+        assert!(left.contains(&units_then), "{stands:?}: {units_then} units, where else {units}");
+    }
+}
