Decide anew on what waits for a connection to a host that starts anew

Need: attempts that wait for a connection were chosen while their host was warm. Where a list tells that it has started anew under the same name, the module treats it as cold, but what already waited there stayed in the gateway's line and went out on the first connection to the new process, all at once, past the ration of a cold host: a host that vanished and returns cold gets the waiting attempts of every gateway at the same moment. What waits at a host that drains was taken back for the like reason. Change: on a later start what waits at a host ends unsent, and the module, which hears of the list first, decides on it again.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -181,11 +181,16 @@
                 .for_each(|host| (host.ready, host.entry.state) = (false, HostState::Gone));
         }
         let mut entries = Vec::with_capacity(list.instances.len());
+        let mut unsent = Vec::new();
         for line in &list.instances {
             let id = host_id_of(&line.instance_id);
             let host = self.hosts.entry(id).or_default();
             if line.host_port.is_some() && (host.addr != line.host_port || host.started != line.started_at_ms)
             {
+                // What waits was sent to a warm host: it is not let loose on a cold one, but decided on anew.
+                if line.started_at_ms > host.started {
+                    unsent.extend(host.waiting.drain(..));
+                }
                 host.era += 1;
                 host.addr = line.host_port;
                 host.started = line.started_at_ms;
@@ -214,6 +219,7 @@
             };
             entries.push(host.entry.clone());
         }
+        unsent.into_iter().for_each(|key| self.finish(key, Outcome::Moot));
         self.drop_outdated();
         entries
     }
--- a/crates/gateway/tests/room/routes.rs
+++ b/crates/gateway/tests/room/routes.rs
@@ -159,6 +159,25 @@
     assert!(heard.iter().eq((2..60).step_by(2).map(name).collect::<Vec<_>>().iter()), "{heard:?}");
 }
 
+#[test]
+fn what_waits_for_a_connection_at_a_host_that_starts_anew_is_decided_on_anew() {
+    let room = room("", 2);
+    let client = room.client();
+    // Nothing gets there: attempts wait for their connections.
+    room.sim.cut(vec![room.hosts[0].machine.id()], vec![room.gateway()], Cut::Silent);
+    (1..=8).for_each(|id| client.get(id));
+    room.run(20 * MS);
+    let came = calls(&room)[1].len();
+    assert!(came <= 6, "{came} of 8 went to the other host");
+    let mut anew = entry(&room.hosts, 0, "in_service");
+    anew["startedAtMs"] = json!((1_000_000 * SECOND + room.now()) / MS);
+    room.discovery.tell(0, &list(2, false, &[anew]));
+    room.run(5 * MS);
+    // The cold host may get one.
+    let moved = calls(&room)[1].len();
+    assert!(came + moved >= 7, "{came} of 8 before the list, {moved} after it");
+}
+
 #[test]
 fn a_bad_file_changes_nothing() {
     let room = room(TWO_POOLS, 4);
