--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -17,9 +17,9 @@
         let write_by = r.write_by(c.effect);
         r.stage = Stage::Out;
         s.send();
-        let used = s.used(self.s.gateways);
+        let (used, there) = (s.used(self.s.gateways), (s.entry.zone, s.entry.cell));
         let (slot, attempt) = (Some(self.pools.send(&r.route)), r.attempts.len() as u32);
-        r.attempts.push(Attempt { host, sent: now, open: true, slot, used, ..Attempt::default() });
+        r.attempts.push(Attempt { host, there, sent: now, open: true, slot, used, ..Attempt::default() });
         self.classes[class].out += 1;
         if is_first {
             self.waited(now, class, queued);
@@ -99,13 +99,16 @@
     /// The request is over: unspent units go back to the lease, attempts still out are withdrawn.
     pub(crate) fn close(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (before, customer) = (r.stage, r.customer);
+        let (before, customer, met) = (r.stage, r.customer, r.met);
         let (out, attempts) = (r.out(), r.attempts.len() as u32);
         self.turn(id, Stage::Closed);
-        if let Some(c) = self.customers.get_mut(customer).filter(|_| before != Stage::Closed) {
-            if before != Stage::Units {
-                c.open = c.open.saturating_sub(1);
-                self.freed.push(customer);
+        if let Some(c) = self.customers.get_mut(customer).filter(|_| met && before != Stage::Closed) {
+            match before {
+                Stage::Units => c.waiting.retain(|waiting| *waiting != id),
+                _ => {
+                    c.open = c.open.saturating_sub(1);
+                    self.freed.push(customer);
+                }
             }
         }
         (0..attempts).filter(|_| before != Stage::Begun).for_each(|attempt| self.withdraw(id, attempt));
@@ -141,9 +144,10 @@
         if let Some(s) = self.fleet.get_mut(end.host) {
             self.classes[class].resolved(s, &end, hung);
         }
-        if let Some(r) = self.requests.get(&end.id).filter(|_| end.outcome == Ok) {
-            // What was guessed is settled: the store of the quota, not the ceiling's.
-            let units = end.true_units.filter(|u| u.is_finite() && r.inside).unwrap_or(r.units);
+        if let Some(r) = self.requests.get_mut(&end.id).filter(|_| end.outcome == Ok) {
+            // What was guessed is settled, once: the store of the quota, not the ceiling's.
+            let told = end.true_units.filter(|u| u.is_finite() && std::mem::take(&mut r.inside));
+            let units = told.unwrap_or(r.units);
             if let Some(store) = self.customers.get_mut(r.customer).and_then(|c| c.stores.first_mut()) {
                 store.give_back(if store.is_strict() { 0.0 } else { r.units - units });
             }
--- /dev/null
+++ b/crates/policy/tests/crossings.rs
@@ -0,0 +1,243 @@
+//! Events that cross, told in one order or the other: what the module decides and keeps is the same.
+mod common;
+use common::*;
+use fennelbeam_policy::api::*;
+use std::collections::BTreeMap;
+
+/// One gateway, which alone adds to the counter.
+struct One {
+    g: Harness,
+    totals: BTreeMap<CountName, f64>,
+}
+
+impl One {
+    fn new(change: impl FnOnce(&mut Settings), hosts: u64) -> One {
+        let mut settings = Settings { gateways: 1, ..settings() };
+        change(&mut settings);
+        One { g: Harness::new(settings, hosts), totals: BTreeMap::new() }
+    }
+
+    /// With the answers of the counter, and what follows from them.
+    fn on(&mut self, event: Event) -> Vec<Action> {
+        let mut all = self.g.on(event);
+        let mut seen = 0;
+        while let Some((name, amount)) = calls(&all).get(seen).copied() {
+            seen += 1;
+            let total = self.totals.entry(name).or_default();
+            *total += amount;
+            let total = *total;
+            all.extend(self.g.counted(name, Outcome::Ok, total));
+        }
+        all
+    }
+
+    fn ask(&mut self, id: u64, customer: u64, units: f64) -> Vec<Action> {
+        let (id, customer, patience) = (RequestId(id), CustomerId(customer), 4_000 * MS);
+        self.on(Event::Request(Request { id, customer, patience, units, spread: 1, ..Request::default() }))
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..50 * seconds {
+            self.g.now += 20 * MS;
+            self.on(Event::Timer { token: 0 });
+        }
+    }
+
+    fn end(
+        &mut self,
+        (id, host): (RequestId, HostId),
+        attempt: u32,
+        outcome: Outcome,
+        units: f64,
+    ) -> Vec<Action> {
+        let (took, closed, true_units) = (50 * MS, outcome == Outcome::Ok, Some(units));
+        let (used, report) = (None, None);
+        self.on(Event::Ended(Ended { id, attempt, host, outcome, took, closed, used, true_units, report }))
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_it_waits_for_units_leaves_nothing_behind() {
+    let mut one = One::new(|_| {}, 30);
+    let before = one.g.policy.size();
+    // The last units are kept back for the other class: in the end one waits for the store to fill.
+    let waits = (1..40).find(|id| {
+        let actions = one.ask(*id, 7, 2.0);
+        sends(&actions).into_iter().for_each(|attempt| drop(one.end(attempt, 0, Outcome::Ok, 2.0)));
+        sends(&actions).is_empty() && !refused(&actions, *id) && calls(&actions).is_empty()
+    });
+    one.on(Event::Left { id: RequestId(waits.expect("one waits")) });
+    one.pass(150);
+    assert_eq!(one.g.policy.size(), before, "its customer is kept for good");
+}
+
+#[test]
+fn true_units_are_settled_once_also_where_two_attempts_answer() {
+    // Units that a customer can still have after a request that was taken for one unit and took six.
+    let left_after = |second: Outcome| {
+        let mut one = One::new(|s| (s.may_duplicate, s.may_cancel) = (true, false), 4);
+        for id in 100..120 {
+            let attempt = sends(&one.ask(id, id, 1.0))[0];
+            one.end(attempt, 0, Outcome::Ok, 1.0);
+        }
+        let first = sends(&one.ask(1, 7, 1.0))[0];
+        let hangs = (0..50).find_map(|_| {
+            one.g.now += 20 * MS;
+            sends(&one.on(Event::Timer { token: 0 })).pop()
+        });
+        let beside = hangs.expect("another attempt beside the first");
+        one.end(first, 0, Outcome::Ok, 6.0);
+        one.end(beside, 1, second, 6.0);
+        (2..60).filter(|id| !sends(&one.ask(*id, 7, 1.0)).is_empty()).count()
+    };
+    assert_eq!(left_after(Outcome::Ok), left_after(Outcome::Cancelled));
+}
+
+#[test]
+fn a_keyed_request_is_repeated_where_its_first_attempt_ran_also_once_that_host_started_anew_elsewhere() {
+    for (scope, anew) in [(Scope::Cell, (0, 2)), (Scope::Zone, (1, 1))] {
+        for ends_first in [false, true] {
+            let keyed = |s: &mut Settings| {
+                s.classes[0].effect = Effect::Keyed(scope, 3_000 * MS);
+                s.plans[0].rate = 0.0;
+            };
+            let mut one = One::new(keyed, 0);
+            let at = |id, (zone, cell)| HostEntry { zone, cell, ..entry(id) };
+            let entries = vec![at(1, (0, 1)), at(2, (0, 1)), at(3, anew), at(4, anew)];
+            one.on(Event::Hosts { kind: ListKind::Full, entries });
+            // The first two stand together, and the others.
+            let first = (1..).find_map(|id| sends(&one.ask(id, 7, 1.0)).pop().filter(|(_, host)| host.0 < 3));
+            let first = first.expect("one goes there");
+            let entries = vec![HostEntry { started: one.g.now, ..at(first.1 .0, anew) }];
+            let moved = Event::Hosts { kind: ListKind::Delta, entries };
+            let again = if ends_first {
+                let again = one.end(first, 0, Outcome::Error, 1.0);
+                one.on(moved);
+                again
+            } else {
+                one.on(moved);
+                one.end(first, 0, Outcome::Error, 1.0)
+            };
+            let to: Vec<u64> = sends(&again).iter().map(|(_, host)| host.0).collect();
+            assert_eq!(to, [3 - first.1 .0], "{scope:?}, its end told first: {ends_first}");
+        }
+    }
+}
+
+/// Units that a ceiling of 3 a second and 8 at once lets out in one moment, after a lease of 4 that nobody took.
+#[test]
+fn units_leased_long_ago_and_a_full_store_are_not_both_there() {
+    let ceiling = |s: &mut Settings| {
+        s.classes.truncate(1);
+        s.plans = vec![Plan { ceiling_rate: 3.0, ceiling_burst: 8.0, ..Plan::default() }];
+    };
+    let mut one = One::new(ceiling, 30);
+    let (name, amount) = calls(&one.g.request(1, 0, 7, 4.0))[0];
+    one.on(Event::Left { id: RequestId(1) });
+    one.totals.insert(name, amount);
+    one.g.counted(name, Outcome::Ok, amount);
+    one.pass(10);
+    let units: f64 = (2..40)
+        .map(|id| (id, if id % 2 == 0 { 4.0 } else { 1.0 }))
+        .filter(|(id, units)| !sends(&one.ask(*id, 7, *units)).is_empty())
+        .map(|(_, units)| units)
+        .sum();
+    assert!(units <= 8.0, "{units}");
+}
+
+#[test]
+fn a_customer_that_gives_way_to_others_gets_its_ceiling_no_second_time() {
+    let ceiling = |s: &mut Settings| {
+        s.counter = false;
+        s.customer_bytes = 4_000;
+        s.plans = vec![Plan { ceiling_rate: 3.0, ceiling_burst: 8.0, ..Plan::default() }];
+    };
+    let mut one = One::new(ceiling, 30);
+    let mut units = 0.0;
+    // Far more customers than there is room for come between.
+    for id in 1..200 {
+        for (request, host) in sends(&one.ask(id, if id % 10 == 1 { 7 } else { id }, 2.0)) {
+            units += if id % 10 == 1 { 2.0 } else { 0.0 };
+            one.end((request, host), 0, Outcome::Ok, 2.0);
+        }
+    }
+    assert!(units > 0.0 && units <= 8.0, "{units}");
+}
+
+/// Where a request stands when its client leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stands {
+    /// It waits for the counter.
+    Units,
+    /// It waits for a slot.
+    Queued,
+    /// Its attempt is out, and ends like this after the word of it.
+    Out(Outcome),
+}
+
+/// Attempts that others get at once, and requests that the customer gets in, after some of its clients have left.
+fn after_leaving(stands: Option<Stands>) -> (usize, usize) {
+    // A ceiling: beside a quota's store that has filled a lease may lie that nobody took.
+    let ceiling = Plan { ceiling_rate: 10.0, ceiling_burst: 20.0, price: 1.0, ..Plan::default() };
+    let settings = |s: &mut Settings| {
+        s.classes.truncate(1);
+        s.plans = vec![ceiling];
+    };
+    let mut one = One::new(settings, 4);
+    // Of a customer met anew nobody knows what the number held before.
+    one.ask(99, 7, 1.0);
+    one.pass(10);
+    // Others take all slots, four at each host.
+    let busy = if stands == Some(Stands::Queued) { 16 } else { 0 };
+    let others: Vec<_> = (500..500 + busy).flat_map(|id| sends(&one.ask(id, id, 1.0))).collect();
+    // Units that come too late for one are there for the next.
+    let leave = match stands {
+        None => 0,
+        Some(Stands::Units) => 1,
+        Some(_) => 12,
+    };
+    for id in 1..=leave {
+        let actions = match stands {
+            Some(Stands::Units) => one.g.request(id, 0, 7, 1.0),
+            _ => one.ask(id, 7, 1.0),
+        };
+        let sent = sends(&actions).pop();
+        assert_eq!(sent.is_some(), matches!(stands, Some(Stands::Out(_))), "{stands:?}");
+        one.on(Event::Left { id: RequestId(id) });
+        if let (Some(Stands::Out(outcome)), Some(attempt)) = (stands, sent) {
+            one.end(attempt, 0, outcome, 1.0);
+        }
+        for (name, amount) in calls(&actions).into_iter().filter(|_| stands == Some(Stands::Units)) {
+            *one.totals.entry(name).or_default() += amount;
+            let total = one.totals[&name];
+            one.g.counted(name, Outcome::Ok, total);
+        }
+    }
+    for attempt in others {
+        one.end(attempt, 0, Outcome::Ok, 1.0);
+    }
+    let out: Vec<_> = (600..).map_while(|id| sends(&one.ask(id, id, 1.0)).pop()).collect();
+    one.on(Event::Left { id: RequestId(600 + out.len() as u64) });
+    out.iter().for_each(|attempt| drop(one.end(*attempt, 0, Outcome::Ok, 1.0)));
+    let gets_in = |id: &u64| {
+        let sent = sends(&one.ask(*id, 7, 1.0)).pop();
+        sent.map(|attempt| one.end(attempt, 0, Outcome::Ok, 1.0)).is_some()
+    };
+    (out.len(), (700..760).filter(gets_in).count())
+}
+
+#[test]
+fn clients_that_leave_take_no_slot_no_line_and_no_units_with_them() {
+    use Outcome::*;
+    let (slots, units) = after_leaving(None);
+    assert!(units > 12, "{units}");
+    let stands = [Stands::Units, Stands::Queued].into_iter();
+    for stands in stands.chain([Moot, NoConnection, Full, Cancelled, Ok, Timeout, Reset].map(Stands::Out)) {
+        let (slots_then, units_then) = after_leaving(Some(stands));
+        assert_eq!(slots_then, slots, "{stands:?}");
+        // What came whole to a host has taken its units.
+        let took = matches!(stands, Stands::Out(Full | Cancelled | Ok | Timeout | Reset));
+        let left = if took { units - 12..=units - 11 } else { units..=units };
+        assert!(left.contains(&units_then), "{stands:?}: {units_then} units, where else {units}");
+    }
+}
