Take nothing that a host says before it has the whole request for its answer

Need: a row of the crossings said "not tested": a host answers before it has read the request, while the rest waits for room. Forced, it broke a rule: the connection's task wrote the rest first and then read what lay there (host_line.rs, `carry`). A host that had said BUSY, and read on, got the whole request on that connection, and since BUSY proves that nothing ran, the same request, which may run only once, went out on a second one too. Until the host read on, the request was held up to its attempt's end.

Change: while the rest of a request waits for room, the task reads as well; whatever comes then, an end too, ends the connection with the rest unwritten. The request never ran, so it goes out on another connection. The same where the words come before the task has taken up the rest.

Tests: room/connections.rs, a new file, six kinds of early words at 1 ns before the first bytes, with them, 1 ns and 50 ms after, on kept and new connections; on kernel sockets in host_line/tests.rs. Without the mend: "left: [] right: []" (held up); with that assertion left out, the call was seen on connections [0, 1] where [1] was expected; on kernel sockets `Answered` came in place of `Nonsense`.

More rows forced, all held.

--- a/crates/gateway/src/host_line.rs
+++ b/crates/gateway/src/host_line.rs
@@ -20,6 +20,12 @@
 /// A begun answer that has got no further for this long is spoilt.
 const STUCK: Span = 200 * MS;
 
+/// An idle host says nothing.
+const UNASKED: RespError = RespError::Malformed("answer without a request");
+/// A host begins a command at its last byte: what it says before is no answer to it. Nor may the rest of a request that
+/// it has turned away reach it after all.
+const EARLY: RespError = RespError::Malformed("answer before the end of its request");
+
 /// A request as it is written: its bytes, and a body that is not copied.
 pub(crate) type Text = bytes::buf::Chain<bytes::buf::Chain<BytesMut, Bytes>, Bytes>;
 type WriterOf<E> = <<E as Env>::Stream as Stream>::Writer;
@@ -175,9 +181,7 @@
                 // An idle host says nothing: this is its end, or nonsense.
                 filled = resp::fill(&mut reader, &mut buf) => {
                     filled?;
-                    if !self.shared.asked.load(Ordering::Relaxed) {
-                        return Err(RespError::Malformed("answer without a request"));
-                    }
+                    self.expects_answer()?;
                     let frame = self.answer(&mut reader, &mut buf).await?;
                     crash::here(CrashPoint::AnswerRead);
                     let clean = buf.is_empty();
@@ -190,7 +194,14 @@
                 }
                 rest = rests.recv() => {
                     let (mut writer, mut text) = rest.ok_or(RespError::Closed)?;
-                    writer.write_all_buf(&mut text).await?;
+                    tokio::select! {
+                        biased;
+                        filled = resp::fill(&mut reader, &mut buf) => {
+                            filled?;
+                            return Err(EARLY);
+                        }
+                        wrote = writer.write_all_buf(&mut text) => wrote?,
+                    }
                     crash::here(CrashPoint::AttemptWritten);
                     self.shared.sent.store(true, Ordering::Relaxed);
                     self.shared.put(writer);
@@ -208,6 +219,14 @@
         }
     }
 
+    /// Whether what comes now can be an answer.
+    fn expects_answer(&self) -> Result<(), RespError> {
+        if !self.shared.asked.load(Ordering::Relaxed) {
+            return Err(UNASKED);
+        }
+        self.shared.sent.load(Ordering::Relaxed).then_some(()).ok_or(EARLY)
+    }
+
     /// Reads an answer that has begun. Hosts write one in one go: one that does not get on is spoilt, and a safe
     /// request still has the time for another attempt.
     async fn answer<R>(&self, from: &mut R, buf: &mut BytesMut) -> Result<Frame, RespError>
--- a/crates/gateway/src/host_line/tests.rs
+++ b/crates/gateway/src/host_line/tests.rs
@@ -1,18 +1,25 @@
 use super::*;
 use fennelbeam_env::Real;
+use std::io::Write;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
-async fn pair() -> (Line<Real>, tokio::net::TcpStream, UnboundedReceiver<Input>) {
+/// A connection that may take so long to do nothing, and its host's side.
+async fn pair_within(idle: Span) -> (Line<Real>, TcpStream, UnboundedReceiver<Input>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (gateway, mut events) = mpsc::unbounded_channel();
-    let limits = Limits { dial: 20_000 * MS, idle: 20_000 * MS };
+    let limits = Limits { dial: 20_000 * MS, idle };
     let (line, _) = open(&Real::start(), 7, listener.local_addr().unwrap(), limits, gateway);
     let host = listener.accept().await.unwrap().0;
     assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Up(7)))));
     (line, host, events)
 }
 
+async fn pair() -> (Line<Real>, TcpStream, UnboundedReceiver<Input>) {
+    pair_within(20_000 * MS).await
+}
+
 fn text(body: usize) -> Text {
     BytesMut::from("request").chain(Bytes::from(vec![b'x'; body])).chain(Bytes::new())
 }
@@ -56,3 +63,74 @@
     assert_eq!(line.write(text(0)), Ok(()));
     assert!(line.is_sent(), "it can carry another");
 }
+
+/// It begins a command at its last byte: an answer to half of one is none, and the rest is not written.
+#[tokio::test]
+async fn what_a_host_says_before_it_has_the_whole_request_is_no_answer_and_the_rest_is_not_sent() {
+    let (mut line, mut host, mut events) = pair().await;
+    let body = 32 << 20;
+    assert_eq!(line.write(text(body)), Ok(()));
+    assert!(!line.is_sent(), "more than the system takes of what nobody reads");
+    host.write_all(b"-BUSY\r\n").await.unwrap();
+    let reads_on = tokio::spawn(async move {
+        let mut got = Vec::new();
+        let _ = host.read_to_end(&mut got).await;
+        got.len()
+    });
+    assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Nonsense { id: 7, .. }))));
+    assert!(matches!(events.recv().await, Some(Input::Host(HostEvent::Down(7)))));
+    assert!(!line.is_sent());
+    assert_eq!(line.write(text(0)), Err(Unusable::Full), "its writer has gone");
+    assert!(reads_on.await.unwrap() < body + 7, "all of it was written");
+}
+
+/// Where half a line from its host is when we close an idle connection at its age.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Half {
+    Read,
+    /// It lies with the system.
+    Unread,
+    /// It comes when the connection has closed.
+    Late,
+}
+
+#[tokio::test]
+async fn half_a_line_that_crosses_our_close_of_an_idle_connection_is_no_part_of_an_answer() {
+    for half in [Half::Read, Half::Unread, Half::Late] {
+        let (mut line, host, mut events) = pair_within(100 * MS).await;
+        line.writer = line.shared.take();
+        let host = host.into_std().unwrap();
+        host.set_nonblocking(false).unwrap();
+        let say = || (&host).write_all(b"*3\r\n$5\r\nsta").unwrap();
+        match half {
+            Half::Read => say(),
+            Half::Unread => {
+                // Timers fall due in their order, and the connection's own with them, before anything is read.
+                let early = tokio::time::sleep(Duration::from_millis(50));
+                let nothing_runs = || std::thread::sleep(Duration::from_millis(200));
+                let speak = async {
+                    early.await;
+                    say();
+                    while line.writer.as_ref().is_some_and(Writer::is_quiet) {}
+                    assert!(!line.rests.is_closed(), "it has not closed yet");
+                };
+                tokio::join!(biased; speak, async { nothing_runs() });
+            }
+            Half::Late => {}
+        }
+        let told = events.recv().await;
+        let is_nonsense = matches!(told, Some(Input::Host(HostEvent::Nonsense { id: 7, .. })));
+        assert_eq!(is_nonsense, half == Half::Read, "{half:?}: {told:?}");
+        let told = if is_nonsense { events.recv().await } else { told };
+        assert!(matches!(told, Some(Input::Host(HostEvent::Down(7)))), "{half:?}: {told:?}");
+        if half == Half::Late {
+            say();
+        }
+        assert_eq!(line.write(text(0)), Err(Unusable::Dead), "{half:?}");
+        assert!(!line.is_sent(), "{half:?}");
+        drop(line);
+        let mut got = Vec::new();
+        let _ = std::io::Read::read_to_end(&mut &host, &mut got);
+        assert!(got.is_empty(), "{half:?}: the request was written");
+    }
+}
--- a/crates/gateway/tests/room/host_crossings.rs
+++ b/crates/gateway/tests/room/host_crossings.rs
@@ -9,17 +9,17 @@
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::Cut;
 
-fn calls(host: &Peer) -> Vec<Seen> {
+pub fn calls(host: &Peer) -> Vec<Seen> {
     host.seen().into_iter().filter(|seen| seen.text.starts_with("CALL")).collect()
 }
 
 /// How long a call for a host is that has four digits of time left.
-fn length_at_host(id: u64) -> usize {
+pub fn length_at_host(id: u64) -> usize {
     command(&["CALL.GET", &name(1), &name(id), "c=read,t=team,d=7999,units=1,spread=1,first=0"]).len()
 }
 
 /// Sent so that it comes to the gateway then, and to a host that it has a connection to one way later.
-fn ask_at(room: &Room, client: &Client, at: Span, call: bytes::Bytes) {
+pub fn ask_at(room: &Room, client: &Client, at: Span, call: bytes::Bytes) {
     room.run_to(at - CLIENT);
     client.say(call);
 }
@@ -137,7 +137,7 @@
 }
 
 /// A room whose connections take so much of a request and no more.
-fn narrow(window: usize) -> Room {
+pub fn narrow(window: usize) -> Room {
     let mut plan = Plan::default();
     plan.network.window = window as u32;
     Room::start(plan)
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -2,6 +2,7 @@
 //! clocks, is exact here, to the nanosecond and the same each time.
 
 mod clients;
+mod connections;
 mod counter;
 mod discovery;
 mod drain;
