Keep a host out that a whole list left out when the operators' files are read again

Need: found by reading `reassign` in hosts.rs against the row of a whole list. A host that a whole list does not name stays known while work of ours is out there. `update` only set its `ready` to false; its entry still said "in service", and `reassign`, which a reload of the operators' files asks, told the module that entry. The module then gave it attempts, which the gateway ended as not sent, and each took one of the few further attempts; once these were used up clients were told BUSY beside a host that was free.

Change: what a whole list does not name is gone in its entry too.

Test: two hosts with one request each, a whole list without one of them, a reload, then 100 requests, each served at once by the other. Without the mend the fourth was told BUSY (`left: ["-BUSY"], right: [""]`); without the reload it passed.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -108,6 +108,13 @@
     nonsense: Outage,
 }
 
+impl Host {
+    /// A whole list does not name it.
+    fn leave(&mut self) {
+        (self.ready, self.entry.state) = (false, HostState::Gone);
+    }
+}
+
 struct Conn<E: Env> {
     host_id: HostId,
     era: u32,
@@ -175,7 +182,7 @@
     /// Takes in a list and gives it in the module's terms.
     pub fn update(&mut self, list: &Membership, kind: ListKind, routing: &Routing) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
-            self.hosts.values_mut().for_each(|host| host.ready = false);
+            self.hosts.values_mut().for_each(Host::leave);
         }
         let mut entries = Vec::with_capacity(list.instances.len());
         for line in &list.instances {
--- a/crates/gateway/tests/room/connections.rs
+++ b/crates/gateway/tests/room/connections.rs
@@ -263,6 +263,46 @@
     assert_eq!(client.heard(), ["first", "third"]);
 }
 
+/// Gives the gateway the operators' file anew, with a change to it.
+fn reload(room: &Room) {
+    room.reload_operators(
+        "pool \"all\" {\nids = [\"s-0\", \"s-1\"]\n}\nroute \"all\" {\npool = \"all\"\n}\n",
+    );
+}
+
+/// A whole list has left a host out, which still has work of ours, when the operators' files are read again.
+#[test]
+fn a_host_that_a_whole_list_leaves_out_is_not_put_back_by_a_reload_of_the_operators_files() {
+    for is_reloaded in [false, true] {
+        let room = Room::start(Plan { hosts: 2, ..Plan::default() });
+        let clients: Vec<Client> = (0..2).map(|_| room.client()).collect();
+        clients.iter().zip(1..).for_each(|(client, id)| client.post(id));
+        room.run_to(10 * MS);
+        let (gone, left) = (&room.hosts[0], &room.hosts[1]);
+        let [taken, others] = [gone, left].map(calls);
+        assert_eq!((taken.len(), others.len()), (1, 1), "so that both look alike");
+        room.discovery.tell(0, &list(2, true, &[entry(&room.hosts, 1, "in_service")]));
+        room.run(10 * MS);
+        if is_reloaded {
+            reload(&room);
+            room.run(10 * MS);
+        }
+        left.manner(Manner::serve(10, MS));
+        let client = room.client();
+        for id in 100..200 {
+            client.post(id);
+            room.run(5 * MS);
+            assert_eq!(client.heard(), [name(id)], "reloaded: {is_reloaded}");
+        }
+        assert_eq!(calls(gone), []);
+        taken.iter().for_each(|seen| gone.say(seen.line, served("finished")));
+        others.iter().for_each(|seen| left.say(seen.line, served("finished")));
+        room.run(10 * MS);
+        let heard: Vec<_> = clients.iter().flat_map(Client::heard).collect();
+        assert_eq!(heard, ["finished"; 2], "reloaded: {is_reloaded}");
+    }
+}
+
 /// Connections to hosts that a gateway with 64 descriptors may have.
 const MOST: usize = 8;
 
