Trust a connection by how long it has stood idle, whether or not it was used before

Need: found by reading `serve_one` in hosts.rs. A connection that had carried nothing counted as new, however long it had stood idle: any request was given it, also one that may run only once, which loses it where the connection is dead unseen (an idle one that a host or what stands between has dropped). Such connections are usual since connections rest: a request that opens another one beside a resting one leaves it unused when the first is through.

Change: `stood` is counted from when it came up or answered; what is found out of a dead one counts alike. In the log it is new only if it went to its request at once.

Test: a connection that came up for a client that had left, or has answered, and a request 1, 2 and 6 s later, once and safe.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -339,9 +339,8 @@
         let Some(host) = self.hosts.get(&host_id).filter(|host| host.ready) else { return false };
         let Some(place) = self.rested(host, now) else { return false };
         let (conn, trust) = (host.idle[place], host.trust);
-        let stood = self.conns.get(&conn).filter(|c| c.used);
-        let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
-        let is_trusted = |once| stood == 0 || stood < self.keep.limit(now, trust, once);
+        let stood = self.conns.get(&conn).map_or(0, |c| now.saturating_sub(c.idle_since));
+        let is_trusted = |once| stood < self.keep.limit(now, trust, once);
         let will_do =
             |key: &&AttemptKey| self.attempts.get(key).is_some_and(|attempt| is_trusted(attempt.order.once));
         let key = host.waiting.iter().find(will_do).copied();
@@ -367,7 +366,7 @@
             // Nothing was sent, and that says nothing of the host: another connection takes it.
             Err(why) => {
                 if let Some(conn) = self.close(conn).filter(|_| why == Unusable::Dead) {
-                    self.found_dead(host_id, conn.used, now.saturating_sub(conn.idle_since));
+                    self.found_dead(host_id, now.saturating_sub(conn.idle_since));
                 }
             }
         }
@@ -383,7 +382,8 @@
         conn.line.write(attempt.order.call.for_host(attempt.order.until.saturating_sub(now)))?;
         conn.rested = now.saturating_sub(conn.idle_since);
         (conn.busy, attempt.conn) = (Some(key), Some(id));
-        attempt.stood = Some(if conn.used { conn.rested } else { 0 });
+        // A new one goes to its request at once.
+        attempt.stood = Some(if conn.used || conn.rested >= MS { conn.rested } else { 0 });
         Ok(())
     }
 
@@ -491,16 +491,14 @@
             }
             HostEvent::Answered { id, frame, clean } => {
                 let Some(conn) = self.conns.get_mut(&id) else { return };
-                let kept = std::mem::replace(&mut conn.used, true);
+                conn.used = true;
                 let (host_id, rested, Some(key)) = (conn.host_id, conn.rested, conn.busy.take()) else {
                     return;
                 };
                 let now = self.env.now();
                 if let Some(host) = self.hosts.get_mut(&host_id) {
                     host.heard = now;
-                    if kept {
-                        self.keep.alive(self.env.now(), &mut host.trust, rested);
-                    }
+                    self.keep.alive(now, &mut host.trust, rested);
                 }
                 let is_known = self.answered(key, frame);
                 if is_known && clean {
@@ -548,7 +546,7 @@
             let sent = conn.line.is_sent();
             let soon = |a: &Attempt| self.env.now() < a.sent + AT_ONCE;
             if self.attempts.get(&key).is_some_and(soon) {
-                self.found_dead(conn.host_id, conn.used, conn.rested);
+                self.found_dead(conn.host_id, conn.rested);
             }
             if !sent && conn.used {
                 return self.again(conn.host_id, key);
@@ -575,8 +573,8 @@
     }
 
     /// A connection that had stood idle for so long was of no use any more: others are trusted for less.
-    fn found_dead(&mut self, host_id: HostId, used: bool, rested: Span) {
-        if let Some(host) = self.hosts.get_mut(&host_id).filter(|_| used) {
+    fn found_dead(&mut self, host_id: HostId, rested: Span) {
+        if let Some(host) = self.hosts.get_mut(&host_id) {
             self.keep.dead(self.env.now(), &mut host.trust, rested);
         }
     }
--- a/crates/gateway/tests/room/connections.rs
+++ b/crates/gateway/tests/room/connections.rs
@@ -5,6 +5,7 @@
 use crate::support::{
     entry, get, list, name, post, served, Client, Manner, Peer, Plan, Room, Seen, CLIENT, END, HERE, HOST,
 };
+use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
 use fennelbeam_sim::Cut;
 use serde_json::Value;
@@ -239,6 +240,36 @@
     assert_eq!((lines(&seen), &*seen[0].text), (vec![0, 1], END), "{seen:?}");
 }
 
+/// A connection that nobody wanted when it came up, or that has answered, and how long it stands idle before a request,
+/// which may run only once or not; whether that goes out on it. It may be dead by then, and nothing has shown that it is not.
+const STANDS: [(Span, bool, bool); 4] =
+    [(SECOND, true, true), (2 * SECOND, true, false), (2 * SECOND, false, true), (6 * SECOND, false, false)];
+
+#[test]
+fn a_connection_is_trusted_by_how_long_it_has_stood_idle_whether_or_not_it_was_used_before() {
+    for (is_used, (idle, is_once, is_kept)) in
+        [false, true].iter().flat_map(|used| STANDS.map(|c| (*used, c)))
+    {
+        let room = Room::start(Plan::default());
+        let (host, leaver) = (&room.hosts[0], room.client());
+        host.manner(Manner::serve(1, 0));
+        room.run_to(10 * MS);
+        leaver.post(1);
+        if !is_used {
+            // It leaves while its connection is on its way.
+            room.run(HOST);
+            leaver.close();
+        }
+        room.run(idle);
+        assert_eq!((calls(host).len(), host.lines()), (usize::from(is_used), 1));
+        let client = room.client_that_says(if is_once { post(2, 1, 1.0) } else { get(2) }, usize::MAX);
+        room.run(100 * MS);
+        assert_eq!(client.heard(), [name(2)]);
+        let line = usize::from(!is_kept);
+        assert_eq!(lines(&calls(host)), [line], "used: {is_used}, {idle}, once: {is_once}");
+    }
+}
+
 /// Two wait for connections that rest, whose host is slow to take others. The one that would be through with it first
 /// ends; word of it comes all the same, and is not the last.
 #[test]
