Fail no attempt for a dial to an address that its host has left

Need: found by reading `down` in hosts.rs beside `free`. A dial that comes up after its host has another address or start is closed and the new address is dialed; one that fails then failed the attempt that it was made for. That attempt is told as "could not connect", although nobody had tried the address that discovery names, and the module keeps off the host for two seconds.

Change: a dial of an earlier address or start fails nothing; the new one is dialed.

Test: one attempt allowed, the dial never comes up or is refused, the list names another address meanwhile. Without the mend the client was told BUSY (`refused: false: left: ["-BUSY"] right: [""]`).

Left: the dial that was refused still counts for the minute in which the host is taken to be short of connections (`refused_at`), which others work on.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -563,9 +563,10 @@
             return;
         }
         host.dialing -= 1;
-        // It fails the attempt that it was made for, and none that came to wait while it was on its way.
-        let key = conn.opened_for;
-        if host.waiting.len() > host.dialing && host.waiting.contains(&key) {
+        // It fails the attempt that it was made for, and none that came to wait while it was on its way; nor any
+        // where the host is at another address by now, or has started anew: that one is still to be tried.
+        let (key, is_outdated) = (conn.opened_for, host.era != conn.era);
+        if !is_outdated && host.waiting.len() > host.dialing && host.waiting.contains(&key) {
             self.unqueue(conn.host_id, key);
             self.finish(key, Outcome::NoConnection);
         }
--- a/crates/gateway/tests/room/connections.rs
+++ b/crates/gateway/tests/room/connections.rs
@@ -135,6 +135,30 @@
     }
 }
 
+/// The failure of a dial says nothing of an address that it was not made to.
+#[test]
+fn a_dial_to_an_address_that_is_no_more_fails_nothing() {
+    for is_refused in [false, true] {
+        let mut plan = Plan { hosts: 2, known: (1, vec!["in_service", "terminating"]), ..Plan::default() };
+        plan.settings["allowed"]["max-attempts"] = 1.into();
+        let room = Room::start(plan);
+        let (host, next, client) = (&room.hosts[0], &room.hosts[1], room.client());
+        next.manner(Manner::serve(1, 0));
+        client.post(1);
+        let how = if is_refused { Cut::Reset } else { Cut::Silent };
+        room.sim.cut(vec![host.machine.id()], vec![room.gateway()], how);
+        // Asked for, and not yet answered.
+        room.run_to(3 * CLIENT + HOST);
+        let mut moved = entry(&room.hosts, 0, "in_service");
+        moved["hostPort"] = next.addr.to_string().into();
+        room.discovery.tell(0, &list(2, false, &[moved]));
+        room.run_to(SECOND);
+        assert_eq!(client.heard(), [name(1)], "refused: {is_refused}");
+        let dialed = 3 * CLIENT + if is_refused { 2 * HOST } else { 250 * MS };
+        assert_eq!(next.one().at, dialed + 3 * HOST, "refused: {is_refused}");
+    }
+}
+
 /// What a host says while the rest of a request waits for room; none: it closes. It begins a command at its last byte, so
 /// nothing of it is an answer, and of what it has turned away it may not get the rest.
 const EARLY: [Option<&str>; 6] = [
