Force how attempts end for all effects: late, spoilt, broken, half written, copied, hung

Need: rows of the crossings said "not tested": an attempt's timer and its answer at one instant; a connection that loses a part of a request whose time or window is over or of which a second copy was answered. Others forced one effect only.

Change: room/attempt_ends.rs, tables of cases over safe, keyed (windows of 0.3 and 6 s, shorter than the 8 s of an attempt) and unsafe requests: - 15 ways in which an attempt fails, at once, after 5 s or never, and whether another follows, within the window, with one answer; - an answer 1 ns before, with and 1 ns after the end of its attempt's time; - a reset of a connection with a part of a request 1 ns before, with and 1 ns after the end of its time, or of a keyed request's window; - the same, or a host that reads on, with a second copy answered or not; - a connection that comes up a second late with a second copy answered, or none allowed; - a host that hangs and answers under another start, or with another name at its address.

All held as they came. Each was seen to fail with a guard taken out: `Effect::Unsafe => None` of the module's `reach` ("Unsafe, an error: left: 1 right: 0"); the attempt's timer ("Safe, 1: [answer]", and "an answer that never ends"); the timer and the look for `write_by` together ("-1: left: 1 right: 0"; either alone is enough); `drop_unsent` of `take_reply` ("answered: true: left: [1] right: []"; "Safe: left: (1, 1) right: (0, 1)"); `era += 1` ("left: [] right: [(0, (end))]"). With the module's own look at the window taken out all passed: the gateway's second look is enough.

--- a/crates/gateway/tests/room/connections.rs
+++ b/crates/gateway/tests/room/connections.rs
@@ -10,6 +10,12 @@
 use fennelbeam_sim::Cut;
 use serde_json::Value;
 
+/// All connections between the gateway and a host are reset.
+pub fn reset(room: &Room, host: &Peer) {
+    let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Reset);
+    room.sim.heal(cut);
+}
+
 /// What asks for a connection to a host now is lost, and comes again after a second; all else passes.
 pub fn lose_what_asks(room: &Room, host: &Peer) {
     let cut = room.sim.cut(vec![host.machine.id()], vec![room.gateway()], Cut::Silent);
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -1,6 +1,7 @@
 //! The real network side in a simulated room: what real sockets hide behind their buffers, or blur by their
 //! clocks, is exact here, to the nanosecond and the same each time.
 
+mod attempt_ends;
 mod clients;
 mod connections;
 mod counter;
