Force three more limits of an attempt to the nanosecond, and the time that it tells

Need: pairs that the crossings did not name, found by reading hosts.rs and host_line.rs: the module withdraws an attempt as its answer comes; the rest of an answer comes as that is spoilt; a connection comes up as its dial is given up; and a request waits for its connection while the time runs that it tells its host.

Change: tests in room/attempt_ends.rs, each 1 ns before, in that instant, 1 ns after, the latter two for all effects; `d` of every further or late attempt is what is left when it is written.

All held as they came. Each was seen to fail with its guard out: `STUCK` a thousand times as long ("Safe, 1: [whole]"); the dial's time-out a thousand times as long ("Safe, 1: sent"); `Withdraw` without effect ("left: ([], 0) right: (.., 1)"); `d` by the start of the attempt ("d=7979" where 7978 was left, "d=8000" a second late).

Measured: room 97 passed, 0 failed.

--- a/crates/gateway/tests/room/attempt_ends.rs
+++ b/crates/gateway/tests/room/attempt_ends.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use fennelbeam_env::Span;
 use fennelbeam_model::{MS, SECOND};
+use fennelbeam_sim::What;
 use serde_json::Value;
 
 /// Up to when a request may be answered, since it came.
@@ -131,6 +132,8 @@
         let is_repeated = effect.is_repeated(sent.at + after + HOST - begun);
         let again = calls(other);
         assert_eq!(again.len(), usize::from(is_repeated), "{effect:?}, {what}: {again:?}");
+        // Of what was left when it was written, and no more.
+        assert!(again.iter().all(|seen| told(seen) == (begun + AIM - seen.sent) / MS), "{what}: {again:?}");
         if let Effect::Keyed(window) = effect {
             assert!(again.iter().all(|seen| seen.at < begun + window), "{effect:?}, {what}: {again:?}");
         }
@@ -141,6 +144,12 @@
     }
 }
 
+/// Milliseconds that an attempt tells its host to have.
+fn told(seen: &Seen) -> Span {
+    let list = seen.text.split(' ').find(|word| word.starts_with("c=")).unwrap();
+    list.split(',').find_map(|pair| pair.strip_prefix("d=")).unwrap().parse().unwrap()
+}
+
 /// An attempt's time is up 1 ns after its answer, in that instant, 1 ns before.
 #[test]
 fn an_answer_in_the_instant_in_which_its_attempt_s_time_is_up_is_one_end_and_one_answer() {
@@ -169,6 +178,93 @@
     }
 }
 
+/// A begun answer is spoilt 0.2 s after its last byte: the rest comes 1 ns before, in that instant, 1 ns after.
+#[test]
+fn the_rest_of_an_answer_in_the_instant_in_which_it_is_spoilt_makes_one_answer() {
+    let answer = served("whole");
+    for (effect, offset) in EFFECTS.iter().flat_map(|effect| [-1_i64, 0, 1].map(|offset| (*effect, offset))) {
+        let room = Room::start(effect.plan());
+        let (host, other) = (&room.hosts[0], &room.hosts[1]);
+        other.manner(Manner::serve(1, 0));
+        room.run_to(10 * MS);
+        let client = room.client_that_says(effect.call(1), usize::MAX);
+        room.run(10 * MS);
+        let sent = host.one();
+        turn(&room, 2, ["in_service", "in_service"]);
+        host.say(0, answer.slice(..12));
+        room.run((200 * MS).saturating_add_signed(offset));
+        let after = room.now() + HOST - (sent.sent - 2 * HOST);
+        host.say(0, answer.slice(12..));
+        room.run(SECOND);
+        let is_repeated = effect.is_repeated(after);
+        let spoilt = if is_repeated { name(1) } else { effect.failure() };
+        let (heard, again) = (client.heard(), calls(other).len());
+        let is_whole = heard == ["whole"];
+        assert!(is_whole || heard == [spoilt], "{effect:?}, {offset}: {heard:?}");
+        assert!(offset == 0 || is_whole == (offset < 0), "{effect:?}, {offset}: {heard:?}");
+        assert_eq!(again, usize::from(is_repeated && !is_whole), "{effect:?}, {offset}");
+    }
+}
+
+/// A connection comes up 1 ns before its time is up, in that instant, 1 ns after.
+#[test]
+fn a_connection_that_comes_up_in_the_instant_in_which_it_is_given_up_carries_its_request_or_nothing() {
+    for (effect, offset) in EFFECTS.iter().flat_map(|effect| [-1_i64, 0, 1].map(|offset| (*effect, offset))) {
+        let mut plan = effect.plan();
+        let late = SECOND + 2 * HOST;
+        plan.settings["allowed"]["dial-timeout"] = late.saturating_add_signed(-offset).into();
+        let room = Room::start(plan);
+        let host = &room.hosts[0];
+        host.manner(Manner::serve(1, 0));
+        let client = room.client();
+        room.run_to(10 * MS);
+        client.say(effect.call(1));
+        room.run(CLIENT);
+        let up = room.now() + late;
+        lose_what_asks(&room, host);
+        room.run(3 * SECOND);
+        assert_eq!(client.heard(), [name(1)], "{effect:?}, {offset}");
+        let [seen] = &calls(host)[..] else { panic!("{effect:?}, {offset}: once") };
+        let is_first = seen.sent == up;
+        assert!(is_first || seen.sent > up, "{effect:?}, {offset}: {seen:?}");
+        assert!(offset == 0 || is_first == (offset < 0), "{effect:?}, {offset}: {seen:?}");
+    }
+}
+
+/// The module gives a safe attempt up that hangs, and makes another in its place; its answer comes 1 ns before, in that
+/// instant, 1 ns after.
+#[test]
+fn an_answer_in_the_instant_in_which_its_attempt_is_withdrawn_is_one_answer() {
+    let play = |answered: Option<Span>| {
+        let mut plan = Effect::Safe.plan();
+        plan.settings["allowed"]["cancel"] = true.into();
+        let room = Room::start(plan);
+        learn(&room);
+        let (host, other, wire) = (&room.hosts[0], &room.hosts[1], room.wire());
+        let client = room.client_that_says(get(1), usize::MAX);
+        room.run(3 * CLIENT + 3 * HOST);
+        assert_eq!(calls(host).len(), 1);
+        turn(&room, 4, ["in_service", "in_service"]);
+        if let Some(at) = answered {
+            room.run_to(at - HOST);
+            host.say(0, served("first"));
+        }
+        room.run(SECOND);
+        let withdrawn = wire.arrivals("gateway", "host 0", &What::Fin).first().map(|at| at - HOST);
+        (withdrawn, client.heard(), calls(other).len())
+    };
+    let (withdrawn, heard, again) = play(None);
+    assert_eq!((heard, again), (vec![name(1)], 1));
+    let withdrawn = withdrawn.expect("its connection closes");
+    for offset in [-1_i64, 0, 1] {
+        let (_, heard, again) = play(Some(withdrawn.saturating_add_signed(offset)));
+        let is_first = heard == ["first"];
+        assert!(is_first || heard == [name(1)], "{offset}: {heard:?}");
+        assert!(offset == 0 || is_first == (offset < 0), "{offset}: {heard:?}");
+        assert_eq!(again, usize::from(!is_first), "{offset}");
+    }
+}
+
 /// With connections that take all but the last bytes of this call, where their host does not read.
 fn narrow(mut plan: Plan, call: &Bytes) -> Plan {
     plan.network.window = call.len() as u32 - 10;
@@ -254,25 +350,30 @@
     }
 }
 
-/// A room in which second copies are allowed, and its first host's answers have taken a millisecond so far, so that one
+/// A room in which second copies are allowed, and answers have been quick so far, so that a request
 /// which takes longer is given a second copy.
 fn with_copies(mut plan: Plan) -> Room {
     plan.settings["allowed"]["may-duplicate"] = true.into();
     plan.settings["allowed"]["max-attempts"] = 2.into();
     plan.settings["allowed"]["dial-timeout"] = (4 * SECOND).into();
     let room = Room::start(plan);
+    learn(&room);
+    room
+}
+
+/// The second host alone answers for a while, each request at once; then the first alone is in service.
+fn learn(room: &Room) {
     let other = &room.hosts[1];
     other.manner(Manner::serve(1, 0));
     room.run_to(10 * MS);
-    turn(&room, 2, ["terminating", "in_service"]);
+    turn(room, 2, ["terminating", "in_service"]);
     let client = room.client();
     for id in 1_000..1_040 {
         client.get(id);
         room.run(10 * MS);
     }
     assert_eq!((client.heard().len(), calls(other).len()), (40, 40));
-    turn(&room, 3, ["in_service", "terminating"]);
-    room
+    turn(room, 3, ["in_service", "terminating"]);
 }
 
 /// What the host does that has a part of a request, of which another has a second copy.
@@ -333,7 +434,9 @@
         assert_eq!(calls(other).len(), usize::from(has_copy), "{effect:?}");
         assert_eq!(client.heard().len(), usize::from(has_copy), "{effect:?}");
         room.run(2 * SECOND);
-        assert_eq!((calls(host).len(), host.lines()), (usize::from(!has_copy), 1), "{effect:?}");
+        let late = calls(host);
+        assert_eq!((late.len(), host.lines()), (usize::from(!has_copy), 1), "{effect:?}");
+        assert!(late.iter().all(|seen| told(seen) == (AIM - SECOND - 2 * HOST) / MS), "{effect:?}: {late:?}");
         assert_eq!(client.heard().len(), usize::from(!has_copy), "{effect:?}");
         assert!(calls(other).is_empty(), "{effect:?}");
     }
