--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -105,6 +105,13 @@
     nonsense: Outage,
 }
 
+impl Host {
+    /// A whole list does not name it.
+    fn leave(&mut self) {
+        (self.ready, self.entry.state) = (false, HostState::Gone);
+    }
+}
+
 struct Conn<E: Env> {
     host_id: HostId,
     era: u32,
@@ -174,9 +181,7 @@
     /// Takes in a list and gives it in the module's terms.
     pub fn update(&mut self, list: &Membership, kind: ListKind, routing: &Routing) -> Vec<HostEntry> {
         if kind != ListKind::Delta {
-            // Told again of one that it leaves out, the module has to hear that it is gone.
-            let leave = |host: &mut Host| (host.ready, host.entry.state) = (false, HostState::Gone);
-            self.hosts.values_mut().for_each(leave);
+            self.hosts.values_mut().for_each(Host::leave);
         }
         let mut entries = Vec::with_capacity(list.instances.len());
         let mut unsent = Vec::new();
@@ -339,9 +344,8 @@
         let Some(host) = self.hosts.get(&host_id).filter(|host| host.ready) else { return false };
         let Some(place) = self.rested(host, now) else { return false };
         let (conn, trust) = (host.idle[place], host.trust);
-        let stood = self.conns.get(&conn).filter(|c| c.used);
-        let stood = stood.map_or(0, |c| now.saturating_sub(c.idle_since));
-        let is_trusted = |once| stood == 0 || stood < self.keep.limit(now, trust, once);
+        let stood = self.conns.get(&conn).map_or(0, |c| now.saturating_sub(c.idle_since));
+        let is_trusted = |once| stood < self.keep.limit(now, trust, once);
         let will_do =
             |key: &&AttemptKey| self.attempts.get(key).is_some_and(|attempt| is_trusted(attempt.order.once));
         let key = host.waiting.iter().find(will_do).copied();
@@ -367,7 +371,7 @@
             // Nothing was sent, and that says nothing of the host: another connection takes it.
             Err(why) => {
                 if let Some(conn) = self.close(conn).filter(|_| why == Unusable::Dead) {
-                    self.found_dead(host_id, conn.used, now.saturating_sub(conn.idle_since));
+                    self.found_dead(host_id, now.saturating_sub(conn.idle_since));
                 }
             }
         }
@@ -383,7 +387,8 @@
         conn.line.write(attempt.order.call.for_host(attempt.order.until.saturating_sub(now)))?;
         conn.rested = now.saturating_sub(conn.idle_since);
         (conn.busy, attempt.conn) = (Some(key), Some(id));
-        attempt.stood = Some(if conn.used { conn.rested } else { 0 });
+        // A new one goes to its request at once.
+        attempt.stood = Some(if conn.used || conn.rested >= MS { conn.rested } else { 0 });
         Ok(())
     }
 
@@ -491,18 +496,16 @@
             }
             HostEvent::Answered { id, frame, clean } => {
                 let Some(conn) = self.conns.get_mut(&id) else { return };
-                let kept = std::mem::replace(&mut conn.used, true);
+                let is_first = !std::mem::replace(&mut conn.used, true);
                 let (host_id, rested, Some(key)) = (conn.host_id, conn.rested, conn.busy.take()) else {
                     return;
                 };
                 let now = self.env.now();
                 if let Some(host) = self.hosts.get_mut(&host_id) {
                     host.heard = now;
-                    if kept {
-                        self.keep.alive(self.env.now(), &mut host.trust, rested);
-                    }
+                    self.keep.alive(now, &mut host.trust, rested);
                 }
-                if !kept {
+                if is_first {
                     self.shortage.served();
                 }
                 let is_known = self.answered(key, frame);
@@ -553,7 +556,7 @@
             let sent = conn.line.is_sent();
             let soon = |a: &Attempt| self.env.now() < a.sent + AT_ONCE;
             if self.attempts.get(&key).is_some_and(soon) {
-                self.found_dead(conn.host_id, conn.used, conn.rested);
+                self.found_dead(conn.host_id, conn.rested);
             }
             if !sent && conn.used {
                 return self.again(conn.host_id, key);
@@ -570,9 +573,10 @@
             return;
         }
         host.dialing -= 1;
-        // It fails the attempt that it was made for, and none that came to wait while it was on its way.
-        let key = conn.opened_for;
-        if host.waiting.len() > host.dialing && host.waiting.contains(&key) {
+        // It fails the attempt that it was made for, and none that came to wait while it was on its way; nor any
+        // where the host is at another address by now, or has started anew: that one is still to be tried.
+        let (key, is_outdated) = (conn.opened_for, host.era != conn.era);
+        if !is_outdated && host.waiting.len() > host.dialing && host.waiting.contains(&key) {
             self.unqueue(conn.host_id, key);
             self.finish(key, Outcome::NoConnection);
         }
@@ -580,8 +584,8 @@
     }
 
     /// A connection that had stood idle for so long was of no use any more: others are trusted for less.
-    fn found_dead(&mut self, host_id: HostId, used: bool, rested: Span) {
-        if let Some(host) = self.hosts.get_mut(&host_id).filter(|_| used) {
+    fn found_dead(&mut self, host_id: HostId, rested: Span) {
+        if let Some(host) = self.hosts.get_mut(&host_id) {
             self.keep.dead(self.env.now(), &mut host.trust, rested);
         }
     }
--- a/crates/gateway/tests/room/stop.rs
+++ b/crates/gateway/tests/room/stop.rs
@@ -1,7 +1,8 @@
 //! SIGTERM with calls in flight and orders still coming.
 
 use crate::support::{
-    chunk, command, entry, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CHUNKED, CLIENT, END,
+    chunk, command, entry, get, list, name, post, served, Manner, Plan, Room, Seen, BROKEN, CHUNKED, CLIENT,
+    END,
 };
 use fennelbeam_env::Span;
 use fennelbeam_gateway::Signal;
