Read what the old agent had written before discovery moves away from it

Need: a change is told when discovery has written it to the gateway. Reading discovery.rs against that: at SIGHUP the program reads its configuration in one go, and what the agent writes to the open watch meanwhile lies with the system. discovery::watch then saw the new address first and dropped the watch with all that lay in it. The new agent tells it too, unless it hangs. Seen on the real program: its configuration is a pipe, which holds it at the reload while the old agent writes a drain; the new agent does not answer; the second of the calls after that goes to the host that drains. Ruled out: in virtual time, where nothing costs time, the list of the same instant is read before the move, so no order of the room shows it.

--- a/crates/fennelbeam/tests/sockets/mod.rs
+++ b/crates/fennelbeam/tests/sockets/mod.rs
@@ -181,6 +181,11 @@
         self.signal("HUP");
     }
 
+    /// Where its configuration is.
+    pub fn config(&self) -> PathBuf {
+        self.path.clone()
+    }
+
     /// Sends SIGHUP.
     pub fn hang_up(&self) {
         self.signal("HUP");
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::watch;
+use tokio::sync::watch::{self, error::RecvError};
 use versions::Versions;
 
 const MS: Span = 1_000_000;
@@ -36,6 +36,9 @@
 /// start may be too old to be used, and has to do after a second.
 const HEDGE: Span = 300 * MS;
 const BACKOFF: (Span, Span) = (20 * MS, 200 * MS);
+/// What an agent had written when discovery moves away from it counts as told, also where it lies unread: its watch is
+/// read for so much longer.
+const LAST_WORDS: Span = 5 * MS;
 /// Between calls for the whole list where that cannot be used.
 const UNUSABLE: Span = 1_000 * MS;
 
@@ -82,20 +85,33 @@
             }
             env.sleep(pause).await;
         };
-        tokio::select! {
-            biased;
-            moved = agents.changed() => match moved {
-                Ok(()) => {
-                    (after, pause, is_first) = (None, BACKOFF.0, true);
-                    versions = Versions::default();
-                }
-                Err(_) => return,
-            },
-            () = turn => {}
+        match until_moved(&env, &mut agents, turn).await {
+            None => {}
+            Some(Ok(())) => {
+                (after, pause, is_first) = (None, BACKOFF.0, true);
+                versions = Versions::default();
+            }
+            Some(Err(_)) => return,
         }
     }
 }
 
+/// Plays a turn to its end (`None`), or until discovery moves or nobody can move it any more.
+async fn until_moved<E: Env>(
+    env: &E,
+    agents: &mut watch::Receiver<SocketAddr>,
+    turn: impl Future<Output = ()> + Send,
+) -> Option<Result<(), RecvError>> {
+    let mut turn = pin!(turn);
+    let moved = tokio::select! {
+        biased;
+        moved = agents.changed() => moved,
+        () = turn.as_mut() => return None,
+    };
+    let _ = env.timeout(LAST_WORDS, turn).await;
+    Some(moved)
+}
+
 /// Watches at one address, one after the other, up to the first failure.
 struct Turn<'a, E> {
     calls: Calls<E>,
