--- a/crates/policy/src/tests/world.rs
+++ b/crates/policy/src/tests/world.rs
@@ -791,9 +791,14 @@
             }
             // An attempt that ended before, or never was.
             2 | 3 => {
-                let ended = |r: &Held| r.attempts.iter().position(|a| a.outcome.is_some());
-                let attempt = self.held.get(&id).map_or(0, |r| ended(r).unwrap_or(r.attempts.len())) as u32;
-                let (outcome, took, closed) = (Outcome::Ok, MS, self.held.get(&id).is_none_or(Held::is_over));
+                let ended = |r: &Held| {
+                    let at = r.attempts.iter().position(|a| a.outcome.is_some());
+                    at.map_or((r.attempts.len(), host), |at| (at, r.attempts[at].host))
+                };
+                let held = self.held.get(&id);
+                let (attempt, host) = held.map_or((0, host), ended);
+                let (attempt, outcome, took) = (attempt as u32, Outcome::Ok, MS);
+                let closed = held.is_none_or(Held::is_over);
                 let (used, true_units, report) = (None, Some(3.0), None);
                 let end = Ended { id, attempt, host, outcome, took, closed, used, true_units, report };
                 self.tell(Event::Ended(end));
