--- a/crates/rehearse/tests/site_loss.rs
+++ b/crates/rehearse/tests/site_loss.rs
@@ -67,19 +67,28 @@
     }
 }
 
-/// It looks at its sites now and then, which may shift by a moment when something falls due, and does no more.
+/// It looks at its sites now and then, which may shift by a moment when something falls due, and does no more. With one
+/// of these seeds one answer in the 13th second is late by it, and all that follows is another draw of the same day.
 #[test]
 fn a_plan_that_is_not_needed_refuses_nothing_and_moves_no_load() {
     let scenario = lost("");
-    for seed in seeds() {
+    let (mut alike, mut sums) = (0, [[0.0; 3]; 2]);
+    for seed in 1..=8 {
         let [with, without] = [plan(&scenario), Operators::default()].map(|plan| play(&scenario, seed, plan));
         let worth = [&with, &without].map(|played| played.verdict.worth_whole);
         assert!((worth[0] - worth[1]).abs() < 0.005, "seed {seed}: {worth:?}");
         let sent = [&with, &without].map(|played| {
-            let hosts = played.verdict.hosts.iter().filter(|host| host.host % 3 == 1);
-            hosts.map(|host| host.received).sum::<u64>() as f64
+            let hosts = played.verdict.hosts.iter();
+            hosts.map(|host| (host.host as usize % 3, host.received)).collect::<Vec<_>>()
         });
-        assert!((sent[0] / sent[1] - 1.0).abs() < 0.05, "seed {seed}: {sent:?}");
+        alike += usize::from(sent[0] == sent[1] && worth[0] == worth[1]);
+        for (sums, sent) in sums.iter_mut().zip(&sent) {
+            sent.iter().for_each(|(building, received)| sums[*building] += *received as f64);
+        }
+    }
+    assert!(alike >= 6, "{alike} of 8 alike");
+    for (with, without) in sums[0].iter().zip(&sums[1]) {
+        assert!((with / without - 1.0).abs() < 0.02, "{sums:?}");
     }
 }
 
