--- a/crates/gateway/src/shortage.rs
+++ b/crates/gateway/src/shortage.rs
@@ -5,8 +5,9 @@
 use fennelbeam_policy::api::{Span, Time};
 
 const MS: Span = 1_000_000;
-/// A connection that ends so soon after it came up, and before an answer, was turned away.
-const AT_ONCE: Span = 100 * MS;
+/// A connection that ends so soon after it came up, and before an answer, was turned away: a host that holds as many as
+/// it can says so at once, while what breaks under a request does so at any time.
+const AT_ONCE: Span = 2 * MS;
 /// Of new connections, the weight of the last one in the share that is turned away.
 const NEWEST: f64 = 0.05;
 /// Connections also break for other reasons: a share below this tells nothing.
