Write each long order that is sent into the record of the review's third case

Cause: the record named only the first order of those that a client writes at once. Change: one line for each order in review/3/case.rs.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -138,11 +138,9 @@
             written
         })
     };
-    world.note(format!(
-        "client writes {} orders of {BODY} bytes at once, from {:016x}",
-        calls.len(),
-        calls[0].0
-    ));
+    for (id, bytes) in calls {
+        world.note(format!("client sends {id:016x}, {} bytes, {} orders at once", bytes.len(), calls.len()));
+    }
     let mut reader = BufReader::new(reader);
     let mut answered = 0;
     let end = loop {
