--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -5,6 +5,7 @@
 use crate::client::linger::MAX_DISCARDED_BYTES;
 use crate::client::replies::{PendingReply, Reply};
 use crate::messages::{FinalAnswer, IncomingRequest, LifecyclePhase, ReplyTo, TrafficEvent};
+use crate::telemetry::client_limits::ClientExcess;
 use bytes::{Bytes, BytesMut};
 use resp::Frame;
 use runtime::{Env, Span};
@@ -24,6 +25,9 @@
 /// Bytes of commands that a connection may hold without permits from the shared budget.
 const UNBUDGETED_BYTES: usize = 4 * 1024;
 
+/// Error for a frame that is not an array.
+const NOT_A_COMMAND: &str = "commands are arrays of bulk strings";
+
 /// How the bytes that a client sends are processed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum InputState {
@@ -51,9 +55,10 @@
 
     /// Processes commands until the pipeline is full.
     pub(super) fn process_commands(&mut self) {
-        if !self.reserve_bytes() || self.exceeds_read_ahead() {
-            self.reject_complete_commands();
+        if let Some(excess) = self.excess_input() {
+            self.reject_complete_commands(excess);
             if self.input_state == InputState::Commands && !self.reserve_bytes() {
+                self.record_excess(ClientExcess::PartialCommandBytes);
                 self.reply_protocol_error("no room for so long a command");
             }
         }
@@ -68,12 +73,20 @@
                     return;
                 }
                 Ok(Some(Frame::Array(parts))) if !parts.is_empty() => self.process_command(&parts),
-                Ok(Some(_)) => self.reply_protocol_error("commands are arrays of bulk strings"),
-                Err(error) => self.reply_protocol_error(error),
+                Ok(Some(_)) => self.on_undecodable_input(&NOT_A_COMMAND),
+                Err(error) => self.on_undecodable_input(&error),
             }
         }
     }
 
+    /// Returns which limit the input exceeds, so that its complete commands are rejected; `None` if it exceeds none.
+    fn excess_input(&mut self) -> Option<ClientExcess> {
+        if !self.reserve_bytes() {
+            return Some(ClientExcess::CommandBytes);
+        }
+        self.exceeds_read_ahead().then_some(ClientExcess::ReadAhead)
+    }
+
     /// Acquires the missing permits for the bytes of this connection's commands, or releases all if none are needed.
     /// Returns false if not enough are available.
     fn reserve_bytes(&mut self) -> bool {
@@ -93,26 +106,38 @@
         self.outstanding() >= MAX_PIPELINE && is_over_limit
     }
 
-    /// Rejects each command that has arrived completely. The remaining bytes may then fit into the budget.
-    fn reject_complete_commands(&mut self) {
+    /// Rejects each command that has arrived completely, since the input exceeds a limit. The remaining bytes may then
+    /// fit into the budget.
+    fn reject_complete_commands(&mut self, excess: ClientExcess) {
         while self.input_state == InputState::Commands && !self.input.is_empty() {
             if self.outstanding() >= MAX_OUTSTANDING {
+                self.record_excess(ClientExcess::UnansweredCommands);
                 return self.abandon_client();
             }
             match resp::decode(&mut self.input) {
                 Ok(None) => return,
                 Ok(Some(Frame::Array(parts))) if !parts.is_empty() => {
                     self.command_deadline = None;
-                    let reply =
-                        if is_ping(&parts) { self.ping_reply() } else { FinalAnswer::Rejected(None).into() };
+                    let reply = if is_ping(&parts) { self.ping_reply() } else { self.reject(excess) };
                     self.pending.push(PendingReply::Ready(reply));
                 }
-                Ok(Some(_)) => self.reply_protocol_error("commands are arrays of bulk strings"),
-                Err(error) => self.reply_protocol_error(error),
+                Ok(Some(_)) => self.on_undecodable_input(&NOT_A_COMMAND),
+                Err(error) => self.on_undecodable_input(&error),
             }
         }
     }
 
+    /// Returns the reply to a command that exceeds a limit.
+    fn reject(&self, excess: ClientExcess) -> Reply {
+        self.record_excess(excess);
+        FinalAnswer::Rejected(None).into()
+    }
+
+    fn on_undecodable_input(&mut self, error: &dyn fmt::Display) {
+        self.record_excess(ClientExcess::Undecodable);
+        self.reply_protocol_error(error);
+    }
+
     /// Replies with a protocol error and discards further input, since it cannot be decoded. The connection closes
     /// after the replies to the earlier commands and this error.
     pub(super) fn reply_protocol_error(&mut self, error: impl fmt::Display) {
@@ -161,9 +186,12 @@
             Ok(call) => call,
             Err(error) => return PendingReply::Ready(Reply::error(error)),
         };
-        if *self.context.phase.borrow() == LifecyclePhase::Rejecting || !self.reserve_command() {
+        if *self.context.phase.borrow() == LifecyclePhase::Rejecting {
             return PendingReply::Ready(FinalAnswer::Rejected(None).into());
         }
+        if !self.reserve_command() {
+            return PendingReply::Ready(self.reject(ClientExcess::CommandSlots));
+        }
         let bytes = call.size();
         let reply_to = ReplyTo { command: self.pending.next_command(), answers: self.answers.clone() };
         let incoming = IncomingRequest { arrived_at: self.context.env.now(), request, call, reply_to };
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -9,6 +9,7 @@
 use crate::client::Context;
 use crate::crash_points::{self, CrashPoint};
 use crate::messages::{FinalAnswer, LifecyclePhase, NumberedAnswer, TrafficEvent};
+use crate::telemetry::client_limits::ClientExcess;
 use bytes::{Buf, BytesMut};
 use input::{InputState, COMMAND_TIMEOUT};
 use resp::RespError;
@@ -279,6 +280,7 @@
     fn on_command_timeout<W: Writer>(&mut self, writer: &W) -> bool {
         let has_sent_nothing = self.input.is_empty() && self.pending.is_empty();
         if !has_sent_nothing {
+            self.record_excess(ClientExcess::LateCommand);
             self.reply_protocol_error("command not whole in time");
             return false;
         }
@@ -332,6 +334,10 @@
         self.pending.len() + self.output.replies()
     }
 
+    fn record_excess(&self, excess: ClientExcess) {
+        self.context.excess_log.record(self.context.env.now(), excess);
+    }
+
     /// Reports to the event loop that the client of the requests in flight has disconnected.
     fn report_disconnect(&mut self) {
         for request in self.pending.drain_in_flight() {
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use listener::{accept, listen, ConnectionLimits};
 
 use crate::messages::{LifecyclePhase, TrafficEvent};
+use crate::telemetry::client_limits::ClientExcessLog;
 use platform_settings::PlatformSettings;
 use policy::api::RequestId;
 use slots::SlotContention;
@@ -35,6 +36,7 @@
     next_request_id: Arc<AtomicU64>,
     budget: CommandBudget,
     contention: SlotContention,
+    excess_log: Arc<ClientExcessLog>,
 }
 
 impl<E> Context<E> {
@@ -47,7 +49,16 @@
         budget: CommandBudget,
     ) -> Context<E> {
         let contention = SlotContention::default();
-        Context { env, platform, gateway, phase, next_request_id: Arc::default(), budget, contention }
+        Context {
+            env,
+            platform,
+            gateway,
+            phase,
+            next_request_id: Arc::default(),
+            budget,
+            contention,
+            excess_log: Arc::default(),
+        }
     }
 
     fn next_request_id(&self) -> RequestId {
