Reject a long command without memory at its end, and answer those behind it

Seen by callers: of several long orders written at once on one connection some were answered, one got "-ERR protocol error: no room for so long a command", and those behind it, written completely, got no answer on either connection. Cause: where the memory for the bytes of commands has no room for the rest of a command, process_commands took it for bytes that cannot be decoded: it discarded all further input and closed the connection. But only contents lacked memory. Change: resp::ArraySkipper follows the headers of a command through its bytes and keeps no contents. The connection rejects such a command with -BUSY at its end (it was never forwarded) and goes on with those behind it. Nothing waits for memory, and the connection is still read at all times. decode and the skipper share the parsing of headers. Tests: four of the new five in gateway fail without the change (closed; "no room" in place of the answers); that on health checks in pieces passes without it and stays as a guard. The test a_long_command_beyond_the_byte_budget_gets_an_error_ without_waiting asked for the fault itself (an error line for a command of which the rest may come) and is replaced: that nothing waits for memory is held by the new tests, which give each answer one millisecond of virtual time.

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -7,7 +7,7 @@
 use crate::messages::{FinalAnswer, IncomingRequest, LifecyclePhase, ReplyTo, TrafficEvent};
 use crate::telemetry::client_limits::ClientExcess;
 use bytes::{Bytes, BytesMut};
-use resp::Frame;
+use resp::{ArraySkipper, Frame};
 use runtime::{Env, Span};
 use std::fmt;
 
@@ -33,6 +33,9 @@
 pub(super) enum InputState {
     /// They are decoded as commands.
     Commands,
+    /// The first ones belong to a command that exceeds the memory for the bytes of commands. They are discarded up to
+    /// its end, then it is rejected.
+    SkippingCommand(ArraySkipper),
     /// They cannot be decoded: this many more bytes are discarded, then the client is disconnected.
     Discarding(usize),
     /// The connection stops reading, and no request is in flight.
@@ -44,7 +47,7 @@
     /// `Ended`, so that a disconnection of the client is noticed.
     pub(super) fn process_input(&mut self) {
         match self.input_state {
-            InputState::Commands => self.process_commands(),
+            InputState::Commands | InputState::SkippingCommand(_) => self.process_commands(),
             InputState::Discarding(remaining) if self.input.len() < remaining => {
                 self.input_state = InputState::Discarding(remaining - self.input.len());
                 self.input.clear();
@@ -55,12 +58,10 @@
 
     /// Processes commands until the pipeline is full.
     pub(super) fn process_commands(&mut self) {
+        self.skip_command();
         if let Some(excess) = self.excess_input() {
             self.reject_complete_commands(excess);
-            if self.input_state == InputState::Commands && !self.reserve_bytes() {
-                self.record_excess(ClientExcess::PartialCommandBytes);
-                self.reply_protocol_error("no room for so long a command");
-            }
+            self.skip_partial_command_beyond_budget();
         }
         while self.input_state == InputState::Commands
             && self.outstanding() < MAX_PIPELINE
@@ -127,6 +128,43 @@
         }
     }
 
+    /// Starts to skip a command that has arrived in part, if the budget has no room for it. It cannot wait for room:
+    /// the connection is read continuously, and the client is owed replies to this command and to those behind it.
+    fn skip_partial_command_beyond_budget(&mut self) {
+        if self.input_state != InputState::Commands || self.reserve_bytes() {
+            return;
+        }
+        let deadline = self.context.env.now() + COMMAND_TIMEOUT;
+        self.command_deadline.get_or_insert(deadline);
+        self.input_state = InputState::SkippingCommand(ArraySkipper::default());
+        self.skip_command();
+    }
+
+    /// Discards the bytes of the command that is being skipped, if there is one, and rejects it at its end.
+    fn skip_command(&mut self) {
+        let InputState::SkippingCommand(skipper) = &mut self.input_state else { return };
+        match skipper.skip(&mut self.input) {
+            Ok(false) => {}
+            Ok(true) => {
+                self.input_state = InputState::Commands;
+                self.command_deadline = None;
+                let reply = self.reject(ClientExcess::PartialCommandBytes);
+                self.pending.push(PendingReply::Ready(reply));
+            }
+            Err(error) => self.on_undecodable_input(&error),
+        }
+    }
+
+    /// Returns whether the bytes that the client sends are commands that are owed a reply.
+    pub(super) fn accepts_commands(&self) -> bool {
+        matches!(self.input_state, InputState::Commands | InputState::SkippingCommand(_))
+    }
+
+    /// Returns whether a command has arrived in part.
+    pub(super) fn has_partial_command(&self) -> bool {
+        !self.input.is_empty() || matches!(self.input_state, InputState::SkippingCommand(_))
+    }
+
     /// Returns the reply to a command that exceeds a limit.
     fn reject(&self, excess: ClientExcess) -> Reply {
         self.record_excess(excess);
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -209,14 +209,14 @@
 
     /// Returns whether the connection should close because the process shuts down or its input has ended.
     fn should_close<W: Writer>(&self, phase: LifecyclePhase, writer: &W) -> bool {
-        let accepts_commands = self.input_state == InputState::Commands;
+        let accepts_commands = self.accepts_commands();
         if accepts_commands && phase < LifecyclePhase::Closing {
             return false;
         }
         if accepts_commands && phase < LifecyclePhase::Rejecting {
             // Unread input is a request that has arrived, and a part of a command is a request that has begun to
             // arrive: both are answered.
-            return self.is_answered() && self.input.is_empty() && writer.has_no_unread_input();
+            return self.is_answered() && !self.has_partial_command() && writer.has_no_unread_input();
         }
         self.is_answered()
     }
@@ -226,10 +226,10 @@
             Activity::Busy
         } else if !self.has_sent_call {
             Activity::New
-        } else if self.input.is_empty() {
-            Activity::Idle
-        } else {
+        } else if self.has_partial_command() {
             Activity::Busy
+        } else {
+            Activity::Idle
         }
     }
 
@@ -278,7 +278,7 @@
     /// Handles the expiry of the command deadline: the first command, or the rest of one, has not arrived in time.
     /// Returns whether the connection closes.
     fn on_command_timeout<W: Writer>(&mut self, writer: &W) -> bool {
-        let has_sent_nothing = self.input.is_empty() && self.pending.is_empty();
+        let has_sent_nothing = !self.has_partial_command() && self.pending.is_empty();
         if !has_sent_nothing {
             self.record_excess(ClientExcess::LateCommand);
             self.reply_protocol_error("command not whole in time");
--- a/crates/gateway/src/client/connection/tests.rs
+++ b/crates/gateway/src/client/connection/tests.rs
@@ -31,15 +31,16 @@
     command_slots: usize,
     phase: watch::Receiver<LifecyclePhase>,
 ) -> (Context<SystemEnv>, UnboundedReceiver<TrafficEvent>) {
-    context_in(SystemEnv::start(), command_slots, phase)
+    context_in(SystemEnv::start(), "safe", command_slots, phase)
 }
 
 fn context_in<E: Env>(
     env: E,
+    semantics: &str,
     command_slots: usize,
     phase: watch::Receiver<LifecyclePhase>,
 ) -> (Context<E>, UnboundedReceiver<TrafficEvent>) {
-    let settings = crate::config::sample("safe", 1_000_000_000, 1_000_000_000);
+    let settings = crate::config::sample(semantics, 1_000_000_000, 1_000_000_000);
     let (gateway, inbox) = mpsc::unbounded_channel();
     let platform = Arc::new(PlatformSettings::parse(&settings).unwrap());
     let memory = MemoryBudget::within(command_slots * 2 * resp::MAX_VALUE, 0);
@@ -190,28 +191,6 @@
     assert!(count("-BUSY\r\n") > 0, "no command was rejected");
 }
 
-#[tokio::test]
-async fn a_long_command_beyond_the_byte_budget_gets_an_error_without_waiting() {
-    let (_phase, phases) = watch::channel(LifecyclePhase::Ready);
-    let (mut context, _inbox) = context(2, phases);
-    context.budget = CommandBudget::within(&MemoryBudget::within(8 * 64 * 1024, 0));
-    let address = start_accepting(context);
-    let mut incomplete = BytesMut::new();
-    resp::encode_array_header(&mut incomplete, 5);
-    resp::encode_bulk_header(&mut incomplete, resp::MAX_VALUE);
-    incomplete.resize(40 * 1024, b'x');
-    let mut first = TcpStream::connect(address).await.unwrap();
-    first.write_all(&incomplete).await.unwrap();
-    let mut second = TcpStream::connect(address).await.unwrap();
-    second.write_all(&incomplete).await.unwrap();
-    // Either connection may be the one that exceeds the budget.
-    let reply = tokio::select! {
-        byte = first.read_u8() => byte.unwrap(),
-        byte = second.read_u8() => byte.unwrap(),
-    };
-    assert_eq!(reply, b'-');
-}
-
 /// A connection whose first request has been answered, with the state that its task shares with the listener.
 struct ServedConnection {
     client: TcpStream,
@@ -513,6 +492,8 @@
     read_waker: Option<Waker>,
     /// Number of reply bytes that the client will read. The connection's task is not woken when this increases.
     writable: usize,
+    /// The reply bytes that the client has read.
+    written: Vec<u8>,
 }
 
 #[derive(Clone, Default)]
@@ -552,6 +533,7 @@
         let mut state = self.0.lock().unwrap();
         let count = state.writable.min(bytes.len());
         state.writable -= count;
+        state.written.extend_from_slice(&bytes[..count]);
         if count > 0 {
             Poll::Ready(Ok(count))
         } else {
@@ -581,15 +563,21 @@
     contention: SlotContention,
     inbox: UnboundedReceiver<TrafficEvent>,
     has_ended: Arc<AtomicBool>,
-    _phase: watch::Sender<LifecyclePhase>,
+    phase: watch::Sender<LifecyclePhase>,
 }
 
 impl SimulatedConnection {
     fn start() -> SimulatedConnection {
+        SimulatedConnection::start_with("safe", None)
+    }
+
+    /// Starts with a class of these semantics, and a budget in place of one that is large enough for most tests.
+    fn start_with(semantics: &str, budget: Option<CommandBudget>) -> SimulatedConnection {
         let sim = Sim::new(SimConfig { seed: 1, start: SECOND, network: Default::default() });
         let env: SimEnv = sim.machine("gateway", Place::Building(0)).process("gateway");
         let (phase, phases) = watch::channel(LifecyclePhase::Ready);
-        let (context, inbox) = context_in(env.clone(), 512, phases);
+        let (mut context, inbox) = context_in(env.clone(), semantics, 512, phases);
+        context.budget = budget.unwrap_or(context.budget);
         let (stream, has_ended) = (FakeStream::default(), Arc::new(AtomicBool::new(false)));
         let (mut reader, mut writer, ended) = (stream.clone(), stream.clone(), has_ended.clone());
         let (slot, contention) = (Arc::new(ConnectionSlot::new(env.now())), context.contention.clone());
@@ -599,7 +587,7 @@
             let _ = connection.run(&mut reader, &mut writer, inbox).await;
             ended.store(true, Ordering::Relaxed);
         });
-        SimulatedConnection { sim, stream, slot, contention, inbox, has_ended, _phase: phase }
+        SimulatedConnection { sim, stream, slot, contention, inbox, has_ended, phase }
     }
 
     /// Advances the virtual time. Returns whether the connection is still open.
@@ -608,6 +596,11 @@
         !self.has_ended.load(Ordering::Relaxed)
     }
 
+    /// Returns the replies that the client has read since the last call.
+    fn take_replies(&self) -> String {
+        String::from_utf8(std::mem::take(&mut self.stream.0.lock().unwrap().written)).unwrap()
+    }
+
     fn receive_request(&mut self) -> IncomingRequest {
         match self.inbox.try_recv() {
             Ok(TrafficEvent::Request(incoming)) => *incoming,
@@ -672,3 +665,120 @@
         assert!(!connection.run(MS), "not closed by an eviction while idle");
     }
 }
+
+const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+
+fn encoded_order(body_length: usize) -> BytesMut {
+    let list = "c=order,t=team,d=900,units=1,spread=1,first=0";
+    let mut order = BytesMut::new();
+    resp::encode_array_header(&mut order, 5);
+    for part in ["CALL.POST", "0000000000000001", "0000000000000002", list] {
+        resp::encode_bulk(&mut order, part.as_bytes());
+    }
+    resp::encode_bulk(&mut order, &vec![b'b'; body_length]);
+    order
+}
+
+/// A connection with an order in flight, and the permits that leave no memory for the bytes of further commands.
+fn connection_without_command_memory() -> (SimulatedConnection, OwnedSemaphorePermit) {
+    let bytes = Arc::new(Semaphore::new(resp::MAX_FRAME));
+    let budget = CommandBudget { slots: Arc::new(Semaphore::new(64)), bytes: bytes.clone() };
+    let connection = SimulatedConnection::start_with("unsafe", Some(budget));
+    connection.stream.0.lock().unwrap().writable = usize::MAX;
+    // Longer than the unbudgeted bytes.
+    connection.stream.send(&encoded_order(5_000));
+    assert!(connection.run(MS));
+    let available = u32::try_from(bytes.available_permits()).unwrap();
+    (connection, bytes.try_acquire_many_owned(available).unwrap())
+}
+
+/// Guards against orders that were written completely and never answered: when the memory for commands had no room for
+/// the rest of one, it and all behind it were discarded, and the connection was closed.
+#[test]
+fn a_long_command_without_memory_is_rejected_at_its_end_and_the_commands_behind_it_are_answered() {
+    let order = encoded_order(60_000);
+    let commands = [&order[..], &order, PING].concat();
+    let within_first = [1, 1_000, 5_000, 40_000].into_iter().chain(order.len() - 3..order.len() + 3);
+    for split_at in within_first.chain([order.len() + 5_000, 2 * order.len()]) {
+        let (mut connection, permits) = connection_without_command_memory();
+        for part in [&commands[..split_at], &commands[split_at..]] {
+            connection.stream.send(part);
+            assert!(connection.run(MS), "closed; first part of {split_at} bytes");
+        }
+        assert_eq!(connection.take_replies(), "", "the first command has no reply yet");
+        connection.receive_request().reply_to.send(FinalAnswer::Failed);
+        assert!(connection.run(COMMAND_TIMEOUT + MS), "closed; first part of {split_at} bytes");
+        assert_eq!(
+            connection.take_replies(),
+            "-ERR failed\r\n-BUSY\r\n-BUSY\r\n+PONG\r\n",
+            "first part of {split_at} bytes"
+        );
+        drop(permits);
+        connection.stream.send(&order);
+        assert!(connection.run(MS));
+        connection.receive_request();
+    }
+}
+
+/// Guards against health checks that are skipped because they arrive in pieces: what a connection holds for its
+/// requests in flight has room for one.
+#[test]
+fn a_health_check_in_pieces_is_answered_without_memory_for_commands() {
+    let (mut connection, _permits) = connection_without_command_memory();
+    for piece in [&PING[..5], &PING[5..]] {
+        connection.stream.send(piece);
+        assert!(connection.run(MS));
+    }
+    connection.receive_request().reply_to.send(FinalAnswer::Failed);
+    assert!(connection.run(MS));
+    assert_eq!(connection.take_replies(), "-ERR failed\r\n+PONG\r\n");
+}
+
+/// A command that is skipped counts as one that has arrived in part: its connection is not evicted, stays open in the
+/// phase `Closing`, and gets an error if the rest is late.
+#[test]
+fn a_long_command_without_memory_keeps_its_connection_until_its_rest_is_late() {
+    let (order, arrived) = (encoded_order(60_000), 40_000);
+    for (rest_arrives, phase) in [
+        (true, LifecyclePhase::Ready),
+        (true, LifecyclePhase::Closing),
+        (false, LifecyclePhase::Ready),
+        (false, LifecyclePhase::Closing),
+    ] {
+        let case = format!("{phase:?}, rest arrives: {rest_arrives}");
+        let (mut connection, _permits) = connection_without_command_memory();
+        connection.stream.send(&order[..arrived]);
+        assert!(connection.run(MS), "{case}");
+        connection.receive_request().reply_to.send(FinalAnswer::Failed);
+        assert!(connection.run(MS), "{case}");
+        assert_eq!(connection.take_replies(), "-ERR failed\r\n", "{case}");
+        connection.slot.evict.notify_one();
+        assert!(connection.run(MS), "evicted in the middle of a command; {case}");
+        connection.phase.send_replace(phase);
+        assert!(connection.run(COMMAND_TIMEOUT - 4 * MS), "closed in the middle of a command; {case}");
+        assert_eq!(connection.take_replies(), "", "{case}");
+        if rest_arrives {
+            connection.stream.send(&order[arrived..]);
+        }
+        let is_open = connection.run(10 * MS);
+        let expected =
+            if rest_arrives { "-BUSY\r\n" } else { "-ERR protocol error: command not whole in time\r\n" };
+        assert_eq!(connection.take_replies(), expected, "{case}");
+        assert_eq!(is_open, rest_arrives && phase == LifecyclePhase::Ready, "{case}");
+    }
+}
+
+#[test]
+fn a_long_command_without_memory_that_is_malformed_ends_with_an_error_after_the_earlier_replies() {
+    let (mut connection, _permits) = connection_without_command_memory();
+    let (mut order, arrived) = (encoded_order(60_000), 40_000);
+    let end = order.len() - 2;
+    order[end..].copy_from_slice(b"xx");
+    for part in [&order[..arrived], &order[arrived..]] {
+        connection.stream.send(part);
+        assert!(connection.run(MS));
+    }
+    connection.receive_request().reply_to.send(FinalAnswer::Failed);
+    assert!(!connection.run(MS));
+    assert_eq!(connection.take_replies(), "-ERR failed\r\n-ERR protocol error: malformed bulk end\r\n");
+}
--- a/crates/gateway/tests/simulated_network/clients.rs
+++ b/crates/gateway/tests/simulated_network/clients.rs
@@ -107,6 +107,43 @@
     assert_eq!(trace.arrivals("gateway", "clients", &What::Fin), [answered_at + 10 * SECOND + CLIENT_DELAY]);
 }
 
+/// Clients write several long orders at once, more than the memory for commands holds. Guards against orders that are
+/// read and never answered: those behind the first one without room were discarded, and their connection was closed.
+#[test]
+fn long_orders_written_at_once_are_all_answered_although_the_memory_for_commands_is_used_up() {
+    const CLIENTS: u64 = 8;
+    const ORDERS: u64 = 8;
+    let network = start_with_least_memory();
+    network.hosts.iter().for_each(|host| host.set_behavior(Behavior::serve(8, 50 * MS)));
+    network.run_until(2 * SECOND);
+    let (list, body) = ("c=order,t=team,d=8500,units=1,spread=1,first=0", "b".repeat(60_000));
+    let order = |id: u64| command(&["CALL.POST", &format_id(1), &format_id(id), list, &body]).to_vec();
+    let clients: Vec<Client> = (0..CLIENTS)
+        .map(|number| {
+            let client = network.client();
+            let orders = (1..=ORDERS).flat_map(|place| order(number * ORDERS + place));
+            client.send(orders.chain(command(&["PING"])).collect::<Vec<u8>>());
+            client
+        })
+        .collect();
+    network.run_for(10 * SECOND);
+    let mut rejected = 0;
+    for (number, client) in (0..).zip(&clients) {
+        let replies = client.take_replies();
+        assert_eq!(replies.len() as u64, ORDERS + 1, "client {number}: {replies:?}");
+        assert_eq!(replies.last().map(String::as_str), Some("+PONG"), "client {number}: {replies:?}");
+        for (place, reply) in (1..=ORDERS).zip(&replies) {
+            rejected += u64::from(reply == "-BUSY");
+            assert!(
+                *reply == format_id(number * ORDERS + place) || reply == "-BUSY",
+                "client {number}, order {place}: {replies:?}"
+            );
+        }
+    }
+    assert!(rejected > 0, "the memory for commands was not used up");
+    assert!(rejected < CLIENTS * ORDERS, "no order was served");
+}
+
 /// With 64 descriptors there are 24 connection slots for clients.
 #[test]
 fn a_client_in_the_last_connection_slot_keeps_it_only_if_its_first_command_is_complete() {
--- a/crates/resp/src/decode.rs
+++ b/crates/resp/src/decode.rs
@@ -15,6 +15,8 @@
 const MIN_SHARED: usize = 1024;
 /// Maximum capacity, in bytes, that an empty read buffer keeps.
 const MAX_IDLE_CAPACITY: usize = 4 * READ_CAPACITY;
+/// What follows the content of a bulk string.
+pub(crate) const BULK_END: &[u8] = b"\r\n";
 /// The length in the header of a null value or array.
 const NULL_LENGTH: i64 = -1;
 
@@ -35,7 +37,7 @@
 /// # Errors
 /// [`RespError::Malformed`] or [`RespError::TooLong`]; the rest of the stream cannot be decoded after either.
 pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, RespError> {
-    let mut scanner = Scanner { buffer, position: 0 };
+    let mut scanner = Scanner::new(buffer, 0);
     let Some(parsed) = scanner.frame()? else { return Ok(None) };
     let length = scanner.position;
     let bytes = take(buffer, length);
@@ -49,12 +51,19 @@
     }
     let bytes = Bytes::copy_from_slice(&buffer[..count]);
     buffer.advance(count);
-    if buffer.is_empty() && buffer.capacity() > MAX_IDLE_CAPACITY {
-        *buffer = BytesMut::new();
+    if buffer.is_empty() {
+        shrink(buffer);
     }
     bytes
 }
 
+/// Releases the capacity of a buffer that holds few bytes, if it is large.
+pub(crate) fn shrink(buffer: &mut BytesMut) {
+    if buffer.capacity() > MAX_IDLE_CAPACITY {
+        *buffer = BytesMut::from(&buffer[..]);
+    }
+}
+
 /// A parsed frame whose contents are still in the buffer.
 enum ParsedFrame {
     Item(Item),
@@ -84,7 +93,7 @@
 }
 
 /// An item, with the position of its content in the buffer.
-struct Item {
+pub(crate) struct Item {
     kind: ItemKind,
     start: usize,
     end: usize,
@@ -103,6 +112,21 @@
     }
 }
 
+/// The header of an array.
+pub(crate) enum ArrayHeader {
+    Null,
+    /// The number of items that follow.
+    Items(usize),
+}
+
+/// The first line of an item.
+pub(crate) enum ItemHeader {
+    /// The item consists of this line only.
+    Complete(Item),
+    /// A bulk string of this length follows.
+    Bulk(usize),
+}
+
 /// The position of a line in the buffer, without its terminator.
 struct Line {
     start: usize,
@@ -110,12 +134,24 @@
 }
 
 /// Parses the buffer without modifying it. Each method returns `None` if more bytes are needed.
-struct Scanner<'a> {
+pub(crate) struct Scanner<'a> {
     buffer: &'a [u8],
+    /// Number of bytes of the frame that precede the buffer.
+    offset: usize,
     position: usize,
 }
 
 impl Scanner<'_> {
+    /// Starts at the beginning of the buffer, which `offset` bytes of the same frame precede.
+    pub(crate) fn new(buffer: &[u8], offset: usize) -> Scanner<'_> {
+        Scanner { buffer, offset, position: 0 }
+    }
+
+    /// Returns the number of bytes that have been parsed.
+    pub(crate) fn position(&self) -> usize {
+        self.position
+    }
+
     fn frame(&mut self) -> Result<Option<ParsedFrame>, RespError> {
         if self.buffer.first() == Some(&b'*') {
             self.array()
@@ -125,14 +161,11 @@
     }
 
     fn array(&mut self) -> Result<Option<ParsedFrame>, RespError> {
-        let Some(line) = self.line()? else { return Ok(None) };
-        let count = match self.length_in(&line)? {
-            NULL_LENGTH => return Ok(Some(ParsedFrame::NullArray)),
-            count => usize::try_from(count).map_err(|_| RespError::Malformed("array length"))?,
+        let count = match self.array_header()? {
+            None => return Ok(None),
+            Some(ArrayHeader::Null) => return Ok(Some(ParsedFrame::NullArray)),
+            Some(ArrayHeader::Items(count)) => count,
         };
-        if count > MAX_ITEMS {
-            return Err(RespError::TooLong("array"));
-        }
         let mut items = Vec::with_capacity(count);
         for _ in 0..count {
             let Some(item) = self.item()? else { return Ok(None) };
@@ -141,7 +174,29 @@
         Ok(Some(ParsedFrame::Array(items)))
     }
 
+    /// Parses the header line of an array; it includes the byte of its frame type, which is not checked.
+    pub(crate) fn array_header(&mut self) -> Result<Option<ArrayHeader>, RespError> {
+        let Some(line) = self.line()? else { return Ok(None) };
+        let count = match self.length_in(&line)? {
+            NULL_LENGTH => return Ok(Some(ArrayHeader::Null)),
+            count => usize::try_from(count).map_err(|_| RespError::Malformed("array length"))?,
+        };
+        if count > MAX_ITEMS {
+            return Err(RespError::TooLong("array"));
+        }
+        Ok(Some(ArrayHeader::Items(count)))
+    }
+
     fn item(&mut self) -> Result<Option<Item>, RespError> {
+        match self.item_header()? {
+            None => Ok(None),
+            Some(ItemHeader::Complete(item)) => Ok(Some(item)),
+            Some(ItemHeader::Bulk(length)) => self.bulk(length),
+        }
+    }
+
+    /// Parses the first line of an item.
+    pub(crate) fn item_header(&mut self) -> Result<Option<ItemHeader>, RespError> {
         let kind = match self.buffer.get(self.position) {
             None => return Ok(None),
             Some(b'+') => ItemKind::Simple,
@@ -151,29 +206,36 @@
             Some(_) => return Err(RespError::Malformed("frame type")),
         };
         let Some(line) = self.line()? else { return Ok(None) };
-        match kind {
-            ItemKind::Bulk => self.bulk(&line),
-            _ => Ok(Some(Item { kind, start: line.start + 1, end: line.end })),
-        }
+        let header = match kind {
+            ItemKind::Bulk => self.bulk_header(&line)?,
+            _ => ItemHeader::Complete(Item { kind, start: line.start + 1, end: line.end }),
+        };
+        Ok(Some(header))
     }
 
-    /// Parses the bulk string that follows this header line.
-    fn bulk(&mut self, header: &Line) -> Result<Option<Item>, RespError> {
-        let length = match self.length_in(header)? {
+    fn bulk_header(&self, line: &Line) -> Result<ItemHeader, RespError> {
+        let length = match self.length_in(line)? {
             NULL_LENGTH => {
-                return Ok(Some(Item { kind: ItemKind::Null, start: header.end, end: header.end }))
+                let null = Item { kind: ItemKind::Null, start: line.end, end: line.end };
+                return Ok(ItemHeader::Complete(null));
             }
             length => usize::try_from(length).map_err(|_| RespError::Malformed("bulk length"))?,
         };
-        let start = self.position;
-        let end = start.saturating_add(length);
+        let end = (self.offset + self.position).saturating_add(length);
         if length > MAX_VALUE || end > MAX_FRAME {
             return Err(RespError::TooLong("value"));
         }
-        match self.buffer.get(end..end + 2) {
+        Ok(ItemHeader::Bulk(length))
+    }
+
+    /// Parses the content of a bulk string.
+    fn bulk(&mut self, length: usize) -> Result<Option<Item>, RespError> {
+        let start = self.position;
+        let end = start + length;
+        match self.buffer.get(end..end + BULK_END.len()) {
             None => Ok(None),
-            Some(b"\r\n") => {
-                self.position = end + 2;
+            Some(BULK_END) => {
+                self.position = end + BULK_END.len();
                 Ok(Some(Item { kind: ItemKind::Bulk, start, end }))
             }
             Some(_) => Err(RespError::Malformed("bulk end")),
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -5,7 +5,8 @@
 //! nested arrays without a limit; a few kilobytes of `*1` overflow its stack.) Long values are slices of the read
 //! buffer, not copies.
 //!
-//! [`fill`] reads into a buffer, [`decode`] removes complete frames from it, and the `encode` functions append to one:
+//! [`fill`] reads into a buffer, [`decode`] removes complete frames from it, and the `encode` functions append to one.
+//! [`ArraySkipper`] removes an array that is too long to be kept:
 //!
 //! ```
 //! use bytes::BytesMut;
@@ -19,7 +20,7 @@
 //! assert_eq!(decode(&mut buffer).expect("no error"), None, "more bytes are needed");
 //! ```
 //!
-//! `error` and `frame` define the types, `decode` and `encode` read and write frames.
+//! `error` and `frame` define the types, `decode` and `encode` read and write frames, and `skip` discards arrays.
 
 #![cfg_attr(not(test), warn(clippy::too_many_lines, clippy::fn_params_excessive_bools))]
 
@@ -27,6 +28,7 @@
 mod encode;
 mod error;
 mod frame;
+mod skip;
 #[cfg(test)]
 mod tests;
 
@@ -34,6 +36,7 @@
 pub use encode::{encode_array_header, encode_bulk, encode_bulk_header};
 pub use error::RespError;
 pub use frame::Frame;
+pub use skip::ArraySkipper;
 
 /// Maximum length of a value, in bytes.
 pub const MAX_VALUE: usize = 64 * 1024;
--- a/crates/resp/src/tests.rs
+++ b/crates/resp/src/tests.rs
@@ -58,9 +58,58 @@
         prop_assert_eq!(decode(&mut buffer).unwrap(), Some(expected));
     }
 
+    /// An array that arrives in fragments is skipped exactly up to its end, and at most a line of it is kept meanwhile.
+    #[test]
+    fn an_array_in_fragments_is_skipped_up_to_its_end(
+        words in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..3000), 0..6),
+        fragment_length in 1usize..4000,
+    ) {
+        let mut text = BytesMut::new();
+        encode_array_header(&mut text, words.len());
+        words.iter().for_each(|word| encode_bulk(&mut text, word));
+        let length = text.len();
+        text.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
+        let (mut skipper, mut buffer, mut arrived) = (ArraySkipper::default(), BytesMut::new(), 0);
+        for fragment in text.chunks(fragment_length) {
+            buffer.extend_from_slice(fragment);
+            arrived += fragment.len();
+            let is_complete = skipper.skip(&mut buffer).unwrap();
+            prop_assert_eq!(is_complete, arrived >= length);
+            if is_complete {
+                break;
+            }
+            prop_assert!(buffer.len() < MAX_LINE);
+        }
+        prop_assert_eq!(&buffer[..], &text[length..arrived]);
+    }
+
+    /// Bytes after the header of an array are skipped or rejected as they are decoded or rejected.
+    #[test]
+    fn an_array_is_skipped_if_and_only_if_it_is_decoded(
+        count in 0usize..20,
+        items in prop::collection::vec(
+            prop::sample::select(vec![
+                "$3\r\nabc\r\n", "$-1\r\n", ":5\r\n", "+OK\r\n", "$3\r\nabcd\r\n", "$65537\r\n", "$65536\r\n", "x", "$1",
+            ]),
+            0..6,
+        ),
+    ) {
+        let text = format!("*{count}\r\n{}", items.concat());
+        let decoded = decode(&mut BytesMut::from(&text[..]));
+        let skipped = ArraySkipper::default().skip(&mut BytesMut::from(&text[..]));
+        match (decoded, skipped) {
+            (Ok(frame), Ok(is_complete)) => prop_assert_eq!(frame.is_some(), is_complete, "{}", text),
+            (decoded, skipped) => {
+                let decoded = decoded.expect_err("an error").to_string();
+                prop_assert_eq!(decoded, skipped.expect_err("an error").to_string(), "{}", text);
+            }
+        }
+    }
+
     #[test]
     fn arbitrary_bytes_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut buffer = BytesMut::from(&bytes[..]);
         while let Ok(Some(_)) = decode(&mut buffer) {}
+        let _ = ArraySkipper::default().skip(&mut BytesMut::from(&bytes[..]));
     }
 }
