Answer all commands of a client that writes thousands at once

Seen by callers: of some thousand calls written at once on one connection at most 1,024 were answered, those in flight failed, and the connection ended; the rest, written completely, got no answer. Each unanswered command had an entry of its own, also if it was rejected; to bound that memory, reject_complete_commands disconnected the client at 1,024 entries, though each command is owed an answer (PROTOCOL: "Ending that connection with no whole answer loses the request"). Evidence: ten_thousand_calls_written_at_once_are_all_answered fails without the change ("closed with unanswered calls"). Change: equal replies to consecutive commands share an entry with a count; at most 1,024 replies are encoded at a time. The bound of 1,024 stays, on entries. To stop reading instead was not taken: the end of a client would go unnoticed. Tests: a_client_that_sends_beyond_the_limits_is_abandoned flooded with health checks alone, which are answered now; it floods with calls and health checks in turn, and asks for the same end at the same bound (it passes on the code before, too).

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -17,9 +17,9 @@
 pub(super) const MAX_PIPELINE: usize = 16;
 /// Number of bytes read ahead of a full pipeline above which complete commands are rejected.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
-/// Maximum number of commands of one connection whose replies have not been written, including rejections. A client
-/// that sends more is disconnected.
-pub(super) const MAX_OUTSTANDING: usize = 1024;
+/// Maximum number of runs of commands with equal pending replies of one connection. A client whose commands need more is
+/// disconnected.
+pub(super) const MAX_PENDING_RUNS: usize = 1024;
 /// The first command, and the rest of an incomplete one, have to arrive within this time.
 pub(super) const COMMAND_TIMEOUT: Span = 2_000 * MS;
 /// Bytes of commands that a connection may hold without permits from the shared budget.
@@ -111,7 +111,7 @@
     /// fit into the budget.
     fn reject_complete_commands(&mut self, excess: ClientExcess) {
         while self.input_state == InputState::Commands && !self.input.is_empty() {
-            if self.outstanding() >= MAX_OUTSTANDING {
+            if self.pending.runs() >= MAX_PENDING_RUNS {
                 self.record_excess(ClientExcess::UnansweredCommands);
                 return self.abandon_client();
             }
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -23,6 +23,9 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
+/// Maximum number of replies that are encoded before the client has read them.
+const MAX_OUTPUT_REPLIES: usize = 1024;
+
 /// Why the gateway closes a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseReason {
@@ -318,17 +321,22 @@
     /// repeated for commands that are answered at once, since no later event triggers their replies.
     fn flush_ready(&mut self) {
         loop {
-            while let Some(reply) = self.pending.pop_ready() {
+            while self.has_output_room() {
+                let Some(reply) = self.pending.pop_ready() else { break };
                 self.output.push(reply);
             }
             self.command_permits.shrink_to(self.outstanding());
             self.process_commands();
-            if !self.pending.is_first_ready() {
+            if !self.pending.is_first_ready() || !self.has_output_room() {
                 return;
             }
         }
     }
 
+    fn has_output_room(&self) -> bool {
+        self.output.replies() < MAX_OUTPUT_REPLIES
+    }
+
     /// Returns the number of commands whose replies have not been written completely.
     fn outstanding(&self) -> usize {
         self.pending.len() + self.output.replies()
--- a/crates/gateway/src/client/connection/tests.rs
+++ b/crates/gateway/src/client/connection/tests.rs
@@ -1,4 +1,4 @@
-use super::input::{MAX_OUTSTANDING, MAX_PIPELINE};
+use super::input::{MAX_PENDING_RUNS, MAX_PIPELINE};
 use super::*;
 use crate::client::linger::{MAX_DISCARDED_BYTES, MAX_LINGERING};
 use crate::client::listener::{accept, listen, ConnectionLimits};
@@ -344,10 +344,10 @@
 /// answered with a failure, before the replies to later commands. A late response is discarded.
 #[tokio::test]
 async fn a_client_that_sends_beyond_the_limits_is_abandoned() {
-    let ping = b"*1\r\n$4\r\nPING\r\n";
+    let alternating = [&encoded_call()[..], PING].concat();
     for (input, flood) in [
         ("undecodable bytes", vec![b'x'; 2 * MAX_DISCARDED_BYTES]),
-        ("commands", ping.repeat(16 * MAX_OUTSTANDING)),
+        ("commands with alternating replies", alternating.repeat(8 * MAX_PENDING_RUNS)),
     ] {
         let mut served = ServedConnection::start().await;
         let (mut reader, mut writer) = served.client.split();
@@ -482,6 +482,35 @@
     }
 }
 
+/// Guards against calls that are read and never answered: a client with more than 1,024 unanswered commands was
+/// disconnected, although rejections take almost no memory.
+#[test]
+fn ten_thousand_calls_written_at_once_are_all_answered() {
+    let mut connection = SimulatedConnection::start();
+    connection.stream.0.lock().unwrap().writable = usize::MAX;
+    let calls = 10_000;
+    connection.stream.send(&encoded_call().repeat(calls));
+    assert!(connection.run(MS), "closed with unanswered calls");
+    assert_eq!(connection.take_replies(), "", "the first call has no reply yet");
+    let mut requests = Vec::new();
+    while let Ok(TrafficEvent::Request(incoming)) = connection.inbox.try_recv() {
+        requests.push(incoming);
+    }
+    let forwarded = requests.len();
+    assert_eq!(forwarded, MAX_PIPELINE);
+    requests.into_iter().rev().for_each(|incoming| incoming.reply_to.send(FinalAnswer::Failed));
+    assert!(connection.run(MS), "closed with unanswered calls");
+    while let Ok(TrafficEvent::Request(incoming)) = connection.inbox.try_recv() {
+        incoming.reply_to.send(FinalAnswer::Failed);
+        connection.run(MS);
+    }
+    let replies = connection.take_replies();
+    let rejected = replies.matches("-BUSY\r\n").count();
+    assert_eq!(rejected + replies.matches("-ERR failed\r\n").count(), calls);
+    assert!(replies.starts_with(&"-ERR failed\r\n".repeat(forwarded)), "not in the order of the commands");
+    assert!(rejected > calls / 2, "{rejected} calls were rejected");
+}
+
 /// State of a fake stream between a connection and its client, which the test controls in virtual time.
 #[derive(Default)]
 struct StreamState {
--- a/crates/gateway/src/client/replies.rs
+++ b/crates/gateway/src/client/replies.rs
@@ -20,6 +20,7 @@
 const REPLY_TIMEOUT: Span = 10_000 * MS;
 
 /// A reply to a command.
+#[derive(Clone, PartialEq, Eq)]
 pub(super) enum Reply {
     /// An encoded line, with its end of line.
     Line(Bytes),
@@ -57,12 +58,32 @@
     Ready(Reply),
 }
 
-/// The commands of a connection whose replies have not been moved to the output yet, in order.
+/// Consecutive commands whose replies are equal, or one command in flight.
+struct PendingRun {
+    /// Number of the first command.
+    first: CommandNumber,
+    /// Number of commands.
+    count: u64,
+    reply: PendingReply,
+}
+
+impl PendingRun {
+    /// Returns whether a command with this reply can be added.
+    fn accepts(&self, reply: &PendingReply) -> bool {
+        match (&self.reply, reply) {
+            (PendingReply::Ready(own), PendingReply::Ready(other)) => own == other,
+            _ => false,
+        }
+    }
+}
+
+/// The commands of a connection whose replies have not been moved to the output yet, in order. Equal replies to
+/// consecutive commands, such as rejections, take the memory of one.
 #[derive(Default)]
 pub(super) struct PendingReplies {
-    replies: VecDeque<PendingReply>,
-    /// Command number of the first entry.
-    first: CommandNumber,
+    runs: VecDeque<PendingRun>,
+    /// Number of the next command.
+    next_command: CommandNumber,
     /// Total size of the calls in flight, in bytes.
     in_flight_bytes: usize,
 }
@@ -70,12 +91,18 @@
 impl PendingReplies {
     /// Returns the number of commands whose replies are pending.
     pub fn len(&self) -> usize {
-        self.replies.len()
+        let first = self.runs.front().map_or(self.next_command, |run| run.first);
+        (self.next_command - first) as usize
+    }
+
+    /// Returns the number of runs of commands with equal replies, which determines the memory.
+    pub fn runs(&self) -> usize {
+        self.runs.len()
     }
 
     /// Returns whether no replies are pending.
     pub fn is_empty(&self) -> bool {
-        self.replies.is_empty()
+        self.runs.is_empty()
     }
 
     /// Returns the total size of the calls in flight, in bytes.
@@ -85,7 +112,7 @@
 
     /// Returns the number of the next command.
     pub fn next_command(&self) -> CommandNumber {
-        self.first + self.replies.len() as u64
+        self.next_command
     }
 
     /// Appends the latest command.
@@ -93,13 +120,17 @@
         if let PendingReply::InFlight { bytes, .. } = reply {
             self.in_flight_bytes += bytes;
         }
-        self.replies.push_back(reply);
+        match self.runs.back_mut().filter(|run| run.accepts(&reply)) {
+            Some(run) => run.count += 1,
+            None => self.runs.push_back(PendingRun { first: self.next_command, count: 1, reply }),
+        }
+        self.next_command += 1;
     }
 
-    /// Sets the reply to a command. Does nothing if the command is no longer pending.
+    /// Sets the reply to a command that was in flight. Does nothing if the command is no longer pending.
     pub fn complete(&mut self, command: CommandNumber, answer: FinalAnswer) {
-        let index = command.checked_sub(self.first).and_then(|index| usize::try_from(index).ok());
-        let Some(reply) = index.and_then(|index| self.replies.get_mut(index)) else { return };
+        let Ok(index) = self.runs.binary_search_by_key(&command, |run| run.first) else { return };
+        let reply = &mut self.runs[index].reply;
         if let PendingReply::InFlight { bytes, .. } = *reply {
             self.in_flight_bytes -= bytes;
         }
@@ -108,27 +139,32 @@
 
     /// Returns whether the reply to the first command is ready.
     pub fn is_first_ready(&self) -> bool {
-        matches!(self.replies.front(), Some(PendingReply::Ready(_)))
+        matches!(self.runs.front(), Some(PendingRun { reply: PendingReply::Ready(_), .. }))
     }
 
     /// Removes the first command and returns its reply, if that is ready.
     pub fn pop_ready(&mut self) -> Option<Reply> {
-        if !self.is_first_ready() {
-            return None;
+        let run = self.runs.front_mut()?;
+        let PendingReply::Ready(reply) = &run.reply else { return None };
+        if run.count > 1 {
+            run.first += 1;
+            run.count -= 1;
+            return Some(reply.clone());
+        }
+        match self.runs.pop_front()?.reply {
+            PendingReply::Ready(reply) => Some(reply),
+            PendingReply::InFlight { .. } => None,
         }
-        let Some(PendingReply::Ready(reply)) = self.replies.pop_front() else { return None };
-        self.first += 1;
-        Some(reply)
     }
 
     /// Fails all requests in flight, and returns them.
     pub fn fail_in_flight(&mut self) -> Vec<RequestId> {
         let mut requests = Vec::new();
-        for reply in &mut self.replies {
-            if let PendingReply::InFlight { request, bytes } = *reply {
+        for run in &mut self.runs {
+            if let PendingReply::InFlight { request, bytes } = run.reply {
                 requests.push(request);
                 self.in_flight_bytes -= bytes;
-                *reply = PendingReply::Ready(FinalAnswer::Failed.into());
+                run.reply = PendingReply::Ready(FinalAnswer::Failed.into());
             }
         }
         requests
@@ -136,7 +172,7 @@
 
     /// Removes all commands, and returns the requests in flight.
     pub fn drain_in_flight(&mut self) -> Vec<RequestId> {
-        let in_flight = self.replies.drain(..).filter_map(|reply| match reply {
+        let in_flight = self.runs.drain(..).filter_map(|run| match run.reply {
             PendingReply::InFlight { request, .. } => Some(request),
             PendingReply::Ready(_) => None,
         });
