--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -147,7 +147,7 @@
 }
 
 impl<F: Fn() -> Result<Config>> Reloader<F> {
-    /// Waits for the handle_signal signal, and reloads the configuration if the signal is [`Signal::Reload`].
+    /// Waits for the next signal, and reloads the configuration if the signal is [`Signal::Reload`].
     async fn handle_signal(&self, signals: &mut UnboundedReceiver<Signal>) -> Option<Signal> {
         let signal = signals.recv().await?;
         if signal == Signal::Reload {
