Name the limit on pending replies in the log as the code does

Cause: the log's field said unanswered commands, a word of the earlier house style; the limit is on pending replies.

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -112,7 +112,7 @@
     fn reject_complete_commands(&mut self, excess: ClientExcess) {
         while self.input_state == InputState::Commands && !self.input.is_empty() {
             if self.pending.runs() >= MAX_PENDING_RUNS {
-                self.record_excess(ClientExcess::UnansweredCommands);
+                self.record_excess(ClientExcess::PendingReplies);
                 return self.abandon_client();
             }
             match resp::decode(&mut self.input) {
--- a/crates/gateway/src/telemetry/client_limits.rs
+++ b/crates/gateway/src/telemetry/client_limits.rs
@@ -22,8 +22,8 @@
     CommandSlots,
     /// A complete command beyond the bytes that are read ahead of a full pipeline.
     ReadAhead,
-    /// A command beyond the number of unanswered commands of one connection.
-    UnansweredCommands,
+    /// A command beyond the memory for the pending replies of one connection.
+    PendingReplies,
     /// Bytes that cannot be decoded as a command.
     Undecodable,
     /// The rest of a command that has not arrived in time.
@@ -85,7 +85,7 @@
         partial_command_bytes = counts.of(ClientExcess::PartialCommandBytes),
         command_slots = counts.of(ClientExcess::CommandSlots),
         read_ahead = counts.of(ClientExcess::ReadAhead),
-        unanswered_commands = counts.of(ClientExcess::UnansweredCommands),
+        pending_replies = counts.of(ClientExcess::PendingReplies),
         undecodable = counts.of(ClientExcess::Undecodable),
         late_commands = counts.of(ClientExcess::LateCommand),
         "clients send more than the limits allow"
