--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -160,7 +160,7 @@
         matches!(self.input_state, InputState::Commands | InputState::SkippingCommand(_))
     }
 
-    /// Returns whether a command has arrived in part.
+    /// Returns whether bytes of a command have been read that has no pending reply yet.
     pub(super) fn has_partial_command(&self) -> bool {
         !self.input.is_empty() || matches!(self.input_state, InputState::SkippingCommand(_))
     }
