Case 6: a late second -BUSY lets an order run at two hosts

Cause: the early end of a connection's rest (MAX_QUARANTINED in upstream/pool.rs). A host turns an order away and says so again some milliseconds later; by then another order is on the connection, and the second -BUSY is taken for its answer.

--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -38,14 +38,24 @@
     }
 }
 
-/// The numbers of the gateways' processes that have not been waited for.
-static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The numbers of the gateways' processes that have not been waited for, and the file that `run.sh` finds them in.
+static PROCESSES: Mutex<(Vec<u32>, Option<PathBuf>)> = Mutex::new((Vec::new(), None));
+
+fn with_processes(change: impl FnOnce(&mut Vec<u32>)) {
+    let mut processes = PROCESSES.lock().unwrap();
+    change(&mut processes.0);
+    if let Some(file) = &processes.1 {
+        let _ = std::fs::write(file, processes.0.iter().map(|id| format!("{id}\n")).collect::<String>());
+    }
+}
 
 /// Ends the play: all gateways are killed, then the process exits.
 pub fn end(status: i32) -> ! {
-    for process in PROCESSES.lock().unwrap().iter() {
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
-    }
+    with_processes(|processes| {
+        for process in processes.drain(..) {
+            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
+        }
+    });
     std::process::exit(status)
 }
 
@@ -174,12 +184,16 @@
     pub again_after_ms: Option<u64>,
     /// Instead of the answer the connection ends, this long after the work.
     pub end_after_ms: Option<u64>,
+    /// The command is turned away unseen, as by a host that is full at this moment.
+    pub turns_away: bool,
+    /// The value is filled up to this length.
+    pub value_bytes: usize,
 }
 
 impl Deed {
     /// Work, then an answer.
     pub fn serve(work_ms: u64) -> Deed {
-        Deed { work_ms, again_after_ms: None, end_after_ms: None }
+        Deed { work_ms, again_after_ms: None, end_after_ms: None, turns_away: false, value_bytes: 0 }
     }
 }
 
@@ -215,16 +229,28 @@
 
 struct HostState {
     index: usize,
-    slots: Mutex<usize>,
+    free_slots: Mutex<usize>,
     freed: Condvar,
-    draining: AtomicBool,
 }
 
-/// The hosts of a site. Each serves a command of a connection after the other, with a number of slots.
+impl HostState {
+    fn wait_for_slot(&self) {
+        let mut free = self.free_slots.lock().unwrap();
+        while *free == 0 {
+            free = self.freed.wait(free).unwrap();
+        }
+        *free -= 1;
+    }
+    fn leave(&self) {
+        *self.free_slots.lock().unwrap() += 1;
+        self.freed.notify_one();
+    }
+}
+
+/// The hosts of a site. Each serves the commands of a connection one after the other, as many at a time as it has slots.
 pub struct Hosts {
     pub addresses: Vec<SocketAddr>,
     pub ran: Arc<Mutex<Vec<Ran>>>,
-    states: Vec<Arc<HostState>>,
 }
 
 impl Hosts {
@@ -236,17 +262,10 @@
         let deed: Arc<dyn Fn(usize, u64, bool) -> Deed + Send + Sync> = Arc::new(deed);
         let ran = Arc::new(Mutex::new(Vec::new()));
         let mut addresses = Vec::new();
-        let mut states = Vec::new();
         for index in 0..count {
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port for a host");
             addresses.push(listener.local_addr().unwrap());
-            let state = Arc::new(HostState {
-                index,
-                slots: Mutex::new(slots),
-                freed: Condvar::new(),
-                draining: AtomicBool::new(false),
-            });
-            states.push(state.clone());
+            let state = Arc::new(HostState { index, free_slots: Mutex::new(slots), freed: Condvar::new() });
             let (deed, ran, record, keys) = (deed.clone(), ran.clone(), record.clone(), keys.clone());
             let commands = Arc::new(AtomicU64::new(0));
             thread::spawn(move || {
@@ -259,11 +278,7 @@
                 }
             });
         }
-        Hosts { addresses, ran, states }
-    }
-    /// From now on the host turns new commands away, as one that drains does.
-    pub fn drain(&self, index: usize) {
-        self.states[index].draining.store(true, Ordering::SeqCst);
+        Hosts { addresses, ran }
     }
 }
 
@@ -288,19 +303,19 @@
             continue;
         }
         let id = String::from_utf8_lossy(&words[2]).into_owned();
-        if state.draining.load(Ordering::SeqCst) {
-            record.line(format!("host {host} turned {id} away, it drains"));
-            output.write_all(b"-BUSY\r\n")?;
-            continue;
-        }
         let order = name == "CALL.POST";
         let deed = deed(host, commands.fetch_add(1, Ordering::SeqCst), order);
-        let mut free = state.slots.lock().unwrap();
-        while *free == 0 {
-            free = state.freed.wait(free).unwrap();
+        if deed.turns_away {
+            record.line(format!("host {host} turned {id} away"));
+            output.write_all(b"-BUSY\r\n")?;
+            if let Some(after) = deed.again_after_ms {
+                sleep_ms(after);
+                output.write_all(b"-BUSY\r\n")?;
+                record.line(format!("host {host} turned {id} away a second time"));
+            }
+            continue;
         }
-        *free -= 1;
-        drop(free);
+        state.wait_for_slot();
         let list = String::from_utf8_lossy(&words[3]).into_owned();
         let key = list.split(',').find_map(|pair| pair.strip_prefix("k=")).map(str::to_owned);
         let is_repeat = key.as_ref().is_some_and(|key| keys.is_repeat(key));
@@ -311,14 +326,14 @@
             ran.lock().unwrap().push(Ran { at_ms: record.ms(), host, order, id: id.clone(), key });
         }
         sleep_ms(deed.work_ms);
-        *state.slots.lock().unwrap() += 1;
-        state.freed.notify_one();
+        state.leave();
         if let Some(after) = deed.end_after_ms {
             sleep_ms(after);
             record.line(format!("host {host} ended the connection of {id} without an answer"));
             return stream.shutdown(std::net::Shutdown::Both);
         }
-        let value = format!("value-of-{id}");
+        let mut value = format!("value-of-{id}");
+        value.push_str(&".".repeat(deed.value_bytes.saturating_sub(value.len())));
         let answer = format!("*3\r\n${}\r\n{value}\r\n$6\r\ncost=1\r\n$-1\r\n", value.len());
         output.write_all(answer.as_bytes())?;
         record.line(format!("host {host} answered {id}"));
@@ -589,6 +604,9 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
+/// Memory in MB and descriptors of a gateway, where a case sets no others.
+pub const LIMITS: (u64, u64) = (192, 1024);
+
 /// A gateway process.
 pub struct Gateway {
     pub address: SocketAddr,
@@ -605,6 +623,18 @@
         known: &str,
         discovery: SocketAddr,
         counter: SocketAddr,
+    ) -> Gateway {
+        Gateway::start_within(LIMITS, places, me, settings, known, discovery, counter)
+    }
+    /// The same with limits of memory, in MB, and of descriptors.
+    pub fn start_within(
+        (memory_mb, sockets): (u64, u64),
+        places: &Places,
+        me: usize,
+        settings: &str,
+        known: &str,
+        discovery: SocketAddr,
+        counter: SocketAddr,
     ) -> Gateway {
         let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port for a gateway");
         let address = free.local_addr().unwrap();
@@ -613,7 +643,7 @@
         let settings = settings.replace("{me}", &me.to_string());
         let text = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"counter\":\"{counter}\",\
-             \"seed\":\"8c1f30d27a5be96{me}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+             \"seed\":\"8c1f30d27a5be96{me}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets}}},\
              \"known\":{known},\"settings\":{settings}}}"
         );
         let config = places.temporary.join(format!("{name}.json"));
@@ -631,9 +661,8 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("gateway: {error}")));
-        PROCESSES.lock().unwrap().push(child.id());
-        let all = PROCESSES.lock().unwrap().iter().map(|id| format!("{id}\n")).collect::<String>();
-        let _ = std::fs::write(places.temporary.join("processes"), all);
+        PROCESSES.lock().unwrap().1 = Some(places.temporary.join("processes"));
+        with_processes(|processes| processes.push(child.id()));
         Gateway { address, config, child }
     }
     /// Waits until the gateway answers `PING` with `+PONG`.
@@ -670,6 +699,12 @@
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
+    /// The memory of its own that is resident, without pages of files, in kB, as the system tells it.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
     /// The status of the process, if it has ended.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
         self.child.try_wait().ok().flatten()
@@ -683,7 +718,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        PROCESSES.lock().unwrap().retain(|id| *id != self.child.id());
+        with_processes(|processes| processes.retain(|id| *id != self.child.id()));
     }
 }
 
