--- a/review/9/play.rs
+++ b/review/9/play.rs
@@ -39,7 +39,8 @@
         let barrier = Arc::new(Barrier::new(CLIENTS as usize + 1));
         let clients: Vec<_> = (0..CLIENTS)
             .map(|client| {
-                let (record, counts, barrier) = (record.clone(), counts.clone(), barrier.clone());
+                let (record, all_counts, barrier) =
+                    (record.clone(), counts.clone(), barrier.clone());
                 let address = gateway.address;
                 thread::spawn(move || {
                     let (mut stream, mut input) = connect(address).expect("a connection to the gateway");
@@ -70,7 +71,7 @@
                         "client writes {id:016x} from {began} to {whole} ms after SIGTERM, whole: {written}"
                     ));
                     let answer = input.answer();
-                    let mut counts = counts.lock().unwrap();
+                    let mut counts = all_counts.lock().unwrap();
                     let text = match answer {
                         Ok(Answer::Value(_)) => {
                             counts[0] += 1;
@@ -84,12 +85,18 @@
                             counts[2] += 1;
                             line
                         }
-                        Err(error) => {
-                            counts[3] += u64::from(written);
+                        Err(error) if written => {
+                            drop(counts);
+                            // As PROTOCOL says, the client sends the request once more on a new connection.
+                            let again = again(address, &bytes);
+                            let mut counts = all_counts.lock().unwrap();
+                            counts[if again.is_ok() { 0 } else { 3 }] += 1;
                             format!(
-                                "NO ANSWER ({error}), begun {began} ms and whole {whole} ms after SIGTERM"
+                                "NO ANSWER ({error}), begun {began} ms and whole {whole} ms after SIGTERM; on a new \
+                                 connection: {again:?}"
                             )
                         }
+                        Err(error) => format!("not written whole, {error}"),
                     };
                     record.say(format!("client gets {id:016x}: {text}"));
                 })
@@ -109,3 +116,10 @@
     record.say(format!("served {served}, refused {refused}, failed {failed}, no answer {lost}"));
     end(i32::from(lost > 0))
 }
+
+/// Sends a request again on a new connection. Returns its answer.
+fn again(address: std::net::SocketAddr, bytes: &[u8]) -> std::io::Result<Answer> {
+    let (mut stream, mut input) = connect(address)?;
+    stream.write_all(bytes)?;
+    input.answer()
+}
