--- a/review/8/play.rs
+++ b/review/8/play.rs
@@ -38,6 +38,9 @@
     let agent = Agent::start(&record, entries, false, str::to_owned);
     let mut gateway = Gateway::start_within(LIMITS, &places, 0, SETTINGS, &known, agent.address, counter);
     gateway.wait_until_ready();
+    if gateway.resident_kb() == 0 {
+        cannot_run("the system does not tell the memory of a process");
+    }
     record.say(format!("ready with {} kB of {} MB", gateway.resident_kb(), LIMITS.0));
 
     let killed = Arc::new(AtomicBool::new(false));
