Release the read buffers of connections at rest, and budget what is allocated

Cause: a decoded frame of 1 KiB or more was split off its read buffer, and the rest of that buffer, up to 64 KiB, stayed with the connection to the client or host. The budget charged for the undecoded bytes, not for their allocation. Permits for the bytes of commands follow its allocation. It works because no buffer outlives the input that it holds, on any connection.

--- a/crates/api-gateway/tests/sockets/program.rs
+++ b/crates/api-gateway/tests/sockets/program.rs
@@ -179,8 +179,17 @@
 
     /// Returns the peak of its resident memory, in bytes.
     pub fn peak_memory(&self) -> usize {
+        self.memory("VmHWM:")
+    }
+
+    /// Returns its resident memory without pages of files, in bytes.
+    pub fn anonymous_memory(&self) -> usize {
+        self.memory("RssAnon:")
+    }
+
+    fn memory(&self, name: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() << 10
     }
 
--- a/crates/gateway/src/client/budget.rs
+++ b/crates/gateway/src/client/budget.rs
@@ -72,8 +72,13 @@
         }
     }
 
-    /// Returns all held permits to the semaphore.
-    pub fn release(&mut self) {
-        self.permits = None;
+    /// Acquires or returns permits without waiting, so that this many are held. Returns false, and acquires none, if not
+    /// enough are available.
+    pub fn resize(&mut self, count: usize) -> bool {
+        if count > self.count() {
+            return self.extend((count - self.count()) as u32);
+        }
+        self.shrink_to(count);
+        true
     }
 }
--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -6,7 +6,7 @@
 use crate::client::replies::{PendingReply, Reply};
 use crate::messages::{FinalAnswer, IncomingRequest, LifecyclePhase, ReplyTo, TrafficEvent};
 use crate::telemetry::client_limits::ClientExcess;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use resp::{ArraySkipper, Frame};
 use runtime::{Env, Span};
 use std::fmt;
@@ -22,8 +22,10 @@
 pub(super) const MAX_PENDING_RUNS: usize = 1024;
 /// The first command, and the rest of an incomplete one, have to arrive within this time.
 pub(super) const COMMAND_TIMEOUT: Span = 2_000 * MS;
-/// Bytes of commands that a connection may hold without permits from the shared budget.
-const UNBUDGETED_BYTES: usize = 4 * 1024;
+/// Size of the input buffer that a connection may have without permits from the shared budget, in bytes.
+const UNBUDGETED_INPUT_BYTES: usize = 1024;
+/// Bytes of the commands in flight that a connection may hold without permits from the shared budget.
+const UNBUDGETED_IN_FLIGHT_BYTES: usize = 3 * 1024;
 
 /// Error for a frame that is not an array.
 const NOT_A_COMMAND: &str = "commands are arrays of bulk strings";
@@ -67,7 +69,7 @@
             && self.outstanding() < MAX_PIPELINE
             && !self.input.is_empty()
         {
-            match resp::decode(&mut self.input) {
+            match self.input.decode() {
                 Ok(None) => {
                     self.command_deadline =
                         self.command_deadline.or_else(|| Some(self.context.env.now() + COMMAND_TIMEOUT));
@@ -88,16 +90,12 @@
         self.exceeds_read_ahead().then_some(ClientExcess::ReadAhead)
     }
 
-    /// Acquires the missing permits for the bytes of this connection's commands, or releases all if none are needed.
-    /// Returns false if not enough are available.
+    /// Acquires the missing permits for the memory of this connection's commands, or releases those that are not
+    /// needed. Returns false if not enough are available.
     fn reserve_bytes(&mut self) -> bool {
-        let bytes = self.input.len() + self.pending.in_flight_bytes();
-        let needed = bytes.saturating_sub(UNBUDGETED_BYTES);
-        if needed == 0 {
-            self.byte_permits.release();
-            return true;
-        }
-        self.byte_permits.extend(needed.saturating_sub(self.byte_permits.count()) as u32)
+        let input = self.input.allocated_bytes().saturating_sub(UNBUDGETED_INPUT_BYTES);
+        let in_flight = self.pending.in_flight_bytes().saturating_sub(UNBUDGETED_IN_FLIGHT_BYTES);
+        self.byte_permits.resize(input + in_flight)
     }
 
     /// Returns whether too many bytes have been read ahead of a full pipeline: more than [`MAX_READ_AHEAD_BYTES`], or
@@ -115,7 +113,7 @@
                 self.record_excess(ClientExcess::PendingReplies);
                 return self.abandon_client();
             }
-            match resp::decode(&mut self.input) {
+            match self.input.decode() {
                 Ok(None) => return,
                 Ok(Some(Frame::Array(parts))) if !parts.is_empty() => {
                     self.command_deadline = None;
@@ -196,7 +194,7 @@
     fn stop_input(&mut self, state: InputState) {
         self.input_state = state;
         self.command_deadline = None;
-        self.input = BytesMut::new();
+        self.input.clear();
     }
 
     fn process_command(&mut self, parts: &[Frame]) {
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -10,9 +10,9 @@
 use crate::crash_points::{self, CrashPoint};
 use crate::messages::{FinalAnswer, LifecyclePhase, NumberedAnswer, TrafficEvent};
 use crate::telemetry::client_limits::ClientExcess;
-use bytes::{Buf, BytesMut};
+use bytes::Buf;
 use input::{InputState, COMMAND_TIMEOUT};
-use resp::RespError;
+use resp::{ReadBuffer, RespError};
 use runtime::{Env, Stream, Time, Writer};
 use std::future::{poll_fn, Future};
 use std::io;
@@ -51,7 +51,7 @@
     slot: Arc<ConnectionSlot>,
     /// The activity last published to the listener.
     published_activity: Activity,
-    input: BytesMut,
+    input: ReadBuffer,
     input_state: InputState,
     /// Time by which the first command, or the rest of an incomplete one, has to arrive.
     command_deadline: Option<Time>,
@@ -60,7 +60,7 @@
     answers: UnboundedSender<NumberedAnswer>,
     /// Permits for the commands whose replies have not been written completely.
     command_permits: HeldPermits,
-    /// Permits for the bytes of commands beyond `input::UNBUDGETED_BYTES`.
+    /// Permits for the memory of commands, beyond what a connection may hold without.
     byte_permits: HeldPermits,
     /// Whether a valid call has arrived.
     has_sent_call: bool,
@@ -110,7 +110,7 @@
         let connection = Connection {
             slot,
             published_activity: Activity::New,
-            input: BytesMut::new(),
+            input: ReadBuffer::new(),
             input_state: InputState::Commands,
             command_deadline: Some(context.env.now() + COMMAND_TIMEOUT),
             pending: PendingReplies::default(),
@@ -160,7 +160,7 @@
                     written.map_err(|_| RespError::Closed)??;
                     self.output.on_written();
                 }
-                read = resp::fill(reader, &mut self.input), if self.input_state != InputState::Ended => {
+                read = self.input.fill(reader), if self.input_state != InputState::Ended => {
                     read?;
                     self.process_input();
                 }
--- a/crates/gateway/src/client/connection/tests/mod.rs
+++ b/crates/gateway/src/client/connection/tests/mod.rs
@@ -13,7 +13,7 @@
 use crate::client::CommandBudget;
 use crate::config::memory_budget::MemoryBudget;
 use crate::messages::IncomingRequest;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cluster_model::SECOND;
 use platform_settings::PlatformSettings;
 use policy::api::Span;
--- a/crates/gateway/src/counter/connection.rs
+++ b/crates/gateway/src/counter/connection.rs
@@ -4,7 +4,7 @@
 use crate::messages::{CallId, CounterEvent, TrafficEvent};
 use bytes::{Buf, Bytes, BytesMut};
 use policy::api::{CounterKey, Outcome, Span};
-use resp::{Frame, RespError};
+use resp::{Frame, ReadBuffer, RespError};
 use runtime::{Env, Stream};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -129,7 +129,7 @@
         stream: E::Stream,
         calls: &mut UnboundedReceiver<QueuedCall>,
     ) -> Result<(), RespError> {
-        let mut input = BytesMut::new();
+        let mut input = ReadBuffer::new();
         let mut last_alive = self.env.now();
         let mut accepts_calls = true;
         let (mut reader, mut writer) = stream.into_split();
@@ -152,7 +152,7 @@
                     }
                     None => accepts_calls = false,
                 },
-                read = resp::fill(&mut reader, &mut input) => {
+                read = input.fill(&mut reader) => {
                     read?;
                     if self.process_replies(&mut input)? || !has_partial_reply {
                         last_alive = self.env.now();
@@ -163,7 +163,7 @@
         }
     }
 
-    fn inactivity_timeout(&self, input: &BytesMut) -> Span {
+    fn inactivity_timeout(&self, input: &ReadBuffer) -> Span {
         if !input.is_empty() {
             self.reply_timeout / PARTIAL_REPLY_DIVISOR
         } else if !self.in_flight.is_empty() {
@@ -208,9 +208,9 @@
     }
 
     /// Processes all complete replies in the input. Returns whether there were any.
-    fn process_replies(&mut self, input: &mut BytesMut) -> Result<bool, RespError> {
+    fn process_replies(&mut self, input: &mut ReadBuffer) -> Result<bool, RespError> {
         let before = self.in_flight.len();
-        while let Some(frame) = resp::decode(input)? {
+        while let Some(frame) = input.decode()? {
             self.on_reply(&frame)?;
         }
         Ok(self.in_flight.len() < before)
--- a/crates/gateway/src/upstream/connection/mod.rs
+++ b/crates/gateway/src/upstream/connection/mod.rs
@@ -5,8 +5,8 @@
 use crate::client::call::Command;
 use crate::crash_points::{self, CrashPoint};
 use crate::messages::{ConnectionId, HostEvent, TrafficEvent};
-use bytes::{Buf, BytesMut};
-use resp::{Frame, RespError};
+use bytes::Buf;
+use resp::{Frame, ReadBuffer, RespError};
 use runtime::{Env, Sleep, Span, Stream, Time, Writer};
 use std::future::Future;
 use std::io;
@@ -180,7 +180,7 @@
         mut reader: impl AsyncRead + Unpin + Send,
         mut unwritten: UnboundedReceiver<(WriterOf<E>, Command)>,
     ) -> Result<(), RespError> {
-        let mut input = BytesMut::new();
+        let mut input = ReadBuffer::new();
         let mut idle_since: Time = self.env.now();
         // A single timer that is extended when it expires is cheaper than a timer per request.
         let mut idle_timer = pin!(self.env.sleep(self.timeouts.idle));
@@ -188,7 +188,7 @@
             tokio::select! {
                 biased;
                 // On an idle connection this means that it has closed, or a protocol violation.
-                filled = resp::fill(&mut reader, &mut input) => {
+                filled = input.fill(&mut reader) => {
                     filled?;
                     self.receive_response(&mut reader, &mut input).await?;
                     idle_since = self.env.now();
@@ -211,7 +211,7 @@
     }
 
     /// Reads the remainder of a response and reports it.
-    async fn receive_response<R>(&self, reader: &mut R, input: &mut BytesMut) -> Result<(), RespError>
+    async fn receive_response<R>(&self, reader: &mut R, input: &mut ReadBuffer) -> Result<(), RespError>
     where
         R: AsyncRead + Unpin + Send,
     {
@@ -241,15 +241,15 @@
 
     /// Reads the remainder of a response. Hosts write a response in one piece, so a stalled one is invalid. The short
     /// timeout leaves an idempotent request time for another attempt.
-    async fn read_response<R>(&self, reader: &mut R, input: &mut BytesMut) -> Result<Frame, RespError>
+    async fn read_response<R>(&self, reader: &mut R, input: &mut ReadBuffer) -> Result<Frame, RespError>
     where
         R: AsyncRead + Unpin + Send,
     {
         loop {
-            if let Some(frame) = resp::decode(input)? {
+            if let Some(frame) = input.decode()? {
                 return Ok(frame);
             }
-            let filled = self.env.timeout(PARTIAL_RESPONSE_TIMEOUT, resp::fill(reader, input)).await;
+            let filled = self.env.timeout(PARTIAL_RESPONSE_TIMEOUT, input.fill(reader)).await;
             filled.map_err(|_| RespError::Malformed("answer"))??;
         }
     }
@@ -258,7 +258,7 @@
     async fn write_remaining<R>(
         &self,
         reader: &mut R,
-        input: &mut BytesMut,
+        input: &mut ReadBuffer,
         mut writer: WriterOf<E>,
         mut command: Command,
     ) -> Result<(), RespError>
@@ -267,7 +267,7 @@
     {
         tokio::select! {
             biased;
-            filled = resp::fill(reader, input) => {
+            filled = input.fill(reader) => {
                 filled?;
                 return Err(EARLY_RESPONSE);
             }
--- a/crates/gateway/src/upstream/connection/tests.rs
+++ b/crates/gateway/src/upstream/connection/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use runtime::SystemEnv;
 use std::io::Write;
 use std::time::Duration;
--- a/crates/resp/src/decode.rs
+++ b/crates/resp/src/decode.rs
@@ -1,7 +1,7 @@
-//! Reads bytes from a peer and removes complete frames from the buffer.
+//! Parses frames, and removes complete ones from a buffer.
 
 use crate::{Frame, RespError, MAX_FRAME, MAX_VALUE};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// Maximum length of a line, in bytes.
@@ -10,11 +10,6 @@
 const MAX_ITEMS: usize = 16;
 /// Bytes of free capacity to read into.
 const READ_CAPACITY: usize = 4 * 1024;
-/// Minimum length, in bytes, of a frame that is a slice of the read buffer. Shorter frames are copied, since a slice
-/// would keep the complete buffer alive.
-const MIN_SHARED: usize = 1024;
-/// Maximum capacity, in bytes, that an empty read buffer keeps.
-const MAX_IDLE_CAPACITY: usize = 4 * READ_CAPACITY;
 /// What follows the content of a bulk string.
 pub(crate) const BULK_END: &[u8] = b"\r\n";
 /// The length in the header of a null value or array.
@@ -32,47 +27,32 @@
     }
 }
 
-/// Removes the first complete frame from the buffer and returns it; `None` if more bytes are needed.
+/// Removes the first complete frame from the buffer and returns it; `None` if more bytes are needed. The frame shares the
+/// memory of the buffer, and keeps all of it: where memory is bounded, [`ReadBuffer`](crate::ReadBuffer) serves instead.
 ///
 /// # Errors
 /// [`RespError::Malformed`] or [`RespError::TooLong`]; the rest of the stream cannot be decoded after either.
 pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, RespError> {
-    let mut scanner = Scanner::new(buffer, 0);
-    let Some(parsed) = scanner.frame()? else { return Ok(None) };
-    let length = scanner.position;
-    let bytes = take(buffer, length);
-    Ok(Some(parsed.into_frame(&bytes)))
+    let Some((parsed, length)) = parse(buffer)? else { return Ok(None) };
+    Ok(Some(parsed.into_frame(&buffer.split_to(length).freeze())))
 }
 
-/// Removes the first bytes from the buffer and returns them.
-fn take(buffer: &mut BytesMut, count: usize) -> Bytes {
-    if count >= MIN_SHARED {
-        return buffer.split_to(count).freeze();
-    }
-    let bytes = Bytes::copy_from_slice(&buffer[..count]);
-    buffer.advance(count);
-    if buffer.is_empty() {
-        shrink(buffer);
-    }
-    bytes
-}
-
-/// Releases the capacity of a buffer that holds few bytes, if it is large.
-pub(crate) fn shrink(buffer: &mut BytesMut) {
-    if buffer.capacity() > MAX_IDLE_CAPACITY {
-        *buffer = BytesMut::from(&buffer[..]);
-    }
+/// Parses the first complete frame, and returns it with its length in bytes; `None` if more bytes are needed.
+pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(ParsedFrame, usize)>, RespError> {
+    let mut scanner = Scanner::new(bytes, 0);
+    let parsed = scanner.frame()?;
+    Ok(parsed.map(|parsed| (parsed, scanner.position)))
 }
 
 /// A parsed frame whose contents are still in the buffer.
-enum ParsedFrame {
+pub(crate) enum ParsedFrame {
     Item(Item),
     Array(Vec<Item>),
     NullArray,
 }
 
 impl ParsedFrame {
-    fn into_frame(self, bytes: &Bytes) -> Frame {
+    pub(crate) fn into_frame(self, bytes: &Bytes) -> Frame {
         match self {
             ParsedFrame::Item(item) => item.to_frame(bytes),
             ParsedFrame::Array(items) => {
--- a/crates/resp/src/skip.rs
+++ b/crates/resp/src/skip.rs
@@ -1,8 +1,7 @@
 //! Skips an array for whose bytes there is no memory.
 
-use crate::decode::{shrink, ArrayHeader, ItemHeader, Scanner, BULK_END};
-use crate::RespError;
-use bytes::{Buf, BytesMut};
+use crate::decode::{ArrayHeader, ItemHeader, Scanner, BULK_END};
+use crate::{ReadBuffer, RespError};
 
 /// What comes next in the array.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,7 +15,7 @@
 }
 
 /// Removes an array from a buffer while it arrives, without keeping its contents. It accepts exactly the arrays that
-/// [`decode`](crate::decode()) accepts.
+/// [`ReadBuffer::decode`] accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ArraySkipper {
     next: Part,
@@ -37,11 +36,10 @@
     /// the buffer. Of an incomplete one, at most a part of a line stays.
     ///
     /// # Errors
-    /// As [`decode`](crate::decode()), and [`RespError::Malformed`] if the frame is not an array.
-    pub fn skip(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
+    /// As [`ReadBuffer::decode`], and [`RespError::Malformed`] if the frame is not an array.
+    pub fn skip(&mut self, buffer: &mut ReadBuffer) -> Result<bool, RespError> {
         while !self.is_complete() {
             if !self.skip_part(buffer)? {
-                shrink(buffer);
                 return Ok(false);
             }
         }
@@ -53,7 +51,7 @@
     }
 
     /// Skips the next part. Returns false if more bytes are needed.
-    fn skip_part(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
+    fn skip_part(&mut self, buffer: &mut ReadBuffer) -> Result<bool, RespError> {
         match self.next {
             Part::ArrayHeader => self.skip_array_header(buffer),
             Part::Item => self.skip_item_header(buffer),
@@ -62,11 +60,11 @@
         }
     }
 
-    fn skip_array_header(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
-        if buffer.first().is_some_and(|byte| *byte != b'*') {
+    fn skip_array_header(&mut self, buffer: &mut ReadBuffer) -> Result<bool, RespError> {
+        if buffer.as_slice().first().is_some_and(|byte| *byte != b'*') {
             return Err(RespError::Malformed("array"));
         }
-        let mut scanner = Scanner::new(buffer, self.skipped_bytes);
+        let mut scanner = Scanner::new(buffer.as_slice(), self.skipped_bytes);
         let Some(header) = scanner.array_header()? else { return Ok(false) };
         let length = scanner.position();
         self.remaining_items = match header {
@@ -78,8 +76,8 @@
         Ok(true)
     }
 
-    fn skip_item_header(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
-        let mut scanner = Scanner::new(buffer, self.skipped_bytes);
+    fn skip_item_header(&mut self, buffer: &mut ReadBuffer) -> Result<bool, RespError> {
+        let mut scanner = Scanner::new(buffer.as_slice(), self.skipped_bytes);
         let Some(header) = scanner.item_header()? else { return Ok(false) };
         let length = scanner.position();
         match header {
@@ -90,7 +88,7 @@
         Ok(true)
     }
 
-    fn skip_content(&mut self, buffer: &mut BytesMut, remaining: usize) -> bool {
+    fn skip_content(&mut self, buffer: &mut ReadBuffer, remaining: usize) -> bool {
         let arrived = remaining.min(buffer.len());
         self.remove(buffer, arrived);
         let is_complete = arrived == remaining;
@@ -98,8 +96,8 @@
         is_complete
     }
 
-    fn skip_content_end(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
-        match buffer.get(..BULK_END.len()) {
+    fn skip_content_end(&mut self, buffer: &mut ReadBuffer) -> Result<bool, RespError> {
+        match buffer.as_slice().get(..BULK_END.len()) {
             None => return Ok(false),
             Some(BULK_END) => {}
             Some(_) => return Err(RespError::Malformed("bulk end")),
@@ -110,8 +108,8 @@
         Ok(true)
     }
 
-    fn remove(&mut self, buffer: &mut BytesMut, count: usize) {
-        buffer.advance(count);
+    fn remove(&mut self, buffer: &mut ReadBuffer, count: usize) {
+        buffer.consume(count);
         self.skipped_bytes += count;
     }
 }
--- a/crates/resp/src/tests.rs
+++ b/crates/resp/src/tests.rs
@@ -8,6 +8,12 @@
     Frame::Bulk(Bytes::copy_from_slice(text))
 }
 
+fn read_buffer(input: &[u8]) -> ReadBuffer {
+    let mut buffer = ReadBuffer::new();
+    buffer.extend_from_slice(input);
+    buffer
+}
+
 #[test]
 fn frames_of_every_kind_are_decoded() {
     let mut buffer = BytesMut::from(
@@ -69,7 +75,7 @@
         words.iter().for_each(|word| encode_bulk(&mut text, word));
         let length = text.len();
         text.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
-        let (mut skipper, mut buffer, mut arrived) = (ArraySkipper::default(), BytesMut::new(), 0);
+        let (mut skipper, mut buffer, mut arrived) = (ArraySkipper::default(), ReadBuffer::new(), 0);
         for fragment in text.chunks(fragment_length) {
             buffer.extend_from_slice(fragment);
             arrived += fragment.len();
@@ -80,7 +86,7 @@
             }
             prop_assert!(buffer.len() < MAX_LINE);
         }
-        prop_assert_eq!(&buffer[..], &text[length..arrived]);
+        prop_assert_eq!(buffer.as_slice(), &text[length..arrived]);
     }
 
     /// Bytes after the header of an array are skipped or rejected as they are decoded or rejected.
@@ -95,8 +101,8 @@
         ),
     ) {
         let text = format!("*{count}\r\n{}", items.concat());
-        let decoded = decode(&mut BytesMut::from(&text[..]));
-        let skipped = ArraySkipper::default().skip(&mut BytesMut::from(&text[..]));
+        let decoded = read_buffer(text.as_bytes()).decode();
+        let skipped = ArraySkipper::default().skip(&mut read_buffer(text.as_bytes()));
         match (decoded, skipped) {
             (Ok(frame), Ok(is_complete)) => prop_assert_eq!(frame.is_some(), is_complete, "{}", text),
             (decoded, skipped) => {
@@ -110,6 +116,64 @@
     fn arbitrary_bytes_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut buffer = BytesMut::from(&bytes[..]);
         while let Ok(Some(_)) = decode(&mut buffer) {}
-        let _ = ArraySkipper::default().skip(&mut BytesMut::from(&bytes[..]));
+        let mut buffer = read_buffer(&bytes);
+        while let Ok(Some(_)) = buffer.decode() {}
+        let _ = ArraySkipper::default().skip(&mut read_buffer(&bytes));
+    }
+}
+
+/// Commands with these lengths of their last argument.
+fn commands(lengths: &[usize]) -> BytesMut {
+    let mut text = BytesMut::new();
+    for length in lengths {
+        encode_array_header(&mut text, 2);
+        encode_bulk(&mut text, b"CALL.POST");
+        encode_bulk(&mut text, &vec![b'x'; *length]);
+    }
+    text
+}
+
+fn length_of_last(frame: &Frame) -> usize {
+    match frame {
+        Frame::Array(items) => match items.last() {
+            Some(Frame::Bulk(value)) => value.len(),
+            other => panic!("{other:?}"),
+        },
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(8), failure_persistence: None, cases: 64, ..Config::default() })]
+
+    /// Guards against buffers that stay allocated when their frames are gone: the memory of a buffer is bounded by the
+    /// input that it holds, in whatever pieces that arrives.
+    #[test]
+    fn a_read_buffer_allocates_little_more_than_its_input(
+        lengths in prop::collection::vec(prop::sample::select(vec![0, 10, 900, 1_100, 5_000, 40_000, MAX_VALUE]), 1..6),
+        piece_length in prop::sample::select(vec![7, 512, 4_000, 16 * 1024, 200_000]),
+    ) {
+        let (text, mut buffer, mut decoded) = (commands(&lengths), ReadBuffer::new(), Vec::new());
+        for piece in text.chunks(piece_length) {
+            buffer.extend_from_slice(piece);
+            prop_assert!(buffer.allocated_bytes() <= (2 * buffer.len()).max(4 * 1024 + 512));
+            while let Some(frame) = buffer.decode().unwrap() {
+                decoded.push(length_of_last(&frame));
+                prop_assert!(buffer.allocated_bytes() <= (2 * buffer.len()).max(4 * 1024 + 512));
+            }
+        }
+        prop_assert_eq!(decoded, lengths);
+        prop_assert_eq!(buffer.allocated_bytes(), 0);
+    }
+}
+
+/// A skipped array leaves no allocation behind, also where it stops in the middle.
+#[test]
+fn a_skipped_array_holds_no_memory() {
+    let text = commands(&[MAX_VALUE]);
+    for arrived in [40_000, text.len()] {
+        let (mut skipper, mut buffer) = (ArraySkipper::default(), read_buffer(&text[..arrived]));
+        assert_eq!(skipper.skip(&mut buffer).unwrap(), arrived == text.len());
+        assert_eq!(buffer.allocated_bytes(), 0);
     }
 }
