Answer requests that are half written when a gateway shuts down

What callers saw: requests of which a part was read before 0.5 s after SIGTERM, and whose last byte came later, got no answer, neither there nor on a new connection. Cause: in the phase Rejecting a connection closed as soon as all complete commands had been answered; a part of a command kept it open only in the phase before. Change: from the phase Closing on, connections close only between requests. What is completed in the phase Rejecting is rejected. A new phase, Ending, 0.1 s before the process's last moment, answers what is still incomplete with an error, for deadlines that are shorter than the 2 s that a client has for a command. It works because no connection can close any more with a part of a command unanswered. Tests: two, of nine sequences in virtual time, both fail without the fix. One replaces half_a_command_keeps_a_connection_open_until_no_more_commands_are_accepted: its second row asked for the fault (an end without an answer). The new one asks for an answer in each row, with the same bounds on hosts and on the end of the process.

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -208,9 +208,10 @@
         match *self.context.phase.borrow() {
             LifecyclePhase::Starting => Reply::error("starting"),
             LifecyclePhase::Ready => Reply::Line(Bytes::from_static(b"+PONG\r\n")),
-            LifecyclePhase::Stopping | LifecyclePhase::Closing | LifecyclePhase::Rejecting => {
-                Reply::error("stopping")
-            }
+            LifecyclePhase::Stopping
+            | LifecyclePhase::Closing
+            | LifecyclePhase::Rejecting
+            | LifecyclePhase::Ending => Reply::error("stopping"),
         }
     }
 
@@ -222,7 +223,7 @@
             Ok(call) => call,
             Err(error) => return PendingReply::Ready(Reply::error(error)),
         };
-        if *self.context.phase.borrow() == LifecyclePhase::Rejecting {
+        if *self.context.phase.borrow() >= LifecyclePhase::Rejecting {
             return PendingReply::Ready(FinalAnswer::Rejected(None).into());
         }
         if !self.reserve_command() {
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -175,7 +175,7 @@
                     }
                     evicted.set(slot.evict.notified());
                 }
-                changed = phase_changed.as_mut(), if phase < LifecyclePhase::Rejecting => {
+                changed = phase_changed.as_mut(), if phase < LifecyclePhase::Ending => {
                     phase_changed.set(next_phase(changed.ok_or(RespError::Closed)?));
                 }
             }
@@ -194,6 +194,10 @@
             return Ok(Progress::Repeat);
         }
         let phase = *phases.borrow_and_update();
+        if phase == LifecyclePhase::Ending && self.accepts_commands() && self.has_partial_command() {
+            self.reply_protocol_error("command not whole before the end of the process");
+            return Ok(Progress::Repeat);
+        }
         if self.should_close(phase, writer) {
             return Ok(Progress::Close(CloseReason::Answered));
         }
@@ -212,16 +216,15 @@
 
     /// Returns whether the connection should close because the process shuts down or its input has ended.
     fn should_close<W: Writer>(&self, phase: LifecyclePhase, writer: &W) -> bool {
-        let accepts_commands = self.accepts_commands();
-        if accepts_commands && phase < LifecyclePhase::Closing {
-            return false;
+        if !self.accepts_commands() || phase == LifecyclePhase::Ending {
+            return self.is_answered();
         }
-        if accepts_commands && phase < LifecyclePhase::Rejecting {
-            // Unread input is a request that has arrived, and a part of a command is a request that has begun to
-            // arrive: both are answered.
-            return self.is_answered() && !self.has_partial_command() && writer.has_no_unread_input();
-        }
-        self.is_answered()
+        // Unread input is a request that has arrived, and a part of a command is a request that has begun to arrive:
+        // both are answered.
+        phase >= LifecyclePhase::Closing
+            && self.is_answered()
+            && !self.has_partial_command()
+            && writer.has_no_unread_input()
     }
 
     fn activity(&self) -> Activity {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -96,6 +96,8 @@
     Closing,
     /// New requests are rejected, since there may not be enough time to answer them.
     Rejecting,
+    /// The process ends soon: commands that have arrived in part are answered with an error.
+    Ending,
 }
 
 /// Identifies an attempt: its request and its index among the request's attempts.
--- a/crates/gateway/tests/simulated_network/shutdown_traffic.rs
+++ b/crates/gateway/tests/simulated_network/shutdown_traffic.rs
@@ -1,7 +1,7 @@
 //! Clients that keep sending during a graceful shutdown, on existing and on new connections.
 
 use crate::support::{
-    command, format_id, get, Behavior, Client, Setup, SimulatedNetwork, CLOSED, CONNECTION_ERROR,
+    command, format_id, Behavior, Client, Setup, SimulatedNetwork, CLOSED, CONNECTION_ERROR,
 };
 use cluster_model::{MS, SECOND};
 use gateway::Signal;
@@ -135,33 +135,90 @@
     }
 }
 
-/// When connections close with half a command received, the gateway waits for the rest as long as it accepts commands. A
-/// rest that arrives later crosses the close of the connection, and is not forwarded.
+/// A client that writes a command in two pieces around a shutdown, on a connection that has carried one before. Times
+/// count from SIGTERM.
+#[derive(Clone, Copy, Debug)]
+struct SlowCommand {
+    deadline: Span,
+    begun_at: Span,
+    /// When the rest is written; `None` if it never is.
+    rest_at: Option<Span>,
+    /// The reply, and when it arrives.
+    expected: (&'static str, Span),
+}
+
+impl SlowCommand {
+    fn run(&self) {
+        let case = Case { deadline: self.deadline, hosts: Hosts::Serve(MS), interval: 0 };
+        let network = case.start();
+        let (client, order) = (network.client(), case.order_call(1));
+        let signals = network.signal_sender();
+        network.schedule(SIGTERM_AT, move |_| signals.send(Signal::Terminate).unwrap());
+        client.send(case.order_call(0));
+        network.run_until(SIGTERM_AT + self.begun_at);
+        assert_eq!(client.take_replies(), [format_id(0)]);
+        client.send(order.slice(..30));
+        if let Some(rest_at) = self.rest_at {
+            network.run_until(SIGTERM_AT + rest_at);
+            client.send(order.slice(30..));
+        }
+        network.run_until(SIGTERM_AT + self.deadline + 2 * SECOND);
+        let (text, expected_at) = self.expected;
+        let replies = client.take_timed_replies();
+        let [(replied_at, reply), (_, end)] = &replies[..] else { panic!("{replies:?}: {self:?}") };
+        assert!(reply.starts_with(text) && end == CLOSED, "{replies:?}: {self:?}");
+        let delay = replied_at.checked_sub(SIGTERM_AT + expected_at);
+        assert!(delay.is_some_and(|delay| delay <= 10 * MS), "{replies:?}: {self:?}");
+        let received = network.hosts.iter().flat_map(|host| host.take_received());
+        let forwarded = received.filter(|received| received.text.starts_with("CALL")).count();
+        assert_eq!(forwarded, 1 + usize::from(*reply == format_id(1)), "{self:?}");
+        let ended = network.ended_at().expect("the gateway has not ended") - SIGTERM_AT;
+        assert!(ended <= self.deadline + AFTER_DEADLINE, "ended after {} ms: {self:?}", ended / MS);
+        assert!(ended <= expected_at + 510 * MS, "ended after {} ms: {self:?}", ended / MS);
+    }
+}
+
+/// Guards against commands that were never answered because their first bytes were read during a graceful shutdown, and
+/// the rest arrived after the gateway had stopped to admit requests: the connection was closed in the middle of them. The
+/// rest has the usual time of two seconds. If the process ends before, the client gets an error.
 #[test]
-fn half_a_command_keeps_a_connection_open_until_no_more_commands_are_accepted() {
-    for (rest, reply) in [(480 * MS, Some(format_id(1))), (510 * MS, None)] {
-        let network = SimulatedNetwork::start(Setup::default());
-        network.hosts[0].set_behavior(Behavior::serve(1, MS));
-        let (client, call) = (network.client(), get(1));
-        client.send(call.slice(..30));
-        network.run_until(SIGTERM_AT);
-        network.signal(Signal::Terminate);
-        network.run_until(SIGTERM_AT + rest);
-        client.send(call.slice(30..));
-        network.run_for(SECOND);
-        let expected: Vec<String> = reply.clone().into_iter().chain([CLOSED.to_owned()]).collect();
-        assert_eq!(client.take_replies(), expected);
-        let sent = network.hosts[0]
-            .take_received()
-            .iter()
-            .filter(|received| received.text.starts_with("CALL"))
-            .count();
-        assert_eq!(sent, usize::from(reply.is_some()));
-        let end = if reply.is_some() { 480 * MS + 10 * MS } else { 500 * MS };
-        assert!(
-            network.ended_at().is_some_and(|at| at <= SIGTERM_AT + end + 500 * MS),
-            "{:?}",
-            network.ended_at()
-        );
+fn a_command_that_has_begun_to_arrive_is_answered_during_a_shutdown() {
+    let (served, rejected) = ("0000000000000001", "-BUSY");
+    let (late, ending) =
+        ("-ERR protocol error: command not whole in time", "-ERR protocol error: command not whole");
+    let long = 3 * SECOND;
+    for (deadline, begun_at, rest_at, expected) in [
+        (long, 0, Some(480 * MS), (served, 480 * MS)),
+        (long, 0, Some(510 * MS), (rejected, 510 * MS)),
+        (long, 440 * MS, Some(510 * MS), (rejected, 510 * MS)),
+        (long, 440 * MS, Some(2_430 * MS), (rejected, 2_430 * MS)),
+        (long, 440 * MS, None, (late, 2_440 * MS)),
+        (100 * MS, 440 * MS, Some(590 * MS), (rejected, 590 * MS)),
+        (100 * MS, 440 * MS, Some(650 * MS), (ending, 600 * MS)),
+        (100 * MS, 440 * MS, None, (ending, 600 * MS)),
+    ] {
+        SlowCommand { deadline, begun_at, rest_at, expected }.run();
     }
 }
+
+/// As above, for a command that begins to arrive when requests are no longer admitted, on a connection that is open
+/// because an earlier request is in flight.
+#[test]
+fn a_command_that_begins_to_arrive_behind_a_request_in_flight_is_answered_during_a_shutdown() {
+    let case = Case { deadline: 3 * SECOND, hosts: Hosts::Serve(700 * MS), interval: 0 };
+    let network = case.start();
+    let client = network.client();
+    network.run_until(SIGTERM_AT - MS);
+    client.send(case.order_call(1));
+    network.run_until(SIGTERM_AT);
+    network.signal(Signal::Terminate);
+    network.run_until(SIGTERM_AT + 600 * MS);
+    let second = case.order_call(2);
+    client.send(second.slice(..30));
+    network.run_until(SIGTERM_AT + 900 * MS);
+    assert_eq!(client.take_replies(), [format_id(1)]);
+    client.send(second.slice(30..));
+    network.run_for(SECOND);
+    assert_eq!(client.take_replies(), ["-BUSY", CLOSED]);
+    assert!(network.ended_at().is_some_and(|at| at <= SIGTERM_AT + 900 * MS + 510 * MS));
+}
