Discard input of closing connections without a buffer for each of them

What callers saw: memory that grew when hundreds of connections ended with unread input, after malformed or half-written requests, and did not shrink afterwards. Cause: linger allocated 16 KiB for each connection that it closes, where the budget has 4 KiB for all of a connection. Evidence: 700 clients with commands of 100,000 fields took 16,680 kB of 32,768; without bytes behind the malformed header the buffers were not touched, and memory stayed low. Change: resp::discard reads by way of the stack. It works because nothing of what is discarded is needed once the read has returned. The new test fails before (15,348 kB of 10,240) and passes now; the tests of gateway and resp pass.

--- a/crates/api-gateway/tests/memory.rs
+++ b/crates/api-gateway/tests/memory.rs
@@ -46,3 +46,30 @@
         assert!(memory <= MEMORY_MB << 20, "{} kB after {} orders", memory >> 10, clients.len());
     }
 }
+
+/// The part of the memory for the program and for connections without commands in flight, as `check` prints it: 6 MB, and
+/// 4 KiB for each descriptor.
+const PROGRAM_AND_CONNECTIONS: usize = (6 << 20) + SOCKETS * (4 << 10);
+/// As many connections as the descriptors for clients allow.
+const CONNECTIONS: usize = 700;
+
+/// Opens connections, and writes these bytes on each of them.
+fn connect_and_write(gateway: &Program, bytes: &[u8]) -> Vec<Client> {
+    let mut clients: Vec<Client> = (0..CONNECTIONS).map(|_| gateway.client()).collect();
+    clients.iter_mut().for_each(|client| client.write_ignoring_errors(bytes));
+    clients
+}
+
+/// Guards against buffers of connections that are about to close: each took 16 KiB until its client had closed it too, so
+/// that memory grew after malformed requests.
+#[test]
+fn connections_that_end_with_an_error_stay_within_their_part_of_the_memory() {
+    let (gateway, _discovery, _watch) = start_gateway("v");
+    let many_fields = format!("*20000\r\n{}", "$1\r\na\r\n".repeat(20_000));
+    let mut clients = connect_and_write(&gateway, many_fields.as_bytes());
+    for client in &mut clients {
+        assert!(client.read_answer().starts_with("-ERR protocol error"));
+    }
+    let memory = gateway.anonymous_memory();
+    assert!(memory <= PROGRAM_AND_CONNECTIONS, "{} kB", memory >> 10);
+}
--- a/crates/gateway/src/client/linger.rs
+++ b/crates/gateway/src/client/linger.rs
@@ -1,10 +1,9 @@
 //! Closes a connection so that its last reply arrives. Closing a socket with unread input resets the connection, and
 //! the client would lose the reply.
 
-use bytes::BytesMut;
 use runtime::Span;
 use std::io;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
 const MS: Span = 1_000_000;
 /// Maximum time that a connection lingers.
@@ -15,7 +14,6 @@
 /// Maximum number of bytes that are read and discarded from a client that continues to send after its last reply, or
 /// after bytes that cannot be decoded.
 pub(super) const MAX_DISCARDED_BYTES: usize = 256 * 1024;
-const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Shuts down the sending direction and waits for the client to close the other one.
 pub(super) async fn linger<R, W>(reader: &mut R, writer: &mut W) -> io::Result<()>
@@ -23,12 +21,10 @@
     R: AsyncRead + Unpin + Send,
     W: AsyncWrite + Unpin + Send,
 {
-    let mut discarded = BytesMut::with_capacity(READ_BUFFER_BYTES);
     writer.shutdown().await?;
     let mut remaining = MAX_DISCARDED_BYTES;
     while remaining > 0 {
-        discarded.clear();
-        match reader.read_buf(&mut discarded).await? {
+        match resp::discard(reader).await? {
             0 => return Ok(()),
             count => remaining = remaining.saturating_sub(count),
         }
--- a/crates/resp/src/read_buffer.rs
+++ b/crates/resp/src/read_buffer.rs
@@ -4,9 +4,10 @@
 use crate::{Frame, RespError};
 use bytes::Bytes;
 use std::future::poll_fn;
+use std::io;
 use std::mem::{self, MaybeUninit};
 use std::pin::Pin;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Poll};
 use tokio::io::{AsyncRead, ReadBuf};
 
 /// Maximum number of bytes that are read at once.
@@ -74,23 +75,10 @@
     /// # Errors
     /// [`RespError::Closed`] at the end of the stream, [`RespError::Io`] if reading fails.
     pub async fn fill<R: AsyncRead + Unpin>(&mut self, from: &mut R) -> Result<(), RespError> {
-        poll_fn(|context| self.poll_fill(Pin::new(&mut *from), context)).await
-    }
-
-    /// Reads by way of the stack, so that the length of the input is known before it is allocated.
-    fn poll_fill<R: AsyncRead>(
-        &mut self,
-        from: Pin<&mut R>,
-        context: &mut Context<'_>,
-    ) -> Poll<Result<(), RespError>> {
-        let mut storage = [const { MaybeUninit::<u8>::uninit() }; READ_BYTES];
-        let mut read = ReadBuf::uninit(&mut storage);
-        ready!(from.poll_read(context, &mut read))?;
-        if read.filled().is_empty() {
-            return Poll::Ready(Err(RespError::Closed));
+        match read_available(from, |input| self.extend_from_slice(input)).await? {
+            0 => Err(RespError::Closed),
+            _ => Ok(()),
         }
-        self.extend_from_slice(read.filled());
-        Poll::Ready(Ok(()))
     }
 
     /// Removes the first complete frame and returns it; `None` if more bytes are needed.
@@ -142,6 +130,31 @@
     }
 }
 
+/// Discards the available bytes of a peer; waits until there is at least one. Returns their number, which is 0 at the end
+/// of the stream.
+///
+/// # Errors
+/// Reading fails.
+pub async fn discard<R: AsyncRead + Unpin>(from: &mut R) -> io::Result<usize> {
+    read_available(from, |_| ()).await
+}
+
+/// Reads available bytes by way of the stack, so that waiting takes no memory, and that the length of the input is known
+/// before it is allocated. Returns the number of bytes.
+async fn read_available<R: AsyncRead + Unpin>(
+    from: &mut R,
+    mut receive: impl FnMut(&[u8]),
+) -> io::Result<usize> {
+    poll_fn(|context| {
+        let mut storage = [const { MaybeUninit::<u8>::uninit() }; READ_BYTES];
+        let mut read = ReadBuf::uninit(&mut storage);
+        ready!(Pin::new(&mut *from).poll_read(context, &mut read))?;
+        receive(read.filled());
+        Poll::Ready(Ok(read.filled().len()))
+    })
+    .await
+}
+
 /// Returns how many bytes a buffer that grows to this length may allocate in addition.
 fn spare_capacity(length: usize) -> usize {
     (length / SPARE_DIVISOR).max(MIN_SPARE_BYTES)
