Bound unread replies by the memory for commands, and release their queues

Cause: a connection could hold 1,024 replies that differ, and 1,024 encoded ones, whatever the memory, and kept the space of its longest queue. Its channels had 32 places of up to 100 bytes and more. Change: entries beyond 32 take permits of the memory for commands; 64 replies are encoded at a time; empty queues release their memory; channels hold pointers. It works because what a connection may hold without permits is now a few kilobytes.

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -17,8 +17,8 @@
 pub(super) const MAX_PIPELINE: usize = 16;
 /// Number of bytes read ahead of a full pipeline above which complete commands are rejected.
 const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
-/// Maximum number of runs of commands with equal pending replies of one connection. A client whose commands need more is
-/// disconnected.
+/// Maximum number of runs of commands with equal pending replies of one connection, fewer if memory is short. A client
+/// whose commands need more is disconnected.
 pub(super) const MAX_PENDING_RUNS: usize = 1024;
 /// The first command, and the rest of an incomplete one, have to arrive within this time.
 pub(super) const COMMAND_TIMEOUT: Span = 2_000 * MS;
@@ -26,6 +26,10 @@
 const UNBUDGETED_INPUT_BYTES: usize = 1024;
 /// Bytes of the commands in flight that a connection may hold without permits from the shared budget.
 const UNBUDGETED_IN_FLIGHT_BYTES: usize = 3 * 1024;
+/// Number of runs of equal pending replies that a connection may hold without permits from the shared budget.
+pub(super) const UNBUDGETED_RUNS: usize = 2 * MAX_PIPELINE;
+/// Memory of a run of equal pending replies, in bytes: its entry in a queue that doubles, and its line.
+const RUN_BYTES: usize = 256;
 
 /// Error for a frame that is not an array.
 const NOT_A_COMMAND: &str = "commands are arrays of bulk strings";
@@ -95,7 +99,14 @@
     fn reserve_bytes(&mut self) -> bool {
         let input = self.input.allocated_bytes().saturating_sub(UNBUDGETED_INPUT_BYTES);
         let in_flight = self.pending.in_flight_bytes().saturating_sub(UNBUDGETED_IN_FLIGHT_BYTES);
-        self.byte_permits.resize(input + in_flight)
+        let replies = self.pending.runs().saturating_sub(UNBUDGETED_RUNS) * RUN_BYTES;
+        self.byte_permits.resize(input + in_flight + replies)
+    }
+
+    /// Returns whether there is memory for one more run of equal pending replies.
+    fn has_room_for_reply(&mut self) -> bool {
+        let runs = self.pending.runs();
+        runs < UNBUDGETED_RUNS || runs < MAX_PENDING_RUNS && self.reserve_bytes()
     }
 
     /// Returns whether too many bytes have been read ahead of a full pipeline: more than [`MAX_READ_AHEAD_BYTES`], or
@@ -109,7 +120,7 @@
     /// fit into the budget.
     fn reject_complete_commands(&mut self, excess: ClientExcess) {
         while self.input_state == InputState::Commands && !self.input.is_empty() {
-            if self.pending.runs() >= MAX_PENDING_RUNS {
+            if !self.has_room_for_reply() {
                 self.record_excess(ClientExcess::PendingReplies);
                 return self.abandon_client();
             }
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -8,7 +8,7 @@
 use crate::client::slots::{Activity, ConnectionSlot};
 use crate::client::Context;
 use crate::crash_points::{self, CrashPoint};
-use crate::messages::{FinalAnswer, LifecyclePhase, NumberedAnswer, TrafficEvent};
+use crate::messages::{LifecyclePhase, NumberedAnswer, TrafficEvent};
 use crate::telemetry::client_limits::ClientExcess;
 use bytes::Buf;
 use input::{InputState, COMMAND_TIMEOUT};
@@ -24,7 +24,7 @@
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
 /// Maximum number of replies that are encoded before the client has read them.
-const MAX_OUTPUT_REPLIES: usize = 1024;
+const MAX_OUTPUT_REPLIES: usize = 64;
 
 /// Why the gateway closes a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -153,7 +153,7 @@
             let write_deadline = self.output.write_deadline(env.now());
             tokio::select! {
                 biased;
-                Some((command, answer)) = inbox.recv() => self.record_answers(command, answer, &mut inbox),
+                Some(answer) = inbox.recv() => self.record_answers(answer, &mut inbox),
                 written = env.timeout_at(write_deadline.unwrap_or(0), writer.write_buf(&mut self.output.bytes)),
                     if write_deadline.is_some() =>
                 {
@@ -269,15 +269,12 @@
     }
 
     /// Records an answer, and all others that have arrived.
-    fn record_answers(
-        &mut self,
-        command: u64,
-        answer: FinalAnswer,
-        inbox: &mut UnboundedReceiver<NumberedAnswer>,
-    ) {
-        self.pending.complete(command, answer);
-        while let Ok((command, answer)) = inbox.try_recv() {
+    fn record_answers(&mut self, first: NumberedAnswer, inbox: &mut UnboundedReceiver<NumberedAnswer>) {
+        let mut next = Some(first);
+        while let Some(numbered) = next {
+            let (command, answer) = *numbered;
             self.pending.complete(command, answer);
+            next = inbox.try_recv().ok();
         }
     }
 
--- a/crates/gateway/src/client/connection/tests/memory.rs
+++ b/crates/gateway/src/client/connection/tests/memory.rs
@@ -224,3 +224,26 @@
     assert!(!connection.run(MS));
     assert_eq!(connection.take_replies(), "-ERR failed\r\n-ERR protocol error: malformed bulk end\r\n");
 }
+
+/// Guards against memory that grows with replies that a client does not read: each connection had room for 1,024 replies
+/// that differ from one to the next, regardless of the memory. Without memory for them, the client is abandoned; equal
+/// replies need none.
+#[test]
+fn replies_that_differ_are_bounded_by_the_memory_for_commands() {
+    let alternating = [&encoded_call()[..], PING].concat();
+    for (flood, is_abandoned) in [
+        (alternating.repeat(UNBUDGETED_RUNS / 4), false),
+        (alternating.repeat(UNBUDGETED_RUNS), true),
+        (encoded_call().repeat(1_000), false),
+    ] {
+        let (mut connection, _permits) = connection_without_command_memory();
+        connection.stream.0.lock().unwrap().writable = 0;
+        connection.stream.send(&flood);
+        connection.run(MS);
+        let in_flight = connection.receive_request().request.id;
+        let mut events = std::iter::from_fn(|| connection.inbox.try_recv().ok());
+        let disconnected =
+            events.any(|event| matches!(event, TrafficEvent::ClientDisconnected(id) if id == in_flight));
+        assert_eq!(disconnected, is_abandoned, "{} bytes", flood.len());
+    }
+}
--- a/crates/gateway/src/client/connection/tests/mod.rs
+++ b/crates/gateway/src/client/connection/tests/mod.rs
@@ -4,7 +4,7 @@
 mod memory;
 mod pipeline;
 
-use super::input::{MAX_PENDING_RUNS, MAX_PIPELINE};
+use super::input::{MAX_PENDING_RUNS, MAX_PIPELINE, UNBUDGETED_RUNS};
 use super::*;
 use crate::client::linger::{MAX_DISCARDED_BYTES, MAX_LINGERING};
 use crate::client::listener::{accept, listen, ConnectionLimits};
@@ -12,7 +12,7 @@
 use crate::client::slots::SlotContention;
 use crate::client::CommandBudget;
 use crate::config::memory_budget::MemoryBudget;
-use crate::messages::IncomingRequest;
+use crate::messages::{FinalAnswer, IncomingRequest};
 use bytes::{Bytes, BytesMut};
 use cluster_model::SECOND;
 use platform_settings::PlatformSettings;
--- a/crates/gateway/src/client/replies.rs
+++ b/crates/gateway/src/client/replies.rs
@@ -77,6 +77,17 @@
     }
 }
 
+/// Maximum number of entries that an empty queue of replies keeps space for, so that a connection at rest takes little
+/// memory.
+const MAX_IDLE_CAPACITY: usize = 16;
+
+/// Releases the memory of an empty queue, if it has been long.
+fn release_if_empty<T>(queue: &mut VecDeque<T>) {
+    if queue.is_empty() && queue.capacity() > MAX_IDLE_CAPACITY {
+        *queue = VecDeque::new();
+    }
+}
+
 /// The commands of a connection whose replies have not been moved to the output yet, in order. Equal replies to
 /// consecutive commands, such as rejections, take the memory of one.
 #[derive(Default)]
@@ -151,7 +162,9 @@
             run.count -= 1;
             return Some(reply.clone());
         }
-        match self.runs.pop_front()?.reply {
+        let first = self.runs.pop_front()?;
+        release_if_empty(&mut self.runs);
+        match first.reply {
             PendingReply::Ready(reply) => Some(reply),
             PendingReply::InFlight { .. } => None,
         }
@@ -235,6 +248,10 @@
             self.reply_ends.pop_front();
         }
         let has_completed_reply = self.reply_ends.len() < before;
+        if self.is_empty() && self.reply_ends.capacity() > MAX_IDLE_CAPACITY {
+            self.bytes = SegmentedBuf::new();
+            self.reply_ends = VecDeque::new();
+        }
         self.deadlines.on_written(has_completed_reply);
         has_completed_reply
     }
@@ -270,3 +287,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -59,8 +59,9 @@
 /// Sequence number of a command on its connection.
 pub(crate) type CommandNumber = u64;
 
-/// A final answer, with the number of its command on the client's connection.
-pub(crate) type NumberedAnswer = (CommandNumber, FinalAnswer);
+/// A final answer, with the number of its command on the client's connection. It is boxed, since the channel of each
+/// connection allocates space for 32 messages at once.
+pub(crate) type NumberedAnswer = Box<(CommandNumber, FinalAnswer)>;
 
 /// Recipient of the final answer to a request: a command on a client's connection.
 #[derive(Debug)]
@@ -78,7 +79,7 @@
 
     /// Sends the answer; it is dropped if the client's connection has closed.
     pub fn send(self, answer: FinalAnswer) {
-        let _ = self.answers.send((self.command, answer));
+        let _ = self.answers.send(Box::new((self.command, answer)));
     }
 }
 
--- a/crates/gateway/src/upstream/connection/mod.rs
+++ b/crates/gateway/src/upstream/connection/mod.rs
@@ -52,12 +52,18 @@
     }
 }
 
+/// A request that has been written in part, and the write half that writes the rest.
+struct UnwrittenRequest<W> {
+    writer: W,
+    command: Command,
+}
+
 /// The event loop's handle of a connection.
 pub(crate) struct HostConnection<E: Env> {
     shared: Arc<Shared<WriterOf<E>>>,
     writer: Option<WriterOf<E>>,
-    /// Passes partially written requests to the task.
-    unwritten: UnboundedSender<(WriterOf<E>, Command)>,
+    /// Passes partially written requests to the task. They are boxed, since the channel allocates space for 32 of them.
+    unwritten: UnboundedSender<Box<UnwrittenRequest<WriterOf<E>>>>,
 }
 
 /// Timeouts of a connection.
@@ -127,7 +133,8 @@
         } else if command.remaining() == length {
             Err(WriteError::Congested)
         } else {
-            self.unwritten.send((writer, command)).map_err(|_| WriteError::Stale)
+            let unwritten = Box::new(UnwrittenRequest { writer, command });
+            self.unwritten.send(unwritten).map_err(|_| WriteError::Stale)
         }
     }
 }
@@ -157,7 +164,11 @@
 }
 
 impl<E: Env> ConnectionTask<E> {
-    async fn run(self, address: SocketAddr, unwritten: UnboundedReceiver<(WriterOf<E>, Command)>) {
+    async fn run(
+        self,
+        address: SocketAddr,
+        unwritten: UnboundedReceiver<Box<UnwrittenRequest<WriterOf<E>>>>,
+    ) {
         if let Ok(Ok(stream)) = self.env.timeout(self.timeouts.connect, self.env.connect(address)).await {
             let (reader, writer) = stream.into_split();
             self.shared.put_writer(writer);
@@ -178,7 +189,7 @@
     async fn drive(
         &self,
         mut reader: impl AsyncRead + Unpin + Send,
-        mut unwritten: UnboundedReceiver<(WriterOf<E>, Command)>,
+        mut unwritten: UnboundedReceiver<Box<UnwrittenRequest<WriterOf<E>>>>,
     ) -> Result<(), RespError> {
         let mut input = ReadBuffer::new();
         let mut idle_since: Time = self.env.now();
@@ -194,8 +205,8 @@
                     idle_since = self.env.now();
                 }
                 unwritten = unwritten.recv() => {
-                    let (writer, command) = unwritten.ok_or(RespError::Closed)?;
-                    self.write_remaining(&mut reader, &mut input, writer, command).await?;
+                    let unwritten = unwritten.ok_or(RespError::Closed)?;
+                    self.write_remaining(&mut reader, &mut input, *unwritten).await?;
                 }
                 () = idle_timer.as_mut() => {
                     let awaits_response = self.shared.awaits_response.load(Ordering::Relaxed);
@@ -259,12 +270,12 @@
         &self,
         reader: &mut R,
         input: &mut ReadBuffer,
-        mut writer: WriterOf<E>,
-        mut command: Command,
+        unwritten: UnwrittenRequest<WriterOf<E>>,
     ) -> Result<(), RespError>
     where
         R: AsyncRead + Unpin + Send,
     {
+        let UnwrittenRequest { mut writer, mut command } = unwritten;
         tokio::select! {
             biased;
             filled = input.fill(reader) => {
