Let other clients have their turn after 64 commands of a connection

What callers saw: with 48 clients that send unsound requests or ever new customers at full speed, 0 of 105 and 0 of 52 sound orders were served in 5 s; with unknown commands 157 of 170, the median after 286 ms. Cause: a connection's task read and answered until the runtime stopped it, after 128 reads or writes. A sound order needs a turn of several tasks, one after the other, and each waited for a turn of all floods. Evidence: unknown commands reach no host and take no memory, and delayed all the same. Smaller reads alone left the median of unknown commands at 277 ms. Change: a connection yields after 64 commands; a read counts as eight. It works because a turn of a connection no longer grows with what its client has sent.

--- a/crates/gateway/src/client/connection/input.rs
+++ b/crates/gateway/src/client/connection/input.rs
@@ -128,6 +128,7 @@
                 Ok(None) => return,
                 Ok(Some(Frame::Array(parts))) if !parts.is_empty() => {
                     self.command_deadline = None;
+                    self.commands_in_turn += 1;
                     let reply = if is_ping(&parts) { self.ping_reply() } else { self.reject(excess) };
                     self.pending.push(PendingReply::Ready(reply));
                 }
@@ -210,6 +211,7 @@
 
     fn process_command(&mut self, parts: &[Frame]) {
         self.command_deadline = None;
+        self.commands_in_turn += 1;
         let reply =
             if is_ping(parts) { PendingReply::Ready(self.ping_reply()) } else { self.process_call(parts) };
         self.pending.push(reply);
--- a/crates/gateway/src/client/connection/mod.rs
+++ b/crates/gateway/src/client/connection/mod.rs
@@ -26,6 +26,12 @@
 /// Maximum number of replies that are encoded before the client has read them.
 const MAX_OUTPUT_REPLIES: usize = 64;
 
+/// Number of commands that a connection processes before other tasks have their turn. A client that sends faster than the
+/// gateway processes would delay all others otherwise.
+const COMMANDS_PER_TURN: usize = 64;
+/// Number of commands that reading counts as, since it takes time even if no command is complete.
+const COMMANDS_PER_READ: usize = 8;
+
 /// Why the gateway closes a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseReason {
@@ -64,6 +70,8 @@
     byte_permits: HeldPermits,
     /// Whether a valid call has arrived.
     has_sent_call: bool,
+    /// Number of commands processed since other tasks had their turn.
+    commands_in_turn: usize,
 }
 
 /// Serves a connection until it ends.
@@ -119,6 +127,7 @@
             command_permits: HeldPermits::new(context.budget.slots.clone()),
             byte_permits: HeldPermits::new(context.budget.bytes.clone()),
             has_sent_call: false,
+            commands_in_turn: 0,
             context,
         };
         (connection, inbox)
@@ -143,6 +152,10 @@
         let mut evicted = pin!(slot.evict.notified());
         let mut phase_changed = pin!(next_phase(phases.clone()));
         loop {
+            if self.commands_in_turn >= COMMANDS_PER_TURN {
+                self.commands_in_turn = 0;
+                tokio::task::yield_now().await;
+            }
             let phase = match self.advance(writer, &mut phases).await? {
                 Progress::Repeat => continue,
                 Progress::Close(reason) => return Ok(reason),
@@ -162,6 +175,7 @@
                 }
                 read = self.input.fill(reader), if self.input_state != InputState::Ended => {
                     read?;
+                    self.commands_in_turn += COMMANDS_PER_READ;
                     self.process_input();
                 }
                 () = env.sleep_until(command_deadline.unwrap_or(0)), if command_deadline.is_some() => {
--- a/crates/gateway/src/client/connection/tests/mod.rs
+++ b/crates/gateway/src/client/connection/tests/mod.rs
@@ -21,7 +21,7 @@
 use simulated_runtime::{Place, Sim, SimConfig, SimEnv};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::task::Waker;
 use std::time::Duration;
@@ -226,6 +226,8 @@
     inbox: UnboundedReceiver<TrafficEvent>,
     has_ended: Arc<AtomicBool>,
     phase: watch::Sender<LifecyclePhase>,
+    /// Maximum number of reply bytes that the connection's task has written in one poll.
+    max_written_in_poll: Arc<AtomicUsize>,
 }
 
 impl SimulatedConnection {
@@ -243,13 +245,22 @@
         let (stream, has_ended) = (FakeStream::default(), Arc::new(AtomicBool::new(false)));
         let (mut reader, mut writer, ended) = (stream.clone(), stream.clone(), has_ended.clone());
         let (slot, contention) = (Arc::new(ConnectionSlot::new(env.now())), context.contention.clone());
-        let own = slot.clone();
+        let max_written_in_poll = Arc::new(AtomicUsize::new(0));
+        let (own, max_written, polled) = (slot.clone(), max_written_in_poll.clone(), stream.clone());
         env.spawn(async move {
             let (mut connection, inbox) = Connection::new(context, own);
-            let _ = connection.run(&mut reader, &mut writer, inbox).await;
+            let mut run = pin!(connection.run(&mut reader, &mut writer, inbox));
+            let written = || polled.0.lock().unwrap().written.len();
+            let _ = poll_fn(|context| {
+                let before = written();
+                let poll = run.as_mut().poll(context);
+                max_written.fetch_max(written() - before, Ordering::Relaxed);
+                poll
+            })
+            .await;
             ended.store(true, Ordering::Relaxed);
         });
-        SimulatedConnection { sim, stream, slot, contention, inbox, has_ended, phase }
+        SimulatedConnection { sim, stream, slot, contention, inbox, has_ended, phase, max_written_in_poll }
     }
 
     /// Advances the virtual time. Returns whether the connection is still open.
--- a/crates/gateway/src/client/connection/tests/pipeline.rs
+++ b/crates/gateway/src/client/connection/tests/pipeline.rs
@@ -155,3 +155,20 @@
     }
     assert!(!connection.run(READ_TIMEOUT), "the client has stopped reading");
 }
+
+/// Guards against a client that sends at full speed and delays the replies to all others: each turn of its connection
+/// processed as many commands as had arrived, up to megabytes.
+#[test]
+fn a_connection_with_many_commands_lets_others_have_their_turn() {
+    let unknown: &[u8] = b"*1\r\n$3\r\nFOO\r\n";
+    for (command, reply) in [(PING, "+PONG\r\n"), (unknown, "-ERR unknown command\r\n")] {
+        let connection = SimulatedConnection::start();
+        connection.stream.0.lock().unwrap().writable = usize::MAX;
+        let commands = 20_000;
+        connection.stream.send(&command.repeat(commands));
+        assert!(connection.run(MS));
+        assert_eq!(connection.take_replies(), reply.repeat(commands));
+        let most = connection.max_written_in_poll.load(Ordering::Relaxed) / reply.len();
+        assert!(most <= COMMANDS_PER_TURN + MAX_PIPELINE, "{most} commands in one turn");
+    }
+}
