Keep the ids of orders that may have run, so that none runs twice for its client

What callers saw: an order whose client had left while a host had it was forwarded again when its id came again on another connection. Cause: the event loop forgot an id together with its request, whatever the attempt had done. Evidence: in virtual time, with and without cancellation; an older test even asked for the second run ("the id is not released"). It works because the gateway itself is the only one that knows whether the first request was forwarded. Tests: the new one fails before. It replaces a_request_with_the_id_of_an_attempt_in_flight_is_not_forwarded, whose last line asked for the fault, with the same demand before, the opposite after the end, and the release of the id later.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,9 +1,10 @@
 //! The gateway's event loop: owns the decision module, reports events to it, and executes the actions that it returns.
 //!
 //! This file dispatches events and timers. `decisions` runs the decision module, `requests` keeps the requests in
-//! flight and their attempts, `endpoints` applies endpoint lists, reloads and site failover, and `logging` writes the
+//! flight and their attempts, `client_ids` the identifiers that clients gave them, `endpoints` applies endpoint lists, reloads and site failover, and `logging` writes the
 //! log.
 
+mod client_ids;
 mod decisions;
 mod endpoints;
 mod logging;
@@ -25,13 +26,14 @@
 use crate::telemetry::outage_log::OutageLog;
 use crate::timers::TimerQueue;
 use crate::upstream::{StopReason, Upstream};
+use client_ids::ClientIds;
 use config_language::model::Operators;
 use platform_settings::PlatformSettings;
 use policy::api::{Event, HostListKind, RequestId, Settings, Span};
 use requests::InFlightRequest;
 use runtime::{Env, Sleep};
 use rustc_hash::FxHashMap;
-use std::collections::{HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
@@ -82,9 +84,7 @@
     operators: Operators,
     counter: CounterClient<E>,
     requests: FxHashMap<RequestId, InFlightRequest>,
-    /// Clients' identifiers of the requests in flight. Clients choose them, so the set is hashed with a random seed
-    /// against deliberate collisions. It is never iterated, so that the seed does not affect the gateway's behaviour.
-    client_ids: HashSet<u64>,
+    client_ids: ClientIds,
     timers: TimerQueue<Timer>,
     /// Events that have not been reported to the decision module yet, in order: executing an action can cause events
     /// while other actions have not been executed.
@@ -116,6 +116,8 @@
         };
         let quotas = named_quotas(&settings, &platform.plan_names, platform.max_request_units);
         let call_timeout = platform.settings.counter_timeout;
+        let deadlines = settings.classes.iter().map(|class| class.deadline);
+        let longest_deadline = deadlines.max().unwrap_or(0);
         let now = env.now();
         let mut gateway = Gateway {
             module: D::start(settings.clone(), config.seed),
@@ -129,7 +131,7 @@
             settings,
             seed: config.seed,
             requests: FxHashMap::default(),
-            client_ids: HashSet::new(),
+            client_ids: ClientIds::new(longest_deadline),
             timers: TimerQueue::new(),
             pending_events: VecDeque::new(),
             is_notifying: false,
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -57,12 +57,12 @@
         if reply_to.client.is_closed() {
             return;
         }
-        // Hosts identify requests by the client's identifier, so two requests in flight must not share one.
-        if !self.client_ids.insert(call.client_id) {
+        // Hosts identify requests by the client's identifier, so two requests in flight must not share one, and a client
+        // that has lost its connection may send the same request again.
+        if !self.client_ids.insert(self.env.now(), call.client_id) {
             return reply_to.send(FinalAnswer::Failed);
         }
-        let class = self.settings.classes.get(request.class);
-        let is_idempotent = class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
+        let is_idempotent = self.is_idempotent(request.class);
         let sites = self.sites.on_request(self.env.now(), &request, call.client_id, is_idempotent);
         request.route = self.router.select(&request, sites);
         request.arrived_at = arrived_at;
@@ -173,12 +173,28 @@
     fn remove_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(InFlightRequest::is_finished) {
             if let Some(request) = self.requests.remove(&id) {
-                self.client_ids.remove(&request.call.client_id);
+                self.release_client_id(&request);
                 self.router.release(&request.route);
             }
         }
     }
 
+    /// Releases the client's identifier of a request that has ended, or keeps it for some time if the request may have been
+    /// executed and must not be executed again.
+    fn release_client_id(&mut self, request: &InFlightRequest) {
+        let client_id = request.call.client_id;
+        if request.may_have_executed && !self.is_idempotent(request.class) {
+            self.client_ids.keep(self.env.now(), client_id);
+        } else {
+            self.client_ids.remove(client_id);
+        }
+    }
+
+    fn is_idempotent(&self, class: usize) -> bool {
+        let class = self.settings.classes.get(class);
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// Starts an attempt. The end of each attempt that the decision module orders is reported exactly once, also if the
     /// attempt is not sent because the request has been answered already, or because its client has disconnected, or may
     /// have done so.
--- a/crates/gateway/tests/simulated_network/client_disconnect.rs
+++ b/crates/gateway/tests/simulated_network/client_disconnect.rs
@@ -1,12 +1,15 @@
 //! Clients that disconnect while replies are pending.
 
 use crate::support::{
-    bulk, command, customer_plan, format_id, post, value_reply, Client, Received, Setup, SimulatedNetwork,
-    CLIENT_DELAY, HOST_DELAY,
+    bulk, command, customer_plan, format_id, get, post, value_reply, Client, Received, Setup,
+    SimulatedNetwork, CLIENT_DELAY, HOST_DELAY,
 };
 use cluster_model::MS;
 use runtime::Span;
 
+/// The longest deadline of a class in the default settings.
+const LONGEST_DEADLINE: Span = 9_000 * MS;
+
 /// How a client disconnects.
 #[derive(Clone, Copy, Debug)]
 enum Departure {
@@ -211,23 +214,56 @@
     }
 }
 
-/// Without cancellation a host completes a request whose client has disconnected; the id stays in use until then.
+/// Guards against orders that run twice because their id comes again after its client has disconnected: the id is not
+/// forwarded while its attempt is in flight, nor for the longest deadline after that. Then it is released.
+#[test]
+fn an_id_that_may_have_been_executed_is_not_forwarded_again_until_the_longest_deadline_has_passed() {
+    for may_cancel in [false, true] {
+        let mut setup = Setup::default();
+        setup.settings["allowed"]["cancel"] = may_cancel.into();
+        let network = SimulatedNetwork::start(setup);
+        network.run_until(10 * MS);
+        let (disconnecting, other) = (network.client(), network.client());
+        disconnecting.post(1);
+        network.run_for(10 * MS);
+        let in_flight = commands(&network);
+        assert_eq!(in_flight.len(), 1);
+        disconnecting.close();
+        let expect_failure = |case: &str| {
+            network.run_for(10 * MS);
+            other.post(1);
+            network.run_for(10 * MS);
+            let outcome = (other.take_replies(), commands(&network));
+            assert_eq!(outcome, (vec!["-ERR failed".to_owned()], Vec::new()), "{case}, {may_cancel}");
+        };
+        expect_failure("the attempt is in flight or cancelled");
+        serve(&network, &in_flight, 1);
+        expect_failure("the attempt has been answered");
+        network.run_for(LONGEST_DEADLINE - 100 * MS);
+        expect_failure("the longest deadline has not passed");
+        network.run_for(100 * MS);
+        other.post(1);
+        network.run_for(10 * MS);
+        assert_eq!(commands(&network).len(), 1, "the id is not released");
+    }
+}
+
+/// An id is released at once if its request was not executed, or may be executed again.
 #[test]
-fn a_request_with_the_id_of_an_attempt_in_flight_is_not_forwarded() {
-    let network = SimulatedNetwork::start(Setup::default());
-    network.run_until(10 * MS);
-    let (disconnecting, other) = (network.client(), network.client());
-    disconnecting.post(1);
-    network.run_for(10 * MS);
-    let in_flight = commands(&network);
-    disconnecting.close();
-    network.run_for(10 * MS);
-    other.post(1);
-    network.run_for(10 * MS);
-    assert_eq!((other.take_replies(), commands(&network)), (vec!["-ERR failed".to_owned()], Vec::new()));
-    serve(&network, &in_flight, 1);
-    network.run_for(10 * MS);
-    other.post(1);
-    network.run_for(10 * MS);
-    assert_eq!(commands(&network).len(), 1, "the id is not released");
+fn an_id_that_was_not_executed_or_is_idempotent_is_forwarded_again() {
+    for (call, answer) in [(post(1, 1, 1.0), "-BUSY\r\n"), (get(1), "-ERR failed\r\n")] {
+        let network = SimulatedNetwork::start(Setup::default());
+        network.run_until(10 * MS);
+        let (disconnecting, other) = (network.client(), network.client());
+        disconnecting.send(call.clone());
+        network.run_for(10 * MS);
+        let in_flight = commands(&network);
+        disconnecting.close();
+        network.run_for(10 * MS);
+        in_flight.iter().for_each(|(host, received)| network.hosts[*host].send(received.connection, answer));
+        network.run_for(10 * MS);
+        other.send(call);
+        network.run_for(10 * MS);
+        assert_eq!((in_flight.len(), commands(&network).len()), (1, 1), "{answer}");
+    }
 }
