Test the memory of hundreds of clients with large incomplete requests

Cause: that of the buffers at rest: they doubled as they grew, and the budget counted bytes, not allocations.

--- a/crates/api-gateway/tests/memory.rs
+++ b/crates/api-gateway/tests/memory.rs
@@ -73,3 +73,40 @@
     let memory = gateway.anonymous_memory();
     assert!(memory <= PROGRAM_AND_CONNECTIONS, "{} kB", memory >> 10);
 }
+
+/// The part of the memory for the bytes of commands, an eighth, as `check` prints it.
+const COMMANDS: usize = (MEMORY_MB << 20) / 8;
+
+/// Writes the same bytes on all connections, in pieces by turns, so that their buffers grow side by side.
+fn write_by_turns(clients: &mut [Client], bytes: &[u8], piece_length: usize) {
+    for piece in bytes.chunks(piece_length) {
+        clients.iter_mut().for_each(|client| client.write_ignoring_errors(piece));
+    }
+}
+
+/// Guards against memory that grows with hundreds of clients that write slowly, stop within a large request or send many
+/// short pairs: buffers doubled as they grew, and their allocations were not budgeted. A gateway of 32 MB had 30 MB and more.
+#[test]
+fn large_incomplete_requests_stay_within_the_memory_for_commands() {
+    let list = "c=order,t=team,d=8500,units=2,spread=1,first=0";
+    let value = "v".repeat(LONG_VALUE);
+    let long_order = encode_command(&["CALL.POST", CUSTOMER, "0000000000000001", list, &value]);
+    let many_pairs = format!("{list}{}", ",a=1".repeat(12_000));
+    let many_pairs = encode_command(&["CALL.POST", CUSTOMER, "0000000000000001", &many_pairs, "body"]);
+    for (case, bytes) in [
+        ("almost complete orders", &long_order[..long_order.len() - 10]),
+        ("half of an order", &long_order[..long_order.len() / 2]),
+        ("many short pairs", &many_pairs[..many_pairs.len() - 10]),
+    ] {
+        let (gateway, _discovery, _watch) = start_gateway("v");
+        let mut clients: Vec<Client> = (0..CONNECTIONS).map(|_| gateway.client()).collect();
+        write_by_turns(&mut clients, bytes, 2_000);
+        let written = gateway.anonymous_memory();
+        for client in &mut clients {
+            assert!(client.read_answer().starts_with("-ERR protocol error"), "{case}");
+        }
+        let closing = gateway.anonymous_memory();
+        let limit = PROGRAM_AND_CONNECTIONS + COMMANDS;
+        assert!(written.max(closing) <= limit, "{case}: {} kB, then {} kB", written >> 10, closing >> 10);
+    }
+}
